--- /dev/null
+++ b/adapter/peer/dispatch.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"mimosaarch.example/core/peerapi"
+)
+
+// dispatcher answers the calls of a connection, one at a time.
+type dispatcher struct{ service *Service }
+
+// Handle implements jsonrpc2.Handler.
+func (h *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := h.answer(ctx, conn, req)
+	if req.Notif {
+		return
+	}
+	limit, done := context.WithTimeout(ctx, h.service.opts.CallTimeout)
+	defer done()
+	// A reply that can't be written ends the connection; the caller then
+	// knows as much as the error could tell it.
+	if err != nil {
+		_ = conn.ReplyWithError(limit, req.ID, refusal(err))
+		return
+	}
+	_ = conn.Reply(limit, req.ID, result)
+}
+
+// answer carries out one call.
+func (h *dispatcher) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	limit, done := context.WithTimeout(ctx, h.service.opts.CallTimeout)
+	defer done()
+	switch req.Method {
+	case peerapi.MethodDigest:
+		return h.digest(conn, req)
+	case peerapi.MethodPull:
+		return h.pull(limit, req)
+	case peerapi.MethodVMs:
+		return h.vms(req)
+	case peerapi.MethodExplain:
+		return h.explain(req)
+	}
+	h.service.opts.Count(MessagesInvalid, 1)
+	return nil, &unknownMethodError{Method: req.Method}
+}
+
+// unknownMethodError refuses a call that the protocol does not have.
+type unknownMethodError struct{ Method string }
+
+// Error implements error.
+func (e *unknownMethodError) Error() string { return "no method " + e.Method }
+
+// refusal gives the error that goes to the caller.
+func refusal(err error) *jsonrpc2.Error {
+	var unknown *unknownMethodError
+	var invalid *peerapi.InvalidError
+	var oversize *peerapi.OversizeError
+	code := peerapi.CodeUnavailable
+	switch {
+	case errors.As(err, &unknown):
+		code = peerapi.CodeUnknownMethod
+	case errors.As(err, &invalid), errors.As(err, &oversize):
+		code = peerapi.CodeInvalid
+	case errors.As(err, new(*busyError)):
+		code = peerapi.CodeBusy
+	}
+	return &jsonrpc2.Error{Code: int64(code), Message: err.Error()}
+}
+
+// busyError refuses a message for want of room.
+type busyError struct{ Cause error }
+
+// Error implements error.
+func (e *busyError) Error() string { return e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *busyError) Unwrap() error { return e.Cause }
+
+// read decodes and checks a call's message.
+func (h *dispatcher) read(req *jsonrpc2.Request, into reply) error {
+	err := h.decode(req, into)
+	if err == nil {
+		err = into.Validate()
+	}
+	if err != nil {
+		h.service.opts.Count(MessagesInvalid, 1)
+	}
+	return err
+}
+
+// decode decodes a call's message.
+func (h *dispatcher) decode(req *jsonrpc2.Request, into any) error {
+	if req.Params == nil {
+		return &peerapi.InvalidError{Field: "params", Detail: "missing"}
+	}
+	if err := json.Unmarshal(*req.Params, into); err != nil {
+		return &peerapi.InvalidError{Field: "params", Detail: err.Error()}
+	}
+	return nil
+}
+
+// digest takes a peer's digest.
+func (h *dispatcher) digest(conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	var d peerapi.Digest
+	if err := h.read(req, &d); err != nil {
+		return nil, err
+	}
+	if err := h.service.events.Offer(received{digest: d, conn: conn}); err != nil {
+		h.service.opts.Count(MessagesBusy, 1)
+		return nil, &busyError{Cause: err}
+	}
+	return h.service.reply(d), nil
+}
+
+// reply tells a peer who took its digest.
+func (s *Service) reply(to peerapi.Digest) peerapi.DigestReply {
+	own := s.own.Load().digest
+	out := peerapi.DigestReply{
+		VM:             s.opts.VM,
+		Zone:           s.opts.Zone,
+		Boot:           s.opts.Boot,
+		ConfigDigest:   own.ConfigDigest,
+		ConfigRevision: own.ConfigRevision,
+		VMsRevision:    s.vms.Load().Revision,
+	}
+	if to.Zone != s.opts.Zone && own.Seq > 0 {
+		out.Digest = &own
+	}
+	return out
+}
+
+// pull gives configuration that a peer lacks.
+func (h *dispatcher) pull(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	var p peerapi.Pull
+	if err := h.read(req, &p); err != nil {
+		return nil, err
+	}
+	if h.service.opts.Feed == nil {
+		return peerapi.PullReply{}, nil
+	}
+	objects, err := h.service.opts.Feed.Newer(ctx, toldSummary(p.Summary), peerapi.MaxPullBytes)
+	if err != nil {
+		return nil, err
+	}
+	return peerapi.PullReply{Objects: objects[:min(len(objects), peerapi.MaxObjects)]}, nil
+}
+
+// vms gives the list of VMs if it is newer than the peer's.
+func (h *dispatcher) vms(req *jsonrpc2.Request) (any, error) {
+	var v peerapi.VMs
+	if err := h.read(req, &v); err != nil {
+		return nil, err
+	}
+	list := h.service.vms.Load()
+	if list.Revision <= v.Above || len(list.VMs) > peerapi.MaxVMs {
+		return peerapi.VMsReply{}, nil
+	}
+	return peerapi.VMsReply{List: *list}, nil
+}
+
+// explain gives the newest steps recorded of a request.
+func (h *dispatcher) explain(req *jsonrpc2.Request) (any, error) {
+	var e peerapi.Explain
+	if err := h.read(req, &e); err != nil {
+		return nil, err
+	}
+	steps := h.service.opts.Source.Explain(e.ID)
+	steps = steps[max(len(steps)-peerapi.MaxDecisions, 0):]
+	return peerapi.ExplainReply{Decisions: tellDecisions(steps, time.Now())}, nil
+}
--- /dev/null
+++ b/adapter/peer/service_test.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"mimosaarch.example/adapter/peer/identity"
+	"mimosaarch.example/core/engineapi"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/peerapi"
+	"mimosaarch.example/core/platformapi"
+	"mimosaarch.example/decide/configorder"
+	"mimosaarch.example/decide/member"
+	"mimosaarch.example/decide/router"
+)
+
+// testNode is a Service with what a node would put around it.
+type testNode struct {
+	*Service
+	digests chan peerapi.Digest
+	gone    chan member.PeerGone
+	lists   chan platformapi.VMList
+	changed chan struct{}
+	failed  error
+
+	mu     sync.Mutex
+	store  *configorder.Store
+	counts map[Counter]int64
+	bump   chan struct{}
+	stop   func()
+}
+
+func (n *testNode) Digest(context.Context) (peerapi.Digest, error) {
+	return peerapi.Digest{
+		InFlight: map[ids.Upstream]int{"e1": 3},
+		Loads:    []peerapi.Load{{Report: engineapi.LoadReport{Engine: "e1"}}},
+	}, n.failed
+}
+
+func (n *testNode) Explain(id ids.Request) []router.Decision {
+	return []router.Decision{{ID: id, Step: router.StepSent, At: time.Now()}}
+}
+
+func (n *testNode) PeerDigest(d peerapi.Digest, _ time.Time) { put(n.digests, d) }
+func (n *testNode) PeerGone(vm ids.VM, why member.Why) {
+	put(n.gone, member.PeerGone{VM: vm, Why: why})
+}
+func (n *testNode) PeerVMs(list platformapi.VMList)          { put(n.lists, list) }
+func (n *testNode) Offer(objects []platformapi.Object) error { n.apply(objects...); return nil }
+func (n *testNode) with(do func())                           { n.mu.Lock(); defer n.mu.Unlock(); do() }
+
+func (n *testNode) count(c Counter) (v int64) { n.with(func() { v = n.counts[c] }); return v }
+
+func (n *testNode) sum() (d uint64) { n.with(func() { d = n.store.Digest() }); return d }
+
+func (n *testNode) version() (v int64) { n.with(func() { v = top(n.store) }); return v }
+
+func (n *testNode) apply(objects ...platformapi.Object) {
+	n.with(func() {
+		for _, object := range objects {
+			_, _ = n.store.Apply(object)
+		}
+	})
+	put(n.changed, struct{}{})
+}
+
+func top(s *configorder.Store) int64 {
+	var v int64
+	for _, kv := range s.Summary() {
+		v = max(v, kv.Version)
+	}
+	return v
+}
+
+// feed makes the node's store a Feed.
+type feed struct{ *testNode }
+
+func (f feed) Digest(context.Context) (uint64, error) { return f.sum(), nil }
+
+func (f feed) Summary(context.Context) (out []configorder.KeyVersion, _ error) {
+	f.with(func() { out = f.store.Summary() })
+	return out, nil
+}
+
+func (f feed) Newer(_ context.Context, theirs []configorder.KeyVersion, most int) (out []platformapi.Object, _ error) {
+	f.with(func() { out = f.store.Newer(theirs, most) })
+	return out, nil
+}
+
+// put hands over a value if there is room.
+func put[T any](c chan T, v T) {
+	select {
+	case c <- v:
+	default:
+	}
+}
+
+// start runs a node; change may alter its options.
+func start(t *testing.T, vm, zone string, change func(*Options)) *testNode {
+	t.Helper()
+	n := &testNode{
+		digests: make(chan peerapi.Digest, 64),
+		gone:    make(chan member.PeerGone, 64),
+		lists:   make(chan platformapi.VMList, 64),
+		changed: make(chan struct{}, 64),
+		bump:    make(chan struct{}, 1),
+		store:   configorder.New(configorder.Settings{}),
+		counts:  make(map[Counter]int64),
+	}
+	opts := Options{
+		VM:       ids.VM(vm),
+		Zone:     ids.Zone(zone),
+		Listen:   "127.0.0.1:0",
+		Interval: 20 * time.Millisecond,
+		Source:   n,
+		Sink:     n,
+		Feed:     feed{n},
+		Count: func(c Counter, v int64) {
+			n.with(func() { n.counts[c] += v })
+			put(n.bump, struct{}{})
+		},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	service, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Service = service
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { service.Run(ctx) })
+	n.stop = func() { cancel(); wait.Wait() }
+	t.Cleanup(n.stop)
+	return n
+}
+
+// seeded starts a node that knows another's address.
+func seeded(t *testing.T, vm, zone string, seed *testNode, id *identity.Identity) *testNode {
+	return start(t, vm, zone, func(o *Options) { o.Seeds, o.TLS = []string{seed.Addr()}, id })
+}
+
+// until waits for counts to change until a condition holds.
+func (n *testNode) until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	for !ok() {
+		select {
+		case <-n.bump:
+		case <-limit:
+			n.with(func() { t.Fatalf("never: %s; counts %v", what, n.counts) })
+		}
+	}
+}
+
+// from waits for a digest of a VM.
+func (n *testNode) from(t *testing.T, vm ids.VM) peerapi.Digest {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		select {
+		case d := <-n.digests:
+			if d.VM == vm {
+				return d
+			}
+		case <-limit:
+			t.Fatalf("no digest of %s", vm)
+		}
+	}
+}
+
+const profile = "kind: profile\nname: p\n"
+
+func object(version int64) platformapi.Object {
+	return platformapi.Object{Key: "config/profile/p", Version: version, Value: []byte(profile)}
+}
+
+func TestTwoNodes(t *testing.T) {
+	ca, err := identity.NewCA("fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := start(t, "a", "z1", func(o *Options) { o.TLS = issue(t, ca, time.Hour) })
+	a.apply(object(7))
+	if err := a.SetVMs(platformapi.VMList{Revision: 4, VMs: []platformapi.VM{{ID: "e1", Role: platformapi.RoleEngine}}}); err != nil {
+		t.Fatal(err)
+	}
+	// b knows one address and has no platform.
+	b := seeded(t, "b", "z1", a, issue(t, ca, time.Hour))
+	first := b.from(t, "a")
+	if second := b.from(t, "a"); first.Boot != second.Boot || second.Seq <= first.Seq || second.InFlight["e1"] != 3 {
+		t.Fatalf("%+v after %+v", second, first)
+	}
+	a.from(t, "b")
+	b.until(t, "configuration from the peer", func() bool { return b.version() == 7 })
+	if list := <-b.lists; list.Revision != 4 {
+		t.Fatalf("list %+v", list)
+	}
+	// It goes the other way too, though a never was given b's address.
+	b.apply(object(9))
+	a.until(t, "configuration from the peer", func() bool { return a.version() == 9 })
+	steps, err := a.Service.Explain(t.Context(), "b", "r1")
+	if err != nil || len(steps) != 1 || steps[0].ID != "r1" || steps[0].Step != router.StepSent {
+		t.Fatalf("%v, %v", steps, err)
+	}
+	if a.Polls("e1", "z1") == b.Polls("e1", "z1") {
+		t.Fatal("an engine is not polled by exactly one of two")
+	}
+	if a.count(BytesSent) == 0 || b.count(BytesReceived) == 0 {
+		t.Fatalf("bytes not counted: %v", a.counts)
+	}
+	b.stop()
+	if gone := <-a.gone; gone != (member.PeerGone{VM: "b", Why: member.Silent}) {
+		t.Fatalf("%v", gone)
+	}
+	if !a.Polls("e1", "z1") {
+		t.Fatal("nobody polls the engine")
+	}
+}
+
+func TestZonesExchangeOverOneLink(t *testing.T) {
+	a := start(t, "a", "z1", nil)
+	b := seeded(t, "b", "z2", a, nil)
+	a.from(t, "b")
+	b.from(t, "a")
+}
+
+func TestSilentLinkIsClosed(t *testing.T) {
+	silent := listenSilent(t)
+	a := start(t, "a", "z1", func(o *Options) { o.Seeds, o.CallTimeout = []string{silent}, 20*time.Millisecond })
+	a.until(t, "the link is closed", func() bool { return a.count(LinksSilent) > 0 })
+	if missed := a.count(DigestsMissed); missed < missesToClose {
+		t.Fatalf("closed after %d", missed)
+	}
+}
+
+func TestSourceFailureSendsNothing(t *testing.T) {
+	a := start(t, "a", "z1", nil)
+	b := start(t, "b", "z1", func(o *Options) {
+		o.Seeds = []string{a.Addr()}
+		o.Source.(*testNode).failed = &StoppedSource{}
+	})
+	b.until(t, "three rounds", func() bool { return b.count(DigestsSkipped) > 2 })
+	if b.count(DigestsSent) > 0 {
+		t.Fatal("a digest was sent")
+	}
+}
+
+// StoppedSource is a Source's failure.
+type StoppedSource struct{}
+
+func (*StoppedSource) Error() string { return "stopped" }
+
+func TestExplainOfUnknownPeer(t *testing.T) {
+	a := start(t, "a", "z1", nil)
+	var unknown *UnknownPeerError
+	if _, err := a.Service.Explain(t.Context(), "x", "r1"); !errors.As(err, &unknown) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -20,6 +20,7 @@
 package health
 
 import (
+	"slices"
 	"time"
 
 	"mimosaarch.example/core/fleet"
@@ -81,6 +82,12 @@
 	return stateNames[s]
 }
 
+// ParseState gives the State of a name; false when there is none.
+func ParseState(name string) (State, bool) {
+	i := slices.Index(stateNames[:], name)
+	return State(max(i, 0)), i >= 0
+}
+
 // Options bound a Tracker. Zero or negative fields take their defaults.
 type Options struct {
 	// MaxPeers is the most peers whose views of one upstream are kept.
--- /dev/null
+++ b/decide/member/member_test.go
@@ -0,0 +1,434 @@
+package member
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/platformapi"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+// script drives a Members by lines of text and gives its commands as text.
+type script struct {
+	m   *Members
+	now time.Time
+	out strings.Builder
+}
+
+func newScript(vm, zone string, change func(*Options)) *script {
+	opts := Options{VM: ids.VM(vm), Zone: ids.Zone(zone), Boot: "b0", Address: vm + ":1", Interval: time.Second}
+	if change != nil {
+		change(&opts)
+	}
+	return &script{m: New(opts), now: start}
+}
+
+// run takes events, one a line:
+//
+//	vms REV VM/ZONE...    digest VM/ZONE BOOT SEQ    reply VM/ZONE BOOT
+//	miss VM               tick [COUNT]               polls UPSTREAM ZONE
+func (s *script) run(lines string) string {
+	s.out.Reset()
+	for line := range strings.Lines(lines) {
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		fmt.Fprintf(&s.out, "> %s\n", strings.Join(words, " "))
+		s.step(words)
+	}
+	return s.out.String()
+}
+
+func (s *script) step(words []string) {
+	switch words[0] {
+	case "vms":
+		var list platformapi.VMList
+		_, _ = fmt.Sscan(words[1], &list.Revision)
+		for _, word := range words[2:] {
+			vm, zone, _ := strings.Cut(word, "/")
+			list.VMs = append(list.VMs, platformapi.VM{ID: vm, Zone: zone, Role: platformapi.RoleEntry, PeerAddress: vm + ":1"})
+		}
+		s.print(s.m.VMs(s.now, list))
+	case "digest":
+		from := heard(words[1], words[2])
+		_, _ = fmt.Sscan(words[3], &from.Seq)
+		commands, err := s.m.Received(s.now, from)
+		if err != nil {
+			fmt.Fprintln(&s.out, err)
+		}
+		s.print(commands)
+	case "reply":
+		from := heard(words[1], words[2])
+		commands, take := s.m.Replied(s.now, string(from.VM)+":1", from)
+		s.print(commands)
+		fmt.Fprintln(&s.out, "take", take)
+	case "miss":
+		s.print(s.m.Missed(s.now, words[1]+":1"))
+	case "tick":
+		count := 1
+		if len(words) > 1 {
+			_, _ = fmt.Sscan(words[1], &count)
+		}
+		for range count {
+			s.now = s.now.Add(time.Second)
+			s.print(s.m.Tick(s.now))
+		}
+	case "polls":
+		fmt.Fprintln(&s.out, s.m.Polls(ids.Upstream(words[1]), ids.Zone(words[2])))
+	}
+}
+
+func (s *script) print(commands []Command) {
+	for _, c := range commands {
+		fmt.Fprintln(&s.out, c)
+	}
+}
+
+func heard(name, boot string) Heard {
+	vm, zone, _ := strings.Cut(name, "/")
+	return Heard{VM: ids.VM(vm), Zone: ids.Zone(zone), Boot: boot, Address: vm + ":1"}
+}
+
+func (s *script) want(t *testing.T, lines, want string) {
+	t.Helper()
+	got := s.run(lines)
+	clean := func(text string) []string {
+		var out []string
+		for line := range strings.Lines(text) {
+			if line = strings.TrimSpace(line); line != "" {
+				out = append(out, line)
+			}
+		}
+		return out
+	}
+	if diff := cmp.Diff(clean(want), clean(got)); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
+
+func TestSilenceAndReturn(t *testing.T) {
+	s := newScript("a", "z1", nil)
+	s.want(t, `
+		vms 1 a/z1 b/z1
+		tick
+		digest b/z1 x 1
+		polls e3 z1
+		tick 4
+		polls e3 z1
+		tick 16
+		tick
+		reply b/z1 x
+		reply b/z1 x
+		digest b/z1 x 2`, `
+		> vms 1 a/z1 b/z1
+		> tick
+		send b at b:1
+		> digest b/z1 x 1
+		b is alive
+		> polls e3 z1
+		false
+		> tick 4
+		send b at b:1
+		send b at b:1
+		send b at b:1
+		b is suspect
+		send b at b:1
+		> polls e3 z1
+		true
+		> tick 16
+		`+strings.Repeat("send b at b:1\n", 15)+`
+		b is gone
+		b gone: silent
+		send b at b:1
+		> tick
+		send b at b:1
+		> reply b/z1 x
+		take false
+		> reply b/z1 x
+		b is alive
+		take true
+		> digest b/z1 x 2`)
+}
+
+func TestRestartVoidsTheEarlierBoot(t *testing.T) {
+	s := newScript("a", "z1", nil)
+	s.want(t, `
+		digest b/z1 x 5
+		digest b/z1 x 5
+		digest b/z1 x 4
+		digest b/z1 y 1
+		digest b/z1 x 6
+		digest a/z1 y 1`, `
+		> digest b/z1 x 5
+		b is alive
+		> digest b/z1 x 5
+		digest 5 of b, boot x, is not new
+		> digest b/z1 x 4
+		digest 4 of b, boot x, is not new
+		> digest b/z1 y 1
+		b gone: restarted
+		> digest b/z1 x 6
+		digest 6 of b, boot x, is not new
+		> digest a/z1 y 1
+		peer a, boot y, has this node's name`)
+}
+
+func TestMissedCallsSuspectAtOnce(t *testing.T) {
+	s := newScript("a", "z1", nil)
+	s.want(t, `
+		digest b/z1 x 1
+		miss b
+		miss b`, `
+		> digest b/z1 x 1
+		b is alive
+		> miss b
+		> miss b
+		b is suspect`)
+}
+
+func TestListTellsWhoIsGoneForGood(t *testing.T) {
+	s := newScript("a", "z1", nil)
+	s.run(`
+		vms 1 b/z1 c/z1
+		digest b/z1 x 1
+		digest c/z1 x 1
+		vms 2 b/z1
+		vms 1 b/z1 c/z1
+		tick 4`)
+	s.want(t, "tick 16\nvms 3", "> tick 16\n"+strings.Repeat("send b at b:1\nsend c at c:1\n", 15)+`
+		b is gone
+		b gone: silent
+		c is gone
+		c gone: delisted
+		send b at b:1
+		> vms 3
+		b gone: delisted`)
+}
+
+// fleetOf lists VMs of a zone by number.
+func fleetOf(zone string, count int) string {
+	var out strings.Builder
+	for i := range count {
+		fmt.Fprintf(&out, " %s%d/%s", zone, i, zone)
+	}
+	return out.String()
+}
+
+func TestWorkOfARoundIsBounded(t *testing.T) {
+	for _, size := range []int{3, 130} {
+		s := newScript("me", "p", nil)
+		s.run("vms 1 me/p" + fleetOf("p", size) + fleetOf("q", size) + fleetOf("r", size))
+		inZone := map[string]int{}
+		across := map[string]bool{}
+		rounds := (size + DefaultFanout - 1) / DefaultFanout
+		for range rounds {
+			sent := strings.Split(strings.TrimSpace(s.run("tick")), "\n")[1:]
+			if most := DefaultFanout + 2*DefaultCrossLinks; len(sent) > most {
+				t.Fatalf("size %d: %d sent in a round", size, len(sent))
+			}
+			for _, line := range sent {
+				if strings.HasPrefix(line, "send p") {
+					inZone[line]++
+				} else {
+					across[line] = true
+				}
+			}
+		}
+		if len(inZone) != size || len(across) != 2*DefaultCrossLinks {
+			t.Fatalf("size %d: %d of the zone, %d across", size, len(inZone), len(across))
+		}
+	}
+}
+
+func TestBoundsOfPeersAndSeeds(t *testing.T) {
+	s := newScript("a", "z1", func(o *Options) { o.MaxPeers, o.MaxSeeds = 1, 2 })
+	s.run("digest b/z1 x 1")
+	var full *FullError
+	if _, err := s.m.Received(start, heard("c/z1", "x")); !errors.As(err, &full) || len(s.m.Peers()) != 1 {
+		t.Fatalf("got %v", err)
+	}
+	s.m.Seeds([]string{"a:1", "b:1", "s:1", "u:1"})
+	if got := s.run("tick 4"); strings.Count(got, "at s:1") != 1 || strings.Contains(got, "at a:1") || strings.Contains(got, "u:1") {
+		t.Fatal(got)
+	}
+}
+
+// world is a fleet of Members joined by links that lose messages.
+type world struct {
+	nodes map[ids.VM]*Members
+	seqs  map[ids.VM]uint64
+	now   time.Time
+	// lost decides whether a message is lost.
+	lost func(from, to ids.VM) bool
+}
+
+func newWorld(names map[ids.VM]ids.Zone) *world {
+	w := &world{nodes: map[ids.VM]*Members{}, seqs: map[ids.VM]uint64{}, now: start}
+	list := platformapi.VMList{Revision: 1}
+	for _, vm := range slices.Sorted(maps.Keys(names)) {
+		zone := names[vm]
+		w.nodes[vm] = New(Options{VM: vm, Zone: zone, Boot: string(vm) + "-1", Address: string(vm), Interval: time.Second})
+		list.VMs = append(list.VMs, platformapi.VM{ID: string(vm), Zone: string(zone), Role: platformapi.RoleEntry, PeerAddress: string(vm)})
+	}
+	for _, m := range w.nodes {
+		m.VMs(start, list)
+	}
+	return w
+}
+
+// round lets each node send once.
+func (w *world) round() {
+	w.now = w.now.Add(time.Second)
+	for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
+		m := w.nodes[vm]
+		w.seqs[vm]++
+		for _, command := range append([]Command{}, m.Tick(w.now)...) {
+			if send, ok := command.(Send); ok {
+				w.send(m, send)
+			}
+		}
+	}
+}
+
+func (w *world) send(m *Members, send Send) {
+	to := w.nodes[ids.VM(send.Address)]
+	if to == nil || w.lost(m.opts.VM, to.opts.VM) {
+		m.Missed(w.now, send.Address)
+		return
+	}
+	_, _ = to.Received(w.now, m.who(w.seqs[m.opts.VM]))
+	if w.lost(to.opts.VM, m.opts.VM) {
+		m.Missed(w.now, send.Address)
+		return
+	}
+	m.Replied(w.now, send.Address, to.who(0))
+}
+
+func (m *Members) who(seq uint64) Heard {
+	return Heard{VM: m.opts.VM, Zone: m.opts.Zone, Boot: m.opts.Boot, Seq: seq, Address: m.opts.Address}
+}
+
+// populated reports whether a zone has a node.
+func (w *world) populated(zone ids.Zone) bool {
+	for _, m := range w.nodes {
+		if m.opts.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// pollers are the nodes that poll an upstream.
+func (w *world) pollers(id ids.Upstream, zone ids.Zone) []ids.VM {
+	var out []ids.VM
+	for vm, m := range w.nodes {
+		if m.Polls(id, zone) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func TestSharesUnderCutLossAndRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := map[ids.VM]ids.Zone{}
+		for _, zone := range []ids.Zone{"p", "q", "r"} {
+			for i := range rapid.IntRange(1, 4).Draw(t, "size") {
+				names[ids.VM(fmt.Sprint(zone, i))] = zone
+			}
+		}
+		w := newWorld(names)
+		cut, loss := false, 0
+		drops := rapid.SliceOfN(rapid.IntRange(0, 99), 64, 64).Draw(t, "drops")
+		sent := 0
+		w.lost = func(from, to ids.VM) bool {
+			sent++
+			across := (names[from] == "p") != (names[to] == "p")
+			return cut && across || drops[sent%len(drops)] < loss
+		}
+		settle := func(what string) {
+			for range 2 * DefaultGoneAfter {
+				w.round()
+			}
+			for _, zone := range []ids.Zone{"p", "q", "r"} {
+				for i := range 20 {
+					got := w.pollers(ids.Upstream(fmt.Sprint("e", i)), zone)
+					most := 1
+					if cut || !w.populated(zone) {
+						// Views across zones are partial, but in each zone
+						// the highest ranked node of it is known.
+						most = 3
+					}
+					if len(got) == 0 || len(got) > most {
+						t.Fatalf("%s: upstream %d of %s is polled by %v", what, i, zone, got)
+					}
+				}
+			}
+		}
+		settle("start")
+		cut = rapid.Bool().Draw(t, "cut")
+		settle("cut")
+		// While messages are lost some node polls, though several may.
+		loss = rapid.IntRange(0, 40).Draw(t, "loss")
+		for range 10 {
+			w.round()
+			for i := range 5 {
+				if len(w.pollers(ids.Upstream(fmt.Sprint("e", i)), "q")) == 0 {
+					t.Fatalf("nobody polls upstream %d", i)
+				}
+			}
+		}
+		cut, loss = false, 0
+		settle("heal")
+		gone := rapid.SampledFrom([]ids.VM{"p0", "q0", "r0"}).Draw(t, "restarts")
+		old := w.nodes[gone]
+		delete(w.nodes, gone)
+		settle("one gone")
+		w.nodes[gone] = New(Options{VM: gone, Zone: old.opts.Zone, Boot: string(gone) + "-2", Address: string(gone), Interval: time.Second})
+		w.seqs[gone] = 0
+		others := slices.DeleteFunc(slices.Sorted(maps.Keys(names)), func(vm ids.VM) bool { return vm == gone })
+		w.nodes[gone].Seeds([]string{string(others[0])})
+		settle("restart")
+		for vm, m := range w.nodes {
+			if p, ok := m.Peer(gone); ok && p.State == Alive && m.peers[gone].boot != string(gone)+"-2" {
+				t.Fatalf("%s still has the old boot", vm)
+			}
+		}
+	})
+}
+
+func TestZonesStayJoined(t *testing.T) {
+	w := newWorld(map[ids.VM]ids.Zone{"p0": "p", "p1": "p", "p2": "p", "q0": "q", "q1": "q", "q2": "q"})
+	w.lost = func(ids.VM, ids.VM) bool { return false }
+	for _, vm := range []ids.VM{"q0", "q1"} {
+		delete(w.nodes, vm)
+		for range DefaultGoneAfter + 2 {
+			w.round()
+		}
+		for _, from := range []ids.VM{"p0", "p1", "p2"} {
+			if !w.nodes[from].heardFrom("q") {
+				t.Fatalf("%s lost zone q with %s", from, vm)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decide/member/tick.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"mimosaarch.example/core/ids"
+)
+
+// seedRounds is how many rounds lie between two probes of seeds while some
+// peer is heard from.
+const seedRounds = 4
+
+// Tick begins a round. It is called once each Interval. The commands are
+// valid until the next call.
+func (m *Members) Tick(now time.Time) []Command {
+	m.out = m.out[:0]
+	m.rounds++
+	m.age(now)
+	m.sendInZone()
+	m.sendAcross()
+	m.probeSilent()
+	m.probeSeed()
+	return m.out
+}
+
+// turn is the time in which each peer of the zone gets one digest.
+func (m *Members) turn() time.Duration {
+	peers := 0
+	for _, p := range m.peers {
+		if p.zone == m.opts.Zone && p.state != Gone {
+			peers++
+		}
+	}
+	rounds := max((peers+m.opts.Fanout-1)/m.opts.Fanout, 1)
+	return time.Duration(rounds) * m.opts.Interval
+}
+
+// age moves silent peers on.
+func (m *Members) age(now time.Time) {
+	turn := m.turn()
+	suspect := time.Duration(m.opts.SuspectAfter) * turn
+	gone := time.Duration(m.opts.GoneAfter) * turn
+	for _, vm := range slices.Clone(m.order) {
+		p := m.peers[vm]
+		silent := now.Sub(p.heard)
+		switch {
+		case p.state == Alive && silent >= suspect:
+			m.change(p, Suspect)
+		case p.state == Suspect && silent >= gone:
+			m.lose(p)
+		case (p.state == Gone || p.state == Candidate) && !p.listed && silent >= m.opts.ForgetAfter:
+			m.out = append(m.out, PeerGone{p.vm, Forgotten})
+			m.remove(p)
+		}
+	}
+}
+
+// lose gives up a silent peer.
+func (m *Members) lose(p *peer) {
+	m.change(p, Gone)
+	if p.delisted {
+		m.out = append(m.out, PeerGone{p.vm, Delisted})
+		m.remove(p)
+		return
+	}
+	m.out = append(m.out, PeerGone{p.vm, Silent})
+	if p.listed {
+		p.address = p.listedAddress
+	}
+}
+
+// sendInZone sends to peers of the zone: first to those whose last call got
+// no reply, so that a failure is soon certain, then to the rest in rotation.
+func (m *Members) sendInZone() {
+	var doubtful, rest []*peer
+	for _, vm := range m.order {
+		p := m.peers[vm]
+		if p.zone != m.opts.Zone || p.state == Gone {
+			continue
+		}
+		if p.state == Alive && p.misses > 0 && len(doubtful) < m.opts.Fanout/2 {
+			doubtful = append(doubtful, p)
+			continue
+		}
+		rest = append(rest, p)
+	}
+	m.send(doubtful)
+	m.send(rotate(rest, &m.inZone, m.opts.Fanout-len(doubtful)))
+}
+
+// sendAcross sends to the linked peers of other zones.
+func (m *Members) sendAcross() {
+	m.send(rotate(m.links(), &m.across, m.opts.Fanout))
+}
+
+// probeSilent sends to one peer that is Gone, in rotation.
+func (m *Members) probeSilent() {
+	var silent []*peer
+	for _, vm := range m.order {
+		if p := m.peers[vm]; p.state == Gone {
+			silent = append(silent, p)
+		}
+	}
+	m.send(rotate(silent, &m.silent, 1))
+}
+
+// probeSeed sends to one seed that is no known peer's address.
+func (m *Members) probeSeed() {
+	if m.rounds%seedRounds != 0 && m.anyAlive() {
+		return
+	}
+	var free []string
+	for _, seed := range m.seeds {
+		if !m.hasAddress(seed) {
+			free = append(free, seed)
+		}
+	}
+	for _, seed := range rotate(free, &m.seeding, 1) {
+		m.out = append(m.out, Send{Address: seed})
+	}
+}
+
+// anyAlive reports whether any peer is heard from.
+func (m *Members) anyAlive() bool {
+	for _, p := range m.peers {
+		if p.state == Alive {
+			return true
+		}
+	}
+	return false
+}
+
+// hasAddress reports whether an address is a peer's.
+func (m *Members) hasAddress(address string) bool {
+	for _, p := range m.peers {
+		if p.address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// send adds a command for each peer with an address.
+func (m *Members) send(peers []*peer) {
+	for _, p := range peers {
+		if p.address != "" {
+			m.out = append(m.out, Send{VM: p.vm, Address: p.address})
+		}
+	}
+}
+
+// rotate takes up to count items, from a place that moves on by as many.
+func rotate[T any](items []T, place *int, count int) []T {
+	if len(items) <= count {
+		return items
+	}
+	out := make([]T, 0, count)
+	for i := range count {
+		out = append(out, items[(*place+i)%len(items)])
+	}
+	*place = (*place + count) % len(items)
+	return out
+}
+
+// links are the peers of other zones to hold links to, by zone.
+func (m *Members) links() []*peer {
+	byZone := make(map[ids.Zone][]*peer)
+	var zones []ids.Zone
+	for _, vm := range m.order {
+		p := m.peers[vm]
+		if p.zone == m.opts.Zone || p.state == Gone {
+			continue
+		}
+		if byZone[p.zone] == nil {
+			zones = append(zones, p.zone)
+		}
+		byZone[p.zone] = append(byZone[p.zone], p)
+	}
+	slices.Sort(zones)
+	var out []*peer
+	for _, zone := range zones {
+		out = append(out, m.chosen(byZone[zone])...)
+	}
+	return out
+}
+
+// chosen gives the peers of one zone that rank highest for this node.
+func (m *Members) chosen(peers []*peer) []*peer {
+	slices.SortFunc(peers, func(a, b *peer) int {
+		return byRank(m.opts.VM, string(a.vm), string(b.vm))
+	})
+	return peers[:min(len(peers), m.opts.CrossLinks)]
+}
--- a/decide/router/claim.go
+++ b/decide/router/claim.go
@@ -94,7 +94,7 @@
 	if prior.State == ClaimDone {
 		return &outcome.Error{Outcome: outcome.AlreadyRun, Reason: outcome.DuplicateDone, Detail: detail}
 	}
-	if !r.vms[prior.VM] {
+	if !r.alive(prior.VM) {
 		return &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.UpstreamLost, Detail: detail}
 	}
 	return &outcome.Error{
@@ -111,7 +111,7 @@
 func (r *Router) joinFailed(req *request, chain topology.Chain, ev AttemptEnded) {
 	prior := req.prior
 	r.note(req, StepFailed, ev.Reason, ev.Detail)
-	mayTakeOver := ev.Reason == outcome.UpstreamRefused && prior.State == ClaimHeld && !r.vms[prior.VM]
+	mayTakeOver := ev.Reason == outcome.UpstreamRefused && prior.State == ClaimHeld && !r.alive(prior.VM)
 	if !mayTakeOver || req.answered {
 		r.giveUp(req, r.earlier(*prior))
 		return
--- a/decide/router/router.go
+++ b/decide/router/router.go
@@ -41,6 +41,10 @@
 	// vms are the entry VMs of the platform's newest list.
 	vms         map[ids.VM]bool
 	vmsRevision int64
+	// firstList is the time of the first list of VMs.
+	firstList time.Time
+	// gone are the peers that are not heard from any more.
+	gone map[ids.VM]bool
 	// warm is set once every engine listed has been asked for its load.
 	warm bool
 	// dirty names the services whose upstreams have to be made anew.
@@ -59,6 +63,7 @@
 		services:  make(map[ids.Service]*service),
 		upstreams: make(map[ids.Upstream]*upstream),
 		vms:       make(map[ids.VM]bool),
+		gone:      make(map[ids.VM]bool),
 		dirty:     make(map[ids.Service]bool),
 		book:      load.New(load.Settings{}),
 		health:    health.New(health.Options{}),
@@ -98,6 +103,14 @@
 		r.vmsSeen(ev)
 	case ConfigSeen:
 		r.configSeen(ev)
+	case DigestDue:
+		r.digestDue()
+	case StatusDue:
+		r.statusDue()
+	case PeerSeen:
+		r.peerSeen(ev)
+	case PeerGone:
+		r.peerGone(ev)
 	case Drain:
 		r.draining = true
 	case Tick:
@@ -112,12 +125,19 @@
 // Ready reports whether the node can take requests: it has a configuration,
 // has asked every engine of the VM list once, and is not draining.
 func (r *Router) Ready() bool {
-	r.warm = r.warm || r.asked()
+	r.warm = r.warm || (r.asked() && len(r.dirty) == 0)
 	return r.config != nil && r.warm && !r.draining
 }
 
+// warmUp is how long the first list of VMs may be in use before the node is
+// ready although some engines' load is still not known.
+const warmUp = 2 * time.Second
+
 // asked reports whether every listed engine has answered a poll or failed to.
 func (r *Router) asked() bool {
+	if r.vmsRevision > 0 && r.now.Sub(r.firstList) > warmUp {
+		return true
+	}
 	for _, u := range r.upstreams {
 		if u.model && u.listed && !u.asked {
 			return false
--- /dev/null
+++ b/decide/router/router_test.go
@@ -0,0 +1,293 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"mimosaarch.example/core/engineapi"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/platformapi"
+	"mimosaarch.example/decide/member"
+)
+
+// pastBackoff is longer than any wait before a retry.
+const pastBackoff = 2 * time.Second
+
+func TestIdempotentGoesElsewhere(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", nil))
+	s.expect(t, "send r attempt 1")
+	s.ended(outcome.Started, outcome.UpstreamLost)
+	first := s.sent[0].Chain[0].ID
+	s.expect(t, "resume r attempt 1 of r at "+string(first))
+	s.ended(outcome.MaybeSent, outcome.ConnectFailed)
+	s.expect(t)
+	s.tick(pastBackoff)
+	s.expect(t, "send r attempt 3")
+	if second := s.sent[2].Chain[0].ID; first == second {
+		t.Errorf("both attempts went to %s", first)
+	}
+	s.ended(outcome.Finished, "")
+	s.expect(t, "finish r complete")
+	if n := s.router.Requests(); n != 0 {
+		t.Errorf("%d requests are still held", n)
+	}
+}
+
+func TestUnkeyedBookingIsSentOnce(t *testing.T) {
+	for _, test := range []struct {
+		phase  outcome.Phase
+		reason outcome.Reason
+		want   string
+	}{
+		{outcome.MaybeSent, outcome.UpstreamLost, "finish r unknown upstream_lost"},
+		{outcome.MaybeSent, outcome.UpstreamStalled, "finish r unknown upstream_stalled"},
+		{outcome.Started, outcome.UpstreamInvalid, "finish r unknown upstream_invalid"},
+	} {
+		s := newScript()
+		s.step(arrive("r", booking))
+		s.expect(t, "send r attempt 1")
+		s.ended(test.phase, test.reason)
+		s.tick(pastBackoff)
+		s.expect(t, test.want)
+	}
+}
+
+func TestBookingRefusedBeforeStartIsRetried(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", booking))
+	s.ended(outcome.Refused, outcome.UpstreamRefused)
+	s.tick(pastBackoff)
+	s.expect(t, "send r attempt 1", "send r attempt 2")
+}
+
+func TestKeyIsClaimedBeforeTheSend(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", withKey))
+	s.expect(t, "claim k for r attempt 1")
+	s.step(ClaimEnded{ID: "r", Result: ClaimWon})
+	s.expect(t, "send r attempt 1")
+	s.ended(outcome.Finished, "")
+	s.expect(t, "settle k", "finish r complete")
+}
+
+func TestClaimThatFailsSendsNothing(t *testing.T) {
+	for _, result := range []ClaimResult{ClaimFailed, ClaimUncertain} {
+		s := newScript()
+		s.step(arrive("r", withKey))
+		s.step(ClaimEnded{ID: "r", Result: result})
+		s.tick(pastBackoff)
+		s.expect(t, "claim k for r attempt 1", "finish r not_run claim_unavailable")
+	}
+}
+
+func TestClaimIsReleasedBeforeNotRunIsSaid(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", withKey))
+	s.step(ClaimEnded{ID: "r", Result: ClaimWon})
+	s.text = nil
+	for range 3 {
+		s.ended(outcome.Refused, outcome.UpstreamRefused)
+		s.tick(pastBackoff)
+		s.step(ClaimEnded{ID: "r", Result: ClaimWon})
+	}
+	s.text = nil
+	s.ended(outcome.Refused, outcome.UpstreamRefused)
+	s.expect(t, "release k")
+	s.step(ClaimReleased{ID: "r", Confirmed: true})
+	s.expect(t, "finish r not_run attempts_exhausted")
+}
+
+// TestClaimWonAfterTheDeadline answers at the deadline and gives the claim
+// back when it turns out to be won.
+func TestClaimWonAfterTheDeadline(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", withKey))
+	s.tick(11 * time.Second)
+	s.expect(t, "claim k for r attempt 1", "finish r not_run deadline_expired")
+	s.step(ClaimEnded{ID: "r", Result: ClaimWon})
+	s.expect(t, "release k")
+}
+
+// prior is the claim of a request that another VM sent.
+func prior(change func(*ClaimRecord)) ClaimRecord {
+	record := ClaimRecord{
+		Account: "school", Key: "k", Fingerprint: "f", Request: "old", VM: "vm-2",
+		Upstream: "head-1", Attempt: 3, Epoch: "e-head-1", State: ClaimHeld,
+	}
+	if change != nil {
+		change(&record)
+	}
+	return record
+}
+
+func TestRepeatJoinsTheRunningStream(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", withKey))
+	s.step(ClaimEnded{ID: "r", Result: ClaimTaken, Prior: prior(nil)})
+	s.expect(t, "claim k for r attempt 1", "resume r attempt 3 of old at head-1")
+	s.ended(outcome.Finished, "")
+	s.expect(t, "finish r complete")
+}
+
+func TestRepeatThatCannotJoin(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		prior  ClaimRecord
+		gone   bool
+		reason outcome.Reason
+		want   string
+	}{
+		{"other VM works", prior(nil), false, outcome.UpstreamRefused, "finish r running duplicate_running"},
+		{"other VM is gone", prior(nil), true, outcome.UpstreamLost, "finish r unknown upstream_lost"},
+		{"finished", prior(func(p *ClaimRecord) { p.State = ClaimDone }), true, outcome.UpstreamRefused, "finish r already_run duplicate_done"},
+	} {
+		s := newScript()
+		if test.gone {
+			s.step(PeerGone{VM: "vm-2", Why: member.Silent})
+		}
+		s.step(arrive("r", withKey))
+		s.step(ClaimEnded{ID: "r", Result: ClaimTaken, Prior: test.prior})
+		s.text = nil
+		s.ended(outcome.MaybeSent, test.reason)
+		s.tick(pastBackoff)
+		t.Log(test.name)
+		s.expect(t, test.want)
+	}
+}
+
+func TestKeyOfAnotherRequest(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", withKey))
+	other := prior(func(p *ClaimRecord) { p.Fingerprint = "another" })
+	s.step(ClaimEnded{ID: "r", Result: ClaimTaken, Prior: other})
+	s.expect(t, "claim k for r attempt 1", "finish r not_run key_reused")
+}
+
+// TestTakeOver repeats a request whose VM died before the engine had it: only
+// the engine's word, in the process life that the claim names, allows it.
+func TestTakeOver(t *testing.T) {
+	for _, test := range []struct {
+		reply engineapi.CancelReply
+		want  []string
+	}{
+		{
+			engineapi.CancelReply{State: engineapi.CancelNotStarted, Epoch: "e-head-1"},
+			[]string{"claim k for r attempt 2 over old"},
+		},
+		{
+			engineapi.CancelReply{State: engineapi.CancelNotStarted, Epoch: "another"},
+			[]string{"finish r unknown upstream_lost"},
+		},
+		{
+			engineapi.CancelReply{State: engineapi.CancelStopped, Epoch: "e-head-1"},
+			[]string{"finish r unknown upstream_lost"},
+		},
+	} {
+		s := newScript()
+		s.step(PeerGone{VM: "vm-2", Why: member.Silent})
+		s.step(arrive("r", withKey))
+		s.step(ClaimEnded{ID: "r", Result: ClaimTaken, Prior: prior(nil)})
+		s.ended(outcome.MaybeSent, outcome.UpstreamRefused)
+		s.expect(t, "claim k for r attempt 1", "resume r attempt 3 of old at head-1", "cancel stream old at head-1")
+		s.step(StreamCancelled{ID: "r", Answered: true, Reply: test.reply})
+		s.expect(t, test.want...)
+	}
+}
+
+func TestDeadlineInFlightIsAnsweredAtOnce(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", nil))
+	s.tick(11 * time.Second)
+	s.expect(t, "send r attempt 1", "finish r unknown deadline_expired", "cancel r attempt 1")
+	s.ended(outcome.Started, outcome.Cancelled)
+	s.tick(pastBackoff)
+	s.expect(t)
+}
+
+func TestCallerGone(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", nil))
+	s.step(CallerGone{ID: "r"})
+	s.expect(t, "send r attempt 1", "finish r unknown caller_gone", "cancel r attempt 1")
+	s.step(arrive("keyed", withKey))
+	s.step(ClaimEnded{ID: "keyed", Result: ClaimWon})
+	s.step(CallerGone{ID: "keyed"})
+	s.expect(t, "claim k for keyed attempt 1", "send keyed attempt 1")
+	s.ended(outcome.Finished, "")
+	s.expect(t, "settle k", "finish keyed complete")
+}
+
+func TestDrainRefusesNewAndFinishesOld(t *testing.T) {
+	s := newScript()
+	s.step(arrive("old", nil))
+	s.step(Drain{})
+	s.step(arrive("new", nil))
+	s.expect(t, "send old attempt 1", "finish new not_run draining")
+	s.ended(outcome.Finished, "")
+	s.expect(t, "finish old complete")
+	if s.router.Ready() {
+		t.Error("a draining node is ready")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		change func(*Arrive)
+		want   outcome.Reason
+	}{
+		{func(a *Arrive) { a.KeySHA256 = "wrong" }, outcome.Unauthorized},
+		{func(a *Arrive) { a.KeySHA256 = "" }, outcome.Unauthorized},
+		{func(a *Arrive) { a.Service = "nothing" }, outcome.UnknownService},
+		{func(a *Arrive) { a.Service = "booking" }, outcome.UnknownService},
+		{func(a *Arrive) { booking(a); a.Path = "/other" }, outcome.UnknownService},
+		{func(a *Arrive) { a.Deadline = epoch }, outcome.DeadlineExpired},
+	} {
+		s := newScript()
+		s.step(arrive("r", test.change))
+		s.expect(t, "finish r not_run "+string(test.want))
+	}
+}
+
+// TestLeaving gives an upstream that is leaving no new work, by whoever's word.
+func TestLeaving(t *testing.T) {
+	leave := map[string]func(*script){
+		"its own word": func(s *script) {
+			s.step(LoadSeen{At: s.now, Report: engineapi.LoadReport{
+				Engine: "head-1", Epoch: "e-head-1", Model: "drafts", First: 0, Last: 3, Slots: 8, TokensPerSecond: 100, Leaving: true,
+			}})
+		},
+		"a peer's word": func(s *script) {
+			s.step(PeerSeen{VM: "vm-2", At: s.now, Digest: Digest{Leaving: []ids.Upstream{"head-1"}}})
+		},
+		"the list": func(s *script) {
+			list := platformapi.VMList{Revision: s.router.vmsRevision + 1}
+			for _, u := range sortedKeys(s.router.upstreams) {
+				vm := platformapi.VM{ID: string(u), Address: string(u), Zone: "a", Role: platformapi.RoleEngine, Service: "drafts", State: platformapi.StateLive}
+				if u == "head-1" {
+					vm.State = platformapi.StateLeaving
+				}
+				list.VMs = append(list.VMs, vm)
+			}
+			s.step(VMsSeen{List: list})
+		},
+	}
+	for name, tell := range leave {
+		s := newScript()
+		tell(s)
+		s.tick(TickInterval)
+		for i := range 12 {
+			s.step(arrive(ids.Request(rune('a'+i)), nil))
+		}
+		if len(s.sent) == 0 {
+			t.Errorf("%s: nothing was sent", name)
+		}
+		for _, sent := range s.sent {
+			if sent.Chain[0].ID == "head-1" {
+				t.Errorf("%s: new work went to the leaving engine", name)
+				break
+			}
+		}
+	}
+}
--- a/decide/router/tick.go
+++ b/decide/router/tick.go
@@ -46,23 +46,19 @@
 			r.finish(req, &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.DeadlineExpired})
 			r.emit(Cancel{ID: id, Attempt: req.attempt})
 		case claiming, releasing:
-			r.finish(req, r.expiredError(req))
+			r.finish(req, r.expiredError())
 		case forbidding:
 			r.finish(req, r.earlier(*req.prior))
 		case waiting:
 			req.svc.queue.Remove(id)
-			r.giveUp(req, r.expiredError(req))
+			r.giveUp(req, r.expiredError())
 		}
 	}
 }
 
 // expiredError is the answer to a request with nothing in flight upstream.
-func (r *Router) expiredError(req *request) *outcome.Error {
-	err := outcome.Refuse(outcome.DeadlineExpired, "", r.spread(retrySoon))
-	if req.mayHaveRun {
-		err.Outcome = outcome.Unknown
-	}
-	return err
+func (r *Router) expiredError() *outcome.Error {
+	return outcome.Refuse(outcome.DeadlineExpired, "", r.spread(retrySoon))
 }
 
 // expiredIDs lists the unanswered requests whose deadline has passed, in the
--- a/decide/router/upstream.go
+++ b/decide/router/upstream.go
@@ -7,7 +7,6 @@
 	"mimosaarch.example/core/engineapi"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/platformapi"
-	"mimosaarch.example/decide/health"
 	"mimosaarch.example/decide/load"
 	"mimosaarch.example/decide/topology"
 )
@@ -20,8 +19,13 @@
 	// model tells an engine from a plain service.
 	model bool
 	// listed is false once the platform's list no longer names it.
-	listed  bool
-	leaving bool
+	listed bool
+	// leavingListed, leavingSaid and leavingPeers tell by whose word the
+	// upstream is leaving: the list's, its own, or peers'.
+	leavingListed, leavingSaid bool
+	leavingPeers               map[ids.VM]bool
+	// load is its newest report; nil before the first.
+	load *seenLoad
 	// asked is true once the engine has answered a poll or failed to.
 	asked bool
 	// reported is true once the engine's layers are known from its report.
@@ -41,6 +45,9 @@
 	if ev.List.Revision < r.vmsRevision {
 		return
 	}
+	if r.vmsRevision == 0 {
+		r.firstList = r.now
+	}
 	r.vmsRevision = ev.List.Revision
 	for _, u := range r.upstreams {
 		u.listed = false
@@ -76,7 +83,10 @@
 	id := ids.Upstream(vm.ID)
 	u := r.upstreams[id]
 	if u == nil {
-		u = &upstream{running: make(map[ids.Request]*request)}
+		u = &upstream{
+			running:      make(map[ids.Request]*request),
+			leavingPeers: make(map[ids.VM]bool),
+		}
 		r.upstreams[id] = u
 	}
 	u.listed = true
@@ -85,31 +95,30 @@
 	u.engine.Address = vm.Address
 	u.engine.Zone = ids.Zone(vm.Zone)
 	u.engine.Service = ids.Service(vm.Service)
-	if vm.State == platformapi.StateLeaving {
-		u.leaving = true
-		r.health.Leaving(r.now, id, health.FromVMList)
-	}
+	u.leavingListed = vm.State == platformapi.StateLeaving
 }
 
 // loadSeen takes in an engine's report of itself.
 func (r *Router) loadSeen(ev LoadSeen) {
-	report := ev.Report
+	r.takeLoad(seenLoad{report: ev.Report, at: ev.At})
+}
+
+// takeLoad takes in a report, polled or relayed. One older than the newest is
+// passed over.
+func (r *Router) takeLoad(l seenLoad) {
+	report := l.report
 	id := ids.Upstream(report.Engine)
 	u := r.upstreams[id]
-	if u == nil || !u.model {
+	if u == nil || !u.model || (u.load != nil && l.at.Before(u.load.at)) {
 		return
 	}
 	u.asked = true
-	if err := r.book.Report(r.now, report, ev.At); err != nil {
+	if err := r.book.Report(r.now, report, l.at); err != nil {
 		return
 	}
+	u.load = &l
 	r.health.Reported(r.now, id)
 	r.epochSeen(u, report.Epoch)
-	if report.Leaving && !u.leaving {
-		u.leaving = true
-		r.health.Leaving(r.now, id, health.FromUpstream)
-		r.dirty[u.engine.Service] = true
-	}
 	if u.describe(report) {
 		r.dirty[u.engine.Service] = true
 	}
@@ -124,7 +133,6 @@
 		return
 	}
 	if u.epoch != "" {
-		u.leaving = false
 		r.ended(u)
 	}
 	u.epoch = epoch
@@ -162,7 +170,8 @@
 	u.engine.Slots = report.Slots
 	u.engine.Rate = report.TokensPerSecond
 	links := linksOf(u.engine.ID, report.Links)
-	changed := !u.reported || u.engine != before || !slices.Equal(u.links, links)
+	changed := !u.reported || u.engine != before || u.leavingSaid != report.Leaving || !slices.Equal(u.links, links)
+	u.leavingSaid = report.Leaving
 	u.reported = true
 	u.links = links
 	return changed
@@ -227,7 +236,8 @@
 
 // usable reports whether the upstream may be given new work, its health apart.
 func (u *upstream) usable() bool {
-	return u.listed && !u.leaving && (u.reported || !u.model)
+	leaving := u.leavingListed || u.leavingSaid || len(u.leavingPeers) > 0
+	return u.listed && !leaving && (u.reported || !u.model)
 }
 
 // track counts a request in the load of an upstream.
--- a/node/effects.go
+++ b/node/effects.go
@@ -21,6 +21,10 @@
 		n.cancelStream(c)
 	case router.Claim, router.Release, router.Settle:
 		n.claim(c)
+	case router.Share:
+		n.share(c)
+	case router.Show:
+		n.showStatus(c)
 	case router.Finish:
 		n.finish(c)
 	case router.Note:
--- a/node/errors.go
+++ b/node/errors.go
@@ -28,6 +28,24 @@
 	return fmt.Sprintf("stopped with %d requests in flight", e.Requests)
 }
 
+// NoDigestError tells that the decision loop gave no digest in time.
+type NoDigestError struct{ Cause error }
+
+// Error implements error.
+func (e *NoDigestError) Error() string { return "no digest: " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *NoDigestError) Unwrap() error { return e.Cause }
+
+// NoStatusError tells that a duty gave no status in time.
+type NoStatusError struct{ Cause error }
+
+// Error implements error.
+func (e *NoStatusError) Error() string { return "no status: " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *NoStatusError) Unwrap() error { return e.Cause }
+
 // listen opens a TCP port.
 func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,8 @@
 	"mimosaarch.example/adapter/call"
 	"mimosaarch.example/adapter/caller"
 	"mimosaarch.example/adapter/configfeed"
+	"mimosaarch.example/adapter/peer"
+	"mimosaarch.example/adapter/peer/identity"
 	"mimosaarch.example/adapter/platform"
 	"mimosaarch.example/adapter/ring"
 	"mimosaarch.example/adapter/upstream"
@@ -51,6 +53,13 @@
 	claims   committer
 	callers  *caller.Server
 	operator *operator
+	// identity and peers are nil in a node that has none.
+	identity *identity.Identity
+	peers    *peer.Service
+	shared   *ring.Ring[router.Digest]
+	shown    *ring.Ring[router.Status]
+	// statusMu lets one question for the status wait at a time.
+	statusMu sync.Mutex
 	polls    *polls
 	newID    func() ids.Request
 
@@ -71,8 +80,9 @@
 	ready    bool
 }
 
-// Start starts a node. Its errors are typed: *ListenError, or the platform
-// client's *platform.AddressError. Nothing is left running after one.
+// Start starts a node. Its errors are typed: *ListenError, *peer.ListenError,
+// *identity.FileError or *platform.AddressError. Nothing is left running after
+// one.
 func Start(s settings.Settings, log zerolog.Logger) (*Node, error) {
 	n := newNode(s, log)
 	if err := n.connect(); err != nil {
@@ -96,6 +106,8 @@
 		telemetry: telemetry.New(),
 		records:   record.New(s.Records),
 		events:    ring.New[router.Event]("events", eventCapacity),
+		shared:    ring.New[router.Digest]("shared", 1),
+		shown:     ring.New[router.Status]("shown", 1),
 		calls:     newCalls(),
 		attempts:  newAttempts(),
 		pool:      pond.NewPool(s.MaxRequests + extraWorkers),
@@ -121,6 +133,9 @@
 
 // connect makes the clients of the platform.
 func (n *Node) connect() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	client, err := platform.New(platform.Settings{
 		Addresses: n.settings.Platform,
 		OnCall:    n.countPlatformCall,
@@ -162,6 +177,12 @@
 		_ = listener.Close()
 		return err
 	}
+	n.peers, err = n.newPeers()
+	if err != nil {
+		_ = listener.Close()
+		n.operator.close()
+		return err
+	}
 	return nil
 }
 
@@ -174,9 +195,13 @@
 	n.duty("claims", func() { n.claims.Run(n.ctx) })
 	n.duty("vms", n.polls.runVMs)
 	n.duty("loads", n.polls.runLoads)
+	if n.peers != nil {
+		n.duty("peers", func() { n.peers.Run(n.ctx) })
+	}
 	n.log.Info().
 		Str("callers", n.CallerAddr()).
 		Str("operators", n.OperatorAddr()).
+		Str("peers", n.PeerAddr()).
 		Str("zone", n.settings.Zone).
 		Msg("node started")
 }
@@ -204,6 +229,14 @@
 // OperatorAddr is the address of the operator port.
 func (n *Node) OperatorAddr() string { return n.operator.addr() }
 
+// PeerAddr is the address for peers; empty when the node stands alone.
+func (n *Node) PeerAddr() string {
+	if n.peers == nil {
+		return ""
+	}
+	return n.peers.Addr()
+}
+
 // Admit implements caller.Gate: it hands a request to the decision loop, or
 // refuses it at once when the loop's ring is full.
 func (n *Node) Admit(ev router.Arrive, work *call.Call) *outcome.Error {
--- a/node/operator.go
+++ b/node/operator.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"strings"
@@ -17,12 +18,15 @@
 	LivePath    = "/livez"
 	ReadyPath   = "/readyz"
 	MetricsPath = "/metrics"
+	StatusPath  = "/status"
 	ExplainPath = "/explain/"
 )
 
 // Limits of the operator port.
 const (
 	operatorTimeout     = 5 * time.Second
+	statusTimeout       = 2 * time.Second
+	retrySoon           = time.Second
 	operatorConnections = 64
 )
 
@@ -67,6 +71,8 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 	case path == ReadyPath:
 		o.ready(ctx)
+	case path == StatusPath:
+		o.status(ctx)
 	case path == MetricsPath:
 		writeJSON(ctx, o.node.telemetry.Registry())
 	case strings.HasPrefix(path, ExplainPath):
@@ -83,9 +89,22 @@
 	}
 }
 
+// status shows the node to operators.
+func (o *operator) status(ctx *fasthttp.RequestCtx) {
+	within, done := context.WithTimeout(o.node.ctx, statusTimeout)
+	defer done()
+	s, err := o.node.Status(within)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		writeJSON(ctx, outcome.Refuse(outcome.NotReady, err.Error(), retrySoon))
+		return
+	}
+	writeJSON(ctx, s)
+}
+
 // explain gives the decisions kept of one request.
 func (o *operator) explain(ctx *fasthttp.RequestCtx, id ids.Request) {
-	steps := o.node.records.Of(id)
+	steps := o.node.ExplainAnywhere(o.node.ctx, id)
 	if steps == nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		writeJSON(ctx, outcome.Refuse(outcome.BadRequest, "no decision of this request is kept here", 0))
--- a/node/polls.go
+++ b/node/polls.go
@@ -18,8 +18,9 @@
 type polls struct {
 	node *Node
 	mu   sync.Mutex
-	// engines are the listed engines' addresses.
-	engines map[ids.Upstream]string
+	// engines are those of the newest list, which has the given revision.
+	engines  map[ids.Upstream]platformapi.VM
+	revision int64
 	// asking marks the engines whose poll has not ended.
 	asking map[ids.Upstream]bool
 }
@@ -28,7 +29,7 @@
 func newPolls(n *Node) *polls {
 	return &polls{
 		node:    n,
-		engines: make(map[ids.Upstream]string),
+		engines: make(map[ids.Upstream]platformapi.VM),
 		asking:  make(map[ids.Upstream]bool),
 	}
 }
@@ -67,37 +68,59 @@
 		p.node.telemetry.Failure("vm_list")
 		return
 	}
+	if p.node.peers != nil {
+		if err := p.node.peers.SetVMs(list); err != nil {
+			p.node.telemetry.Failure("vm_list_ring_full")
+		}
+	}
+	p.take(list)
+}
+
+// take puts a list in use; any goroutine calls it. The router passes over one
+// that is older than the one in use.
+func (p *polls) take(list platformapi.VMList) {
 	p.setEngines(list)
 	p.node.tell(router.VMsSeen{List: list})
 }
 
-// setEngines takes the engines' addresses from the list.
+// setEngines takes the engines from the list, unless it is an older one.
 func (p *polls) setEngines(list platformapi.VMList) {
-	engines := make(map[ids.Upstream]string)
+	engines := make(map[ids.Upstream]platformapi.VM)
 	for _, vm := range list.VMs {
 		if vm.Role == platformapi.RoleEngine {
-			engines[ids.Upstream(vm.ID)] = vm.Address
+			engines[ids.Upstream(vm.ID)] = vm
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if list.Revision < p.revision {
+		return
+	}
+	p.revision = list.Revision
 	p.engines = engines
 }
 
-// askAll starts a poll of each engine that has none under way.
+// askAll starts a poll of each engine of this node's share that has none under
+// way.
 func (p *polls) askAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, address := range p.engines {
-		if p.asking[id] {
+	for id, vm := range p.engines {
+		if p.asking[id] || !p.ours(id, vm) {
 			continue
 		}
-		if err := p.node.pool.Go(func() { p.ask(id, address) }); err == nil {
+		if err := p.node.pool.Go(func() { p.ask(id, vm.Address) }); err == nil {
 			p.asking[id] = true
 		}
 	}
 }
 
+// ours reports whether this node polls the engine; the others learn its load
+// from the node that does.
+func (p *polls) ours(id ids.Upstream, vm platformapi.VM) bool {
+	return p.node.peers == nil || p.node.peers.Polls(id, ids.Zone(vm.Zone))
+}
+
 // ask polls one engine.
 func (p *polls) ask(id ids.Upstream, address string) {
 	ctx, done := context.WithTimeout(p.node.ctx, pollTimeout)
