A request waits for news that would change its answer

From the second loss on it waits until each loss is known to be a crash or not.

Ruled out: waiting after the first loss, which would cost every request on a dying engine a poll interval of recovery.

Both tests were seen to fail with the mechanism taken out.

--- a/decide/router/admit.go
+++ b/decide/router/admit.go
@@ -140,12 +140,24 @@
 
 // checkUpstreams refuses when nothing could serve the request.
 func (r *Router) checkUpstreams(req *request) *outcome.Error {
-	if req.svc.servable() {
+	if req.svc.servable() || r.joining(req.svc) {
 		return nil
 	}
 	return outcome.Refuse(outcome.NoUpstream, "no upstream serves this", r.spread(retryLater))
 }
 
+// joining reports whether an engine was listed so lately that its load has not
+// been asked for: a request may wait for it.
+func (r *Router) joining(svc *service) bool {
+	for _, id := range svc.members {
+		u := r.upstreams[id]
+		if u != nil && u.model && !u.reported && !u.leaving() && r.now.Sub(u.firstListed) < warmUp {
+			return true
+		}
+	}
+	return false
+}
+
 // servable reports whether some chain or upstream is known.
 func (s *service) servable() bool {
 	if s.model() {
@@ -182,6 +194,9 @@
 // queue; it reports whether the request has to.
 func (r *Router) hold(req *request) bool {
 	_, until := req.svc.blamer.Suspected(r.now, req.fingerprint())
+	if r.unjudged(req) {
+		until = r.now.Add(judgePace)
+	}
 	if !until.After(r.now) {
 		return false
 	}
--- a/decide/router/blame.go
+++ b/decide/router/blame.go
@@ -42,9 +42,11 @@
 		r.health.Failure(r.now, at, ev.Reason)
 		r.confirmDeathOf(at)
 	case outcome.UpstreamLost:
+		req.lostAt = append(req.lostAt, at)
 		r.suspectDeath(at)
 		r.health.Failure(r.now, at, ev.Reason)
 	case outcome.StageFailed:
+		req.lostAt = append(req.lostAt, at)
 		r.suspectDeath(at)
 		r.health.Failure(r.now, at, ev.Reason)
 		r.blameLink(req, at)
@@ -91,6 +93,37 @@
 	return found
 }
 
+// cleared takes back a possible crash: the upstream has answered since, in the
+// same process life.
+func (u *upstream) cleared(l seenLoad) {
+	if u.suspect != nil && l.report.Epoch == u.suspect.epoch && l.at.After(u.suspect.at) {
+		u.suspect = nil
+	}
+}
+
+// judgePace is how often a request that waits for a judgement is looked at;
+// unjudgedLosses the losses from which on one has to wait.
+const (
+	judgePace      = 50 * time.Millisecond
+	unjudgedLosses = 2
+)
+
+// unjudged reports whether the request was lost at several upstreams of which
+// one is still not known to have crashed or not. To send it to a further one
+// could cost that one too.
+func (r *Router) unjudged(req *request) bool {
+	if len(req.lostAt) < unjudgedLosses {
+		return false
+	}
+	for _, id := range req.lostAt {
+		u := r.upstreams[id]
+		if u != nil && u.model && u.suspect != nil && r.now.Sub(u.suspect.at) < sameLoss {
+			return true
+		}
+	}
+	return false
+}
+
 // suspected reports whether a possible crash waits for its confirmation.
 func (u *upstream) suspected(now time.Time) bool {
 	return u.suspect != nil && now.Sub(u.suspect.at) < suspectFor
--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -53,6 +53,9 @@
 	epoch string
 	// failed holds the upstreams this request has failed at.
 	failed []ids.Upstream
+	// lostAt holds the upstreams that lost this request's connection or failed
+	// its stage: possible crashes.
+	lostAt []ids.Upstream
 	// mayHaveRun tells that some attempt was not proved not to have run.
 	mayHaveRun bool
 	// claim is the record that stands in the platform for this request; nil
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -298,3 +298,62 @@
 		}
 	}
 }
+
+// TestRequestWaitsForEnginesJustListed queues a request while the engines that
+// could serve it have not been asked, and refuses once they had their time.
+func TestRequestWaitsForEnginesJustListed(t *testing.T) {
+	s := &script{router: New(Options{VM: "vm-1", Zone: "a", MaxRequests: 100, Seed: 1}), now: epoch}
+	s.step(ConfigSeen{Config: testConfig()})
+	s.vms("vm-1")
+	s.step(arrive("early", nil))
+	s.expect(t)
+	s.load("head-1", 0, 3)
+	s.load("tail-1", 4, 7)
+	s.tick(TickInterval)
+	s.expect(t, "send early attempt 1")
+
+	s = &script{router: New(Options{VM: "vm-1", Zone: "a", MaxRequests: 100, Seed: 1}), now: epoch}
+	s.step(ConfigSeen{Config: testConfig()})
+	s.vms("vm-1")
+	s.tick(2 * warmUp)
+	s.step(arrive("late", nil))
+	s.expect(t, "finish late not_run no_upstream")
+}
+
+// TestRequestLostTwiceWaitsForTheJudgement holds a request that lost two
+// engines until it is known whether they have crashed: no third one is tried.
+func TestRequestLostTwiceWaitsForTheJudgement(t *testing.T) {
+	lose := func() *script {
+		s := newScript()
+		s.step(arrive("r", nil))
+		s.ended(outcome.MaybeSent, outcome.UpstreamLost)
+		for len(s.sent) < 2 || s.sent[len(s.sent)-1].Resume != nil {
+			if last := s.sent[len(s.sent)-1]; last.Resume != nil && s.router.requests["r"].state == sending {
+				s.ended(outcome.MaybeSent, outcome.ConnectFailed)
+			}
+			s.tick(TickInterval)
+		}
+		s.ended(outcome.MaybeSent, outcome.UpstreamLost)
+		if s.router.requests["r"].state == sending {
+			s.ended(outcome.MaybeSent, outcome.ConnectFailed)
+		}
+		s.text = nil
+		return s
+	}
+	s := lose()
+	for range 10 {
+		s.tick(judgePace)
+	}
+	s.expect(t)
+
+	alive := lose()
+	alive.now = alive.now.Add(judgePace)
+	alive.load("head-1", 0, 3)
+	alive.load("head-2", 0, 3)
+	for range 10 {
+		alive.tick(judgePace)
+	}
+	if len(alive.text) == 0 {
+		t.Error("a request whose engines live on is not sent again")
+	}
+}
--- a/decide/router/service.go
+++ b/decide/router/service.go
@@ -28,6 +28,8 @@
 	graph *topology.Graph
 	// upstreams are all that may be given work, in the order of their names.
 	upstreams []topology.Engine
+	// members names the listed upstreams of either kind, leaving ones too.
+	members []ids.Upstream
 	// expected is the smoothed time from send to finish.
 	expected time.Duration
 	// retries wait out their backoff before they are queued again.
--- a/decide/router/upstream.go
+++ b/decide/router/upstream.go
@@ -20,6 +20,8 @@
 	model bool
 	// listed is false once the platform's list no longer names it.
 	listed bool
+	// firstListed is when the list first named it.
+	firstListed time.Time
 	// These tell by whose word the upstream is leaving: the platform's list's,
 	// its own, the operators', or peers'.
 	leavingListed, leavingSaid, leavingOperators bool
@@ -86,6 +88,7 @@
 		u = &upstream{
 			running:      make(map[ids.Request]*request),
 			leavingPeers: make(map[ids.VM]bool),
+			firstListed:  r.now,
 		}
 		r.upstreams[id] = u
 	}
@@ -117,6 +120,7 @@
 		return
 	}
 	u.load = &l
+	u.cleared(l)
 	r.health.Reported(r.now, id)
 	r.epochSeen(u, report.Epoch)
 	if u.describe(report) {
@@ -228,6 +232,7 @@
 		links = append(links, u.links...)
 	}
 	svc.upstreams = engines
+	svc.members = members
 	svc.graph = nil
 	if svc.model() && len(engines) > 0 {
 		svc.graph = topology.NewGraph(svc.def.Layers, engines, links)
