--- a/core/fleet/defaults.go
+++ b/core/fleet/defaults.go
@@ -5,6 +5,7 @@
 // Defaults of a Profile.
 const (
 	defaultDeadline        = Duration(60 * time.Second)
+	defaultTokenInterval   = Duration(54 * time.Millisecond)
 	defaultStallAfter      = Duration(5 * time.Second)
 	defaultConnectTimeout  = Duration(500 * time.Millisecond)
 	defaultClaimRetention  = Duration(24 * time.Hour)
@@ -37,6 +38,7 @@
 func (p Profile) WithDefaults() Profile {
 	setDefault(&p.Strategy, StrategyFlow)
 	setDefault(&p.Deadline, defaultDeadline)
+	setDefault(&p.TokenInterval, defaultTokenInterval)
 	setDefault(&p.StallAfter, defaultStallAfter)
 	setDefault(&p.ConnectTimeout, defaultConnectTimeout)
 	setDefault(&p.ClaimRetention, defaultClaimRetention)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -56,6 +56,10 @@
 	Health HealthPolicy `yaml:"health,omitempty"`
 	// Deadline is given to requests that bring none. Default 60s.
 	Deadline Duration `yaml:"deadline,omitempty"`
+	// TokenInterval is the time between tokens that the choice of chains keeps
+	// to, strategy flow only. A longer one fills engines further: more
+	// throughput, slower streams. Default 54ms.
+	TokenInterval Duration `yaml:"token_interval,omitempty"`
 	// StallAfter ends an attempt without progress for this long. Default 5s.
 	StallAfter Duration `yaml:"stall_after,omitempty"`
 	// ConnectTimeout bounds opening a connection to an upstream. Default 500ms.
--- a/core/fleet/parse_test.go
+++ b/core/fleet/parse_test.go
@@ -92,7 +92,7 @@
 	want := []Violation{
 		{"name", 2, "-bad", nameExpected},
 		{"strategy", 3, "random", "one of flow, round_robin, two_choices, least_loaded"},
-		{"", 4, "colour", "one of the fields change, claim_retention, connect_timeout, deadline, health, kind, name, queue, retry, stall_after, strategy"},
+		{"", 4, "colour", "one of the fields change, claim_retention, connect_timeout, deadline, health, kind, name, queue, retry, stall_after, strategy, token_interval"},
 		{"queue.length", 6, "3.7", "a whole number from 1 to 1048576"},
 		{"queue.per_account", 7, "0", "a whole number from 1 to 1048576"},
 		{"retry.attempts", 8, "many", "a whole number from 1 to 100"},
--- a/core/fleet/schema.go
+++ b/core/fleet/schema.go
@@ -35,6 +35,7 @@
 		"retry":           object(retryFields(&p.Retry)),
 		"health":          object(healthFields(&p.Health)),
 		"deadline":        duration(&p.Deadline, leastTime, mostTime),
+		"token_interval":  duration(&p.TokenInterval, leastTime, mostTime),
 		"stall_after":     duration(&p.StallAfter, leastTime, mostTime),
 		"connect_timeout": duration(&p.ConnectTimeout, leastTime, mostTime),
 		"claim_retention": duration(&p.ClaimRetention, leastRetention, mostRetention),
--- a/decide/router/admit.go
+++ b/decide/router/admit.go
@@ -200,9 +200,8 @@
 	if !until.After(r.now) {
 		return false
 	}
-	req.state = waiting
 	r.note(req, StepQueued, outcome.Quarantined, "waits for the judgement of a crash")
-	req.svc.retries = append(req.svc.retries, delayedRetry{id: req.arrive.ID, at: until})
+	r.later(req, until.Sub(r.now))
 	return true
 }
 
--- a/decide/router/attempt.go
+++ b/decide/router/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
@@ -91,6 +92,10 @@
 // attemptFailed decides what follows an attempt that gave no whole answer.
 func (r *Router) attemptFailed(req *request, chain topology.Chain, joining bool, ev AttemptEnded) {
 	r.note(req, StepFailed, ev.Reason, ev.Detail)
+	if ev.Reason == outcome.UpstreamBusy && ev.Phase == outcome.Refused && !req.answered {
+		r.busy(req, ev)
+		return
+	}
 	decision := retry.Decide(r.retryInput(req, joining, ev))
 	switch decision.Action {
 	case retry.Retry:
@@ -102,6 +107,22 @@
 	}
 }
 
+// busy queues a request again that an upstream had no room for. That is no
+// failure: it costs neither one of the request's attempts nor the budget of
+// retries, and ends with the deadline.
+func (r *Router) busy(req *request, ev AttemptEnded) {
+	req.busy++
+	req.full = ev.Upstream
+	r.note(req, StepRetried, ev.Reason, string(ev.Upstream))
+	r.later(req, retry.Backoff(ids.Attempt(req.busy), r.rand))
+}
+
+// later queues a request again after a wait.
+func (r *Router) later(req *request, wait time.Duration) {
+	req.state = waiting
+	req.svc.retries = append(req.svc.retries, delayedRetry{id: req.arrive.ID, at: r.now.Add(wait)})
+}
+
 // retryInput describes the failed attempt to the retry rules.
 func (r *Router) retryInput(req *request, joining bool, ev AttemptEnded) retry.Input {
 	held, _ := req.svc.blamer.Quarantined(r.now, req.fingerprint())
@@ -112,7 +133,7 @@
 		Rejoining:         joining,
 		Idempotent:        req.idempotent,
 		Keyed:             req.claim != nil,
-		Attempts:          int(req.attempt),
+		Attempts:          int(req.attempt) - req.busy,
 		MaxAttempts:       req.svc.profile.Retry.Attempts,
 		Remaining:         req.remaining(r.now),
 		BudgetAllows:      req.svc.budget.Available(r.now),
@@ -155,24 +176,31 @@
 		req.failed = append(req.failed, ev.Upstream)
 	}
 	r.note(req, StepRetried, ev.Reason, string(ev.Upstream))
-	req.state = waiting
-	wait := retry.Backoff(req.attempt, r.rand)
-	req.svc.retries = append(req.svc.retries, delayedRetry{id: req.arrive.ID, at: r.now.Add(wait)})
+	r.later(req, retry.Backoff(req.attempt, r.rand))
 }
 
 // requeue puts the retries whose backoff is over back into the queue.
 func (r *Router) requeue(svc *service) {
 	due := func(d delayedRetry) bool { return !d.at.After(r.now) }
-	var ready []*request
+	var ready []delayedRetry
 	for _, d := range svc.retries {
 		if due(d) {
-			ready = append(ready, r.requests[d.id])
+			ready = append(ready, d)
 		}
 	}
 	svc.retries = slices.DeleteFunc(svc.retries, due)
-	for _, req := range ready {
-		r.release(req)
+	for _, d := range ready {
+		r.resumeWork(r.requests[d.id], d.rejoin)
+	}
+}
+
+// resumeWork goes on with a request that has waited out its delay.
+func (r *Router) resumeWork(req *request, rejoin topology.Chain) {
+	if rejoin != nil {
+		r.startRejoin(req, rejoin)
+		return
 	}
+	r.release(req)
 }
 
 // release queues a request that has waited out its delay, unless it has been
@@ -197,9 +225,21 @@
 }
 
 // rejoin asks the engine for the rest of the request's own running stream, on
-// a new connection.
+// a new connection: at once the first time, later after a wait.
 func (r *Router) rejoin(req *request, chain topology.Chain, ev AttemptEnded) {
 	r.note(req, StepJoined, ev.Reason, string(chain[0].ID))
+	req.rejoins++
+	if req.rejoins == 1 {
+		r.startRejoin(req, chain)
+		return
+	}
+	req.state = waiting
+	wait := retry.Backoff(ids.Attempt(req.rejoins), r.rand)
+	req.svc.retries = append(req.svc.retries, delayedRetry{id: req.arrive.ID, at: r.now.Add(wait), rejoin: chain})
+}
+
+// startRejoin sends the attempt that rejoins.
+func (r *Router) startRejoin(req *request, chain topology.Chain) {
 	req.resume = &Resume{Request: req.arrive.ID, Attempt: req.stream, Epoch: req.epoch}
 	req.attempt++
 	req.chain = chain
--- a/decide/router/dispatch.go
+++ b/decide/router/dispatch.go
@@ -36,7 +36,7 @@
 // it may go back.
 func (r *Router) pick(req *request) (topology.Chain, bool) {
 	chain, ok := r.pickExcluding(req, req.exclude)
-	if !ok && len(req.failed) > 0 {
+	if !ok && (len(req.failed) > 0 || req.full != "") {
 		return r.pickExcluding(req, nil)
 	}
 	return chain, ok
@@ -65,6 +65,7 @@
 // the request's idempotency key.
 func (r *Router) launch(req *request, chain topology.Chain) {
 	req.chain = chain
+	req.full = ""
 	req.attempt++
 	req.stream = req.attempt
 	r.reserve(req)
--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -53,6 +53,12 @@
 	epoch string
 	// failed holds the upstreams this request has failed at.
 	failed []ids.Upstream
+	// rejoins counts the attempts that only rejoined the running stream.
+	rejoins int
+	// busy counts the attempts that met an upstream without room; full is
+	// the last of these, passed over by the next choice.
+	busy int
+	full ids.Upstream
 	// lostAt holds the upstreams that lost this request's connection or failed
 	// its stage: possible crashes.
 	lostAt []ids.Upstream
@@ -84,8 +90,12 @@
 	return quarantine.Fingerprint(q.arrive.Fingerprint)
 }
 
-// exclude reports whether the request has failed at the upstream.
+// exclude reports whether the request has failed at the upstream, or found it
+// full just now.
 func (q *request) exclude(id ids.Upstream) bool {
+	if id == q.full {
+		return true
+	}
 	for _, f := range q.failed {
 		if f == id {
 			return true
--- a/decide/router/router.go
+++ b/decide/router/router.go
@@ -45,7 +45,7 @@
 	firstList time.Time
 	// gone are the peers that are not heard from any more.
 	gone map[ids.VM]bool
-	// warm is set once every engine listed has been asked for its load.
+	// warm is set once the node could serve.
 	warm bool
 	// dirty names the services whose upstreams have to be made anew.
 	dirty map[ids.Service]bool
@@ -123,12 +123,23 @@
 func (r *Router) Requests() int { return len(r.requests) }
 
 // Ready reports whether the node can take requests: it has a configuration,
-// has asked every engine of the VM list once, and is not draining.
+// knows upstreams that can serve, and is not draining. Once ready, a node stays
+// so when its upstreams fail: to take it from callers would not help them.
 func (r *Router) Ready() bool {
-	r.warm = r.warm || (r.asked() && len(r.dirty) == 0)
+	r.warm = r.warm || (r.asked() && len(r.dirty) == 0 && r.serves())
 	return r.config != nil && r.warm && !r.draining
 }
 
+// serves reports whether some service has upstreams that can serve it.
+func (r *Router) serves() bool {
+	for _, svc := range r.services {
+		if svc.servable() {
+			return true
+		}
+	}
+	return false
+}
+
 // warmUp is how long the first list of VMs may be in use before the node is
 // ready although some engines' load is still not known.
 const warmUp = 2 * time.Second
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -357,3 +357,21 @@
 		t.Error("a request whose engines live on is not sent again")
 	}
 }
+
+// TestBusyIsNoFailure sends a request on after more refusals for lack of room
+// than it has attempts.
+func TestBusyIsNoFailure(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", nil))
+	for range 6 {
+		s.ended(outcome.Refused, outcome.UpstreamBusy)
+		s.tick(pastBackoff / 2)
+	}
+	s.ended(outcome.Finished, "")
+	if last := s.text[len(s.text)-1]; last != "finish r complete" {
+		t.Errorf("got %q", s.text)
+	}
+	if a, b := s.sent[0].Chain[0].ID, s.sent[1].Chain[0].ID; a == b {
+		t.Errorf("the full %s was tried again at once", a)
+	}
+}
--- a/decide/router/service.go
+++ b/decide/router/service.go
@@ -40,6 +40,8 @@
 type delayedRetry struct {
 	id ids.Request
 	at time.Time
+	// rejoin is the chain of the stream to rejoin; nil for a new attempt.
+	rejoin topology.Chain
 }
 
 // newService makes a service without upstreams.
@@ -52,17 +54,18 @@
 		blamer:  quarantine.New(quarantineOptions(profile)),
 		plain:   balancer.NewPlain(rng.Uint64()),
 	}
-	s.setStrategy(profile.Strategy, rng)
+	s.setStrategy(rng)
 	return s
 }
 
 // update puts a changed definition or policy in force.
 func (s *service) update(def fleet.Service, profile fleet.Profile, rng *rand.Rand) {
-	if profile.Strategy != s.profile.Strategy {
-		s.setStrategy(profile.Strategy, rng)
-	}
+	changed := profile.Strategy != s.profile.Strategy || profile.TokenInterval != s.profile.TokenInterval
 	s.def = def
 	s.profile = profile
+	if changed {
+		s.setStrategy(rng)
+	}
 	s.queue.SetOptions(queueOptions(profile))
 	s.budget.SetPolicy(profile.Retry)
 	s.blamer.SetOptions(quarantineOptions(profile))
@@ -76,20 +79,17 @@
 	}
 }
 
-// setStrategy replaces the picker. A name that is not known, which a checked
+// setStrategy makes the picker anew. A name that is not known, which a checked
 // profile cannot hold, leaves the default strategy.
-func (s *service) setStrategy(name string, rng *rand.Rand) {
-	picker, err := balancer.New(name, balancer.Options{TokenInterval: tokenInterval}, rng.Uint64())
+func (s *service) setStrategy(rng *rand.Rand) {
+	opts := balancer.Options{TokenInterval: s.profile.TokenInterval.D()}
+	picker, err := balancer.New(s.profile.Strategy, opts, rng.Uint64())
 	if err != nil {
-		picker, _ = balancer.New(fleet.StrategyFlow, balancer.Options{TokenInterval: tokenInterval}, rng.Uint64())
+		picker, _ = balancer.New(fleet.StrategyFlow, opts, rng.Uint64())
 	}
 	s.picker = picker
 }
 
-// tokenInterval is the time between tokens that the choice of a chain keeps
-// to: 54 ms for 95 in 100 tokens.
-const tokenInterval = 54 * time.Millisecond
-
 // model reports whether the service is a model service.
 func (s *service) model() bool { return s.def.Type == fleet.ServiceModel }
 
--- a/mimosactl/app/bench.go
+++ b/mimosactl/app/bench.go
@@ -21,13 +21,14 @@
 	env *env
 	mixOptions
 
-	Nodes    int           `long:"nodes" default:"9" description:"nodes in this process"`
-	Strategy string        `long:"strategy" choice:"flow" choice:"round_robin" choice:"two_choices" choice:"least_loaded" default:"flow" description:"choice of chains"`
-	Load     float64       `long:"load" default:"1.0" description:"model requests offered, in parts of the bound"`
-	For      time.Duration `long:"for" default:"20s" description:"length of the run"`
-	Warmup   time.Duration `long:"warmup" default:"8s" description:"first part of the run that is not measured"`
-	Scale    float64       `long:"scale" default:"0.5" description:"factor to the stand-ins' rates"`
-	Verbose  bool          `short:"v" long:"verbose" description:"print the nodes' warnings"`
+	Nodes         int           `long:"nodes" default:"9" description:"nodes in this process"`
+	TokenInterval time.Duration `long:"token-interval" description:"time between tokens that the strategy flow keeps to; 0 leaves it to the default"`
+	Strategy      string        `long:"strategy" choice:"flow" choice:"round_robin" choice:"two_choices" choice:"least_loaded" default:"flow" description:"choice of chains"`
+	Load          float64       `long:"load" default:"1.0" description:"model requests offered, in parts of the bound"`
+	For           time.Duration `long:"for" default:"20s" description:"length of the run"`
+	Warmup        time.Duration `long:"warmup" default:"8s" description:"first part of the run that is not measured"`
+	Scale         float64       `long:"scale" default:"0.5" description:"factor to the stand-ins' rates"`
+	Verbose       bool          `short:"v" long:"verbose" description:"print the nodes' warnings"`
 }
 
 // bench describes the command.
@@ -51,19 +52,20 @@
 	ctx, stop := interruptible()
 	defer stop()
 	result, err := bench.Run(ctx, bench.Options{
-		Nodes:      c.Nodes,
-		Strategy:   c.Strategy,
-		Load:       c.Load,
-		For:        c.For,
-		Warmup:     c.Warmup,
-		Scale:      c.Scale,
-		Shape:      load.Shape(c.Shape),
-		Mix:        c.mix(),
-		Seed:       c.Seed,
-		Deadline:   c.Deadline,
-		Returns:    c.Returns,
-		Log:        log,
-		OnProgress: c.env.progress,
+		Nodes:         c.Nodes,
+		Strategy:      c.Strategy,
+		TokenInterval: c.TokenInterval,
+		Load:          c.Load,
+		For:           c.For,
+		Warmup:        c.Warmup,
+		Scale:         c.Scale,
+		Shape:         load.Shape(c.Shape),
+		Mix:           c.mix(),
+		Seed:          c.Seed,
+		Deadline:      c.Deadline,
+		Returns:       c.Returns,
+		Log:           log,
+		OnProgress:    c.env.progress,
 	})
 	if setting, ok := errors.AsType[*bench.SettingError](err); ok {
 		return &UsageError{Message: setting.Error()}
--- a/mimosactl/bench/bench.go
+++ b/mimosactl/bench/bench.go
@@ -24,6 +24,8 @@
 	Nodes int
 	// Strategy chooses chains.
 	Strategy string
+	// TokenInterval is the profile's; 0 stands for its default.
+	TokenInterval time.Duration
 	// Load is the model requests offered, in parts of the bound.
 	Load float64
 	// For is the length of the run, Warmup its first part that isn't
--- a/mimosactl/bench/fixture.go
+++ b/mimosactl/bench/fixture.go
@@ -96,10 +96,11 @@
 // documents are the configuration of the bench.
 func (f *fixture) documents() []fleet.Document {
 	profile := fleet.Profile{
-		Kind:     fleet.KindProfile,
-		Name:     profileName,
-		Strategy: f.options.Strategy,
-		Deadline: fleet.Duration(profileWindow),
+		Kind:          fleet.KindProfile,
+		Name:          profileName,
+		Strategy:      f.options.Strategy,
+		TokenInterval: fleet.Duration(f.options.TokenInterval),
+		Deadline:      fleet.Duration(profileWindow),
 	}
 	model := fleet.Service{
 		Kind:    fleet.KindService,
