--- a/adapter/claims/committer.go
+++ b/adapter/claims/committer.go
@@ -10,14 +10,24 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
-
 	"mimosaarch.example/adapter/ring"
+	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/platformapi"
 	"mimosaarch.example/decide/claim"
 	"mimosaarch.example/decide/router"
 )
 
+// Peers reach the VMs that commit the operations of shards.
+type Peers interface {
+	// Preferred gives the VM that is to commit a shard's operations; false
+	// when that is this one, or none can be named. It must not wait.
+	Preferred(shard int) (ids.VM, bool)
+	// Forward hands an operation to a VM, once at most, and waits for the
+	// answer. The VM must have stopped to try when ctx ends. An answer other
+	// than ForwardUnsure needs proof. Any goroutine calls it.
+	Forward(ctx context.Context, c claim.Forward) claim.ForwardAnswer
+}
+
 // Platform is the part of the platform's client that a Committer needs. The
 // client makes each call at most once.
 type Platform interface {
@@ -49,7 +59,8 @@
 	platform Platform
 	sink     Sink
 	settings Settings
-	commands *ring.Ring[claim.Op]
+	shards   int
+	commands *ring.Ring[work]
 	stopped  atomic.Bool
 	counts   atomic.Pointer[claim.Counts]
 }
@@ -61,7 +72,8 @@
 		platform: platform,
 		sink:     sink,
 		settings: settings,
-		commands: ring.New[claim.Op]("claims", settings.Ring),
+		shards:   claim.New(settings.Claim).Shards(),
+		commands: ring.New[work]("claims", settings.Ring),
 	}
 	c.counts.Store(&claim.Counts{})
 	return c
@@ -80,7 +92,34 @@
 	if err != nil {
 		return err
 	}
-	return c.commands.Offer(op)
+	return c.commands.Offer(work{op: op})
+}
+
+// work is an operation for the worker. For one of another VM, answer takes
+// the answer; it has room for it.
+type work struct {
+	op     claim.Op
+	answer chan claim.ForwardAnswer
+}
+
+// Serve commits an operation of another VM and waits for what came of it. The
+// operation's Deadline is the end of the time that the other VM gave, by this
+// VM's clock. Any goroutine may call it.
+func (c *Committer) Serve(ctx context.Context, shard int, op claim.Op) claim.ForwardAnswer {
+	refused := claim.ForwardAnswer{Kind: claim.ForwardRefused}
+	if c.stopped.Load() || claim.ShardOf(op.Record, c.shards) != shard {
+		return refused
+	}
+	answer := make(chan claim.ForwardAnswer, 1)
+	if c.commands.Offer(work{op: op, answer: answer}) != nil {
+		return refused
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return claim.ForwardAnswer{Kind: claim.ForwardUnsure}
+	}
 }
 
 // op turns a command into an operation.
@@ -88,11 +127,18 @@
 	deadline := time.Now().Add(c.settings.Deadline)
 	switch cmd := command.(type) {
 	case router.Claim:
-		return claim.Op{Kind: claim.Claim, Record: cmd.Record, Nonce: rand.Text(), Over: cmd.Over, Deadline: deadline}, nil
+		return claim.Op{
+			Kind:      claim.Claim,
+			Record:    cmd.Record,
+			Nonce:     rand.Text(),
+			Over:      cmd.Over,
+			Retention: cmd.Retention,
+			Deadline:  deadline,
+		}, nil
 	case router.Release:
-		return claim.Op{Kind: claim.Release, Record: cmd.Record, Deadline: deadline}, nil
+		return claim.Op{Kind: claim.Release, Record: cmd.Record, Nonce: rand.Text(), Deadline: deadline}, nil
 	case router.Settle:
-		return claim.Op{Kind: claim.Settle, Record: cmd.Record}, nil
+		return claim.Op{Kind: claim.Settle, Record: cmd.Record, Nonce: rand.Text(), Retention: cmd.Retention}, nil
 	}
 	return claim.Op{}, &CommandError{Command: command}
 }
@@ -105,14 +151,7 @@
 // is called once.
 func (c *Committer) Run(ctx context.Context) {
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	group := claim.New(c.settings.Claim)
-	w := &worker{
-		Committer: c,
-		group:     group,
-		pool:      pond.NewPool(c.settings.Parallel),
-		calls:     calls,
-		answers:   make(chan claim.Answer, group.Shards()),
-	}
+	w := newWorker(calls, c)
 	defer w.open.Wait()
 	defer cancel()
 	w.serve(ctx.Done())
--- /dev/null
+++ b/adapter/claims/peers_test.go
@@ -0,0 +1,170 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/claim"
+	"mimosaarch.example/decide/router"
+)
+
+// hop is the time of a message from a Committer to another.
+const hop = 500 * time.Microsecond
+
+// fakePeers joins Committers, of which each is preferred for some shards.
+type fakePeers struct {
+	self  int
+	fleet *[]*Committer
+	// refuse, lose and loseAnswer spoil the messages.
+	refuse, lose, loseAnswer atomic.Bool
+}
+
+func (p *fakePeers) Preferred(shard int) (ids.VM, bool) {
+	first := shard % len(*p.fleet)
+	return ids.VM(fmt.Sprint(first)), first != p.self
+}
+
+func (p *fakePeers) Forward(ctx context.Context, c claim.Forward) claim.ForwardAnswer {
+	if p.refuse.Load() {
+		return claim.ForwardAnswer{Kind: claim.ForwardRefused}
+	}
+	if p.lose.Load() {
+		return claim.ForwardAnswer{Kind: claim.ForwardUnsure}
+	}
+	op := c.Op
+	op.Deadline = c.Until
+	<-time.After(hop)
+	answer := (*p.fleet)[c.Shard%len(*p.fleet)].Serve(ctx, c.Shard, op)
+	<-time.After(hop)
+	if p.loseAnswer.Load() {
+		return claim.ForwardAnswer{Kind: claim.ForwardUnsure}
+	}
+	return answer
+}
+
+// withPeers starts Committers that forward to each other.
+func withPeers(t *testing.T, count int, test func(t *testing.T, f *fleet, peers []*fakePeers)) {
+	var peers []*fakePeers
+	var committers []*Committer
+	change := func(i int, s *Settings) {
+		p := &fakePeers{self: i, fleet: &committers}
+		peers = append(peers, p)
+		s.Peers = p
+	}
+	runWith(t, count, change, func(t *testing.T, f *fleet) {
+		committers = f.committers
+		test(t, f, peers)
+	})
+}
+
+func TestPreferredCommitsForAll(t *testing.T) {
+	withPeers(t, 3, func(t *testing.T, f *fleet, _ []*fakePeers) {
+		for i := range 90 {
+			f.claim(i%3, fmt.Sprint("k", i), fmt.Sprint("r", i))
+		}
+		advance(100 * time.Millisecond)
+		for i := range 90 {
+			f.want(i%3, fmt.Sprint("r", i), router.ClaimWon)
+		}
+		if f.platform.writes != testShards {
+			t.Errorf("%d writes, want one for each shard", f.platform.writes)
+		}
+		f.offer(0, router.Release{ID: "r0", Record: record("k0", "r0")})
+		f.offer(1, router.Settle{ID: "r1", Record: record("k1", "r1")})
+		advance(defaultDeadline)
+		if f.platform.holds("r0", router.ClaimHeld) || !f.results[0].released["r0"] || !f.platform.holds("r1", router.ClaimDone) {
+			t.Error("a release or a settlement is missing")
+		}
+		counts := f.committers[0].Counts()
+		if counts.ForwardsDone == 0 || counts.Served == 0 || counts.ForwardsRefused+counts.ForwardsSilent > 0 {
+			t.Errorf("%+v", counts)
+		}
+	})
+}
+
+func TestClaimsOutliveTheirPreferredVM(t *testing.T) {
+	spoil := map[string]func(*fakePeers){
+		"refused":     func(p *fakePeers) { p.refuse.Store(true) },
+		"lost":        func(p *fakePeers) { p.lose.Store(true) },
+		"answer lost": func(p *fakePeers) { p.loseAnswer.Store(true) },
+	}
+	for name, spoil := range spoil {
+		t.Run(name, func(t *testing.T) {
+			withPeers(t, 2, func(t *testing.T, f *fleet, peers []*fakePeers) {
+				for _, p := range peers {
+					spoil(p)
+				}
+				for i := range 20 {
+					f.claim(0, fmt.Sprint("k", i), fmt.Sprint("r", i))
+					f.claim(1, fmt.Sprint("k", i), fmt.Sprint("s", i))
+				}
+				advance(defaultDeadline)
+				for i := range 20 {
+					a := f.results[0].ended[ids.Request(fmt.Sprint("r", i))].Result
+					b := f.results[1].ended[ids.Request(fmt.Sprint("s", i))].Result
+					if a+b != router.ClaimWon+router.ClaimTaken {
+						t.Errorf("k%d: %v and %v", i, a, b)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestServeRefusesAnotherShard(t *testing.T) {
+	c := New(&fakePlatform{}, &results{}, Settings{})
+	op := claim.Op{Kind: claim.Settle, Nonce: "n", Record: record("k", "r")}
+	shard := claim.ShardOf(op.Record, c.shards)
+	if got := c.Serve(t.Context(), shard+1, op); got.Kind != claim.ForwardRefused {
+		t.Errorf("got %+v", got)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if got := c.Serve(ended, shard, op); got.Kind != claim.ForwardUnsure {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestRepeatedServeIsNoRefusal(t *testing.T) {
+	run(t, 1, func(t *testing.T, f *fleet) {
+		op := claim.Op{Kind: claim.Claim, Nonce: "n", Record: record("k", "r"), Deadline: time.Now().Add(time.Second)}
+		var wait sync.WaitGroup
+		var kinds [3]claim.ForwardKind
+		serve := func(i int, op claim.Op) {
+			wait.Go(func() { kinds[i] = f.committers[0].Serve(t.Context(), claim.ShardOf(op.Record, testShards), op).Kind })
+		}
+		serve(0, op)
+		wait.Wait()
+		serve(1, op)
+		late := op
+		late.Nonce = "late"
+		late.Deadline = time.Now()
+		serve(2, late)
+		wait.Wait()
+		want := [3]claim.ForwardKind{claim.ForwardDone, claim.ForwardUnsure, claim.ForwardUnsure}
+		if kinds != want {
+			t.Errorf("got %v, want %v", kinds, want)
+		}
+	})
+}
+
+func TestCountsAreTold(t *testing.T) {
+	told := make(map[string]int64)
+	change := func(_ int, s *Settings) {
+		s.OnCount = func(name string, n int64) { told[name] += n }
+	}
+	runWith(t, 1, change, func(t *testing.T, f *fleet) {
+		f.claim(0, "k", "r")
+		advance(100 * time.Millisecond)
+		f.claim(0, "k", "s")
+		advance(100 * time.Millisecond)
+		if told["won"] != 1 || told["taken"] != 1 || told["writes"] != 1 {
+			t.Errorf("told %v, counts %+v", told, f.committers[0].Counts())
+		}
+	})
+}
--- a/adapter/claims/settings.go
+++ b/adapter/claims/settings.go
@@ -13,6 +13,7 @@
 	defaultStopTimeout = 2 * time.Second
 	defaultRing        = 4096
 	defaultParallel    = 16
+	defaultForwards    = 1024
 )
 
 // Settings of a Committer. Zero values stand for the defaults.
@@ -30,11 +31,20 @@
 	Ring int
 	// Parallel bounds the platform calls open at once. Default 16.
 	Parallel int
+	// Peers commit the operations of the shards for which they are preferred;
+	// nil when this VM commits all its own by itself.
+	Peers Peers
+	// ParallelForwards bounds the calls to other VMs open at once. Default
+	// 1024.
+	ParallelForwards int
 	// Claim sets the shards, the batching and the retention.
 	Claim claim.Settings
 	// OnProblem is told of objects that can't be used and of commands that
 	// lack a part; may be nil. The Committer's goroutine calls it.
 	OnProblem func(err error)
+	// OnCount is told, by the names of claim.Counts, what was added to a
+	// count; may be nil. The Committer's goroutine calls it.
+	OnCount func(name string, n int64)
 }
 
 // withDefaults fills in unset fields.
@@ -44,6 +54,10 @@
 	setDefault(&s.StopTimeout, defaultStopTimeout)
 	setDefault(&s.Ring, defaultRing)
 	setDefault(&s.Parallel, defaultParallel)
+	setDefault(&s.ParallelForwards, defaultForwards)
+	if s.OnCount == nil {
+		s.OnCount = func(string, int64) {}
+	}
 	if s.OnProblem == nil {
 		s.OnProblem = func(error) {}
 	}
--- /dev/null
+++ b/adapter/peer/codec_test.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/klauspost/compress/flate"
+
+	"mimosaarch.example/core/peerapi"
+)
+
+// packed makes a message of plain bytes as it stands on the wire.
+func packed(t *testing.T, plain []byte) []byte {
+	t.Helper()
+	var body bytes.Buffer
+	if err := flate.StatelessDeflate(&body, plain, true, nil); err != nil {
+		t.Fatal(err)
+	}
+	return append(binary.AppendUvarint(nil, uint64(body.Len())), body.Bytes()...)
+}
+
+func TestCodecUsesWhatWentBefore(t *testing.T) {
+	var wire bytes.Buffer
+	writer, reader := new(codec), new(codec)
+	stream := bufio.NewReader(&wire)
+	sizes := []int{100, 3, historySize - 1, historySize, 3 * historySize, 100}
+	for i, size := range sizes {
+		text := strings.Repeat("0123456789abcdef ", size)[:size]
+		for range 2 {
+			if err := writer.WriteObject(&wire, text); err != nil {
+				t.Fatal(err)
+			}
+			var got string
+			if err := reader.ReadObject(stream, &got); err != nil || got != text {
+				t.Fatalf("message %d: %d bytes, %v", i, len(got), err)
+			}
+			if len(writer.wrote) > historySize || !bytes.Equal(writer.wrote, reader.read) {
+				t.Fatalf("message %d: histories of %d and %d bytes", i, len(writer.wrote), len(reader.read))
+			}
+		}
+	}
+	message, err := json.Marshal(busy(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone := len(packed(t, message))
+	_ = writer.WriteObject(&wire, json.RawMessage(message))
+	wire.Reset()
+	_ = writer.WriteObject(&wire, json.RawMessage(message))
+	if wire.Len()*4 > alone {
+		t.Fatalf("a repeated message takes %d bytes of %d", wire.Len(), alone)
+	}
+}
+
+func TestCodecRefuses(t *testing.T) {
+	spaces := bytes.Repeat([]byte(" "), peerapi.MaxMessage+1)
+	bomb := packed(t, bytes.Repeat(spaces, 4))
+	if len(bomb) > peerapi.MaxMessage/100 {
+		t.Fatalf("the bomb has %d bytes", len(bomb))
+	}
+	var oversize *peerapi.OversizeError
+	var invalid *peerapi.InvalidError
+	// It must not be unpacked beyond the bound.
+	if err := read(bomb); !errors.As(err, &oversize) || oversize.Size != peerapi.MaxMessage+1 {
+		t.Errorf("bomb: %v", err)
+	}
+	if err := read(packed(t, spaces[1:])); errors.As(err, &oversize) {
+		t.Errorf("at the bound: %v", err)
+	}
+	if err := read([]byte{3, 0xff, 0xff, 0xff}); !errors.As(err, &invalid) {
+		t.Errorf("no deflate: %v", err)
+	}
+	good := packed(t, []byte("1"))
+	trailing := append([]byte{good[0] + 1}, append(bytes.Clone(good[1:]), 0)...)
+	if err := read(trailing); !errors.As(err, &invalid) {
+		t.Errorf("trailing byte: %v", err)
+	}
+	if err := read(good); err != nil {
+		t.Errorf("good: %v", err)
+	}
+	if err := new(codec).WriteObject(new(bytes.Buffer), json.RawMessage(spaces)); err == nil {
+		t.Error("an oversized message was written")
+	}
+}
+
+// read decodes one message.
+func read(message []byte) error {
+	return new(codec).ReadObject(bufio.NewReader(bytes.NewReader(message)), new(any))
+}
--- a/adapter/peer/dispatch.go
+++ b/adapter/peer/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"mimosaarch.example/core/peerapi"
+	"mimosaarch.example/decide/member"
 )
 
 // dispatcher answers the calls of a connection, one at a time.
@@ -16,6 +17,9 @@
 
 // Handle implements jsonrpc2.Handler.
 func (h *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if h.claim(ctx, conn, req) {
+		return
+	}
 	result, err := h.answer(ctx, conn, req)
 	if req.Notif {
 		return
@@ -60,12 +64,15 @@
 	var unknown *unknownMethodError
 	var invalid *peerapi.InvalidError
 	var oversize *peerapi.OversizeError
+	var unbased *unknownBaseError
 	code := peerapi.CodeUnavailable
 	switch {
 	case errors.As(err, &unknown):
 		code = peerapi.CodeUnknownMethod
 	case errors.As(err, &invalid), errors.As(err, &oversize):
 		code = peerapi.CodeInvalid
+	case errors.As(err, &unbased):
+		code = peerapi.CodeUnknownBase
 	case errors.As(err, new(*busyError)):
 		code = peerapi.CodeBusy
 	}
@@ -110,7 +117,12 @@
 	if err := h.read(req, &d); err != nil {
 		return nil, err
 	}
-	if err := h.service.events.Offer(received{digest: d, conn: conn}); err != nil {
+	whole, err := h.service.bases.whole(d)
+	if err != nil {
+		h.service.opts.Count(DigestsUnbased, 1)
+		return nil, err
+	}
+	if err := h.service.events.Offer(received{digest: whole, conn: conn, called: true}); err != nil {
 		h.service.opts.Count(MessagesBusy, 1)
 		return nil, &busyError{Cause: err}
 	}
@@ -119,7 +131,8 @@
 
 // reply tells a peer who took its digest.
 func (s *Service) reply(to peerapi.Digest) peerapi.DigestReply {
-	own := s.own.Load().digest
+	state := s.own.Load()
+	own := &state.digest
 	out := peerapi.DigestReply{
 		VM:             s.opts.VM,
 		Zone:           s.opts.Zone,
@@ -127,9 +140,25 @@
 		ConfigDigest:   own.ConfigDigest,
 		ConfigRevision: own.ConfigRevision,
 		VMsRevision:    s.vms.Load().Revision,
+		Have:           s.bases.of(to.VM, to.Boot),
 	}
-	if to.Zone != s.opts.Zone && own.Seq > 0 {
-		out.Digest = &own
+	if own.Seq > 0 {
+		digest := state.to(to.Have)
+		out.Digest = &digest
+	}
+	if to.VMsRevision == 0 {
+		out.Known = s.known()
+	}
+	return out
+}
+
+// known lists peers heard from, for a peer that has no list of VMs.
+func (s *Service) known() []peerapi.Known {
+	var out []peerapi.Known
+	for _, p := range s.Peers() {
+		if p.State == member.Alive && len(out) < peerapi.MaxKnown {
+			out = append(out, peerapi.Known{VM: p.VM, Zone: p.Zone, Address: p.Address})
+		}
 	}
 	return out
 }
--- a/adapter/peer/link.go
+++ b/adapter/peer/link.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/peerapi"
 )
 
@@ -18,8 +20,8 @@
 
 // outgoing is a digest to send and when it was made.
 type outgoing struct {
-	digest peerapi.Digest
-	made   time.Time
+	own  *ownState
+	made time.Time
 }
 
 // link sends digests to one address, in a goroutine of its own.
@@ -32,6 +34,11 @@
 	used time.Time
 
 	conn *jsonrpc2.Conn
+	// vm and boot are the peer's, as of its last reply, and have is the base
+	// that it holds of this node.
+	vm   ids.VM
+	boot string
+	have uint64
 	// misses counts replies that stayed away in a row, failures connections
 	// that could not be opened.
 	misses, failures int
@@ -87,8 +94,12 @@
 	if now.Sub(out.made) >= k.service.opts.Interval || !k.connect(ctx, now) {
 		return
 	}
-	var reply peerapi.DigestReply
-	err := k.service.call(ctx, k.conn, peerapi.MethodDigest, &out.digest, &reply)
+	reply, err := k.exchange(ctx, out.own)
+	if unknownBase(err) {
+		// The peer has forgotten what it held.
+		k.have = 0
+		reply, err = k.exchange(ctx, out.own)
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -96,12 +107,29 @@
 		k.miss()
 		return
 	}
+	k.vm, k.boot, k.have = reply.VM, reply.Boot, reply.Have
 	k.misses = 0
 	k.failures = 0
 	k.service.opts.Count(DigestsSent, 1)
 	k.tell(replied{address: k.address, reply: reply, conn: k.conn})
 }
 
+// exchange sends a digest and gives the reply.
+func (k *link) exchange(ctx context.Context, own *ownState) (peerapi.DigestReply, error) {
+	digest := own.to(k.have)
+	digest.Have = k.service.bases.of(k.vm, k.boot)
+	var reply peerapi.DigestReply
+	err := k.service.call(ctx, k.conn, peerapi.MethodDigest, &digest, &reply)
+	return reply, err
+}
+
+// unknownBase reports whether a peer refused a digest since it does not hold
+// its base.
+func unknownBase(err error) bool {
+	var refused *jsonrpc2.Error
+	return errors.As(err, &refused) && refused.Code == int64(peerapi.CodeUnknownBase)
+}
+
 // connect opens the connection if needed, and reports whether there is one.
 func (k *link) connect(ctx context.Context, now time.Time) bool {
 	if k.conn != nil {
--- a/adapter/peer/loop.go
+++ b/adapter/peer/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -19,6 +20,8 @@
 type received struct {
 	digest peerapi.Digest
 	conn   *jsonrpc2.Conn
+	// called is true when the peer called, false when it replied.
+	called bool
 }
 
 // replied is a peer's reply to a digest.
@@ -91,13 +94,13 @@
 	l.mu.Lock()
 	commands := l.members.Tick(now)
 	l.mu.Unlock()
-	digest, err := l.digest(ctx)
+	own, err := l.digest(ctx)
 	if err != nil {
 		l.opts.Count(DigestsSkipped, 1)
 	}
 	for _, command := range commands {
 		if send, ok := command.(member.Send); ok && err == nil {
-			l.send(ctx, now, send.Address, digest)
+			l.send(ctx, now, send.Address, own)
 		}
 	}
 	l.tell(commands)
@@ -105,13 +108,14 @@
 }
 
 // digest makes the node's digest of this round.
-func (l *loop) digest(ctx context.Context) (peerapi.Digest, error) {
+func (l *loop) digest(ctx context.Context) (*ownState, error) {
 	limit, done := context.WithTimeout(ctx, l.opts.Interval)
 	defer done()
 	digest, err := l.opts.Source.Digest(limit)
 	if err != nil {
-		return digest, err
+		return nil, err
 	}
+	digest.Loads = slices.DeleteFunc(digest.Loads, func(load peerapi.Load) bool { return load.Relayed })
 	digest.ConfigDigest = l.own.Load().digest.ConfigDigest
 	if l.opts.Feed != nil {
 		if sum, err := l.opts.Feed.Digest(limit); err == nil {
@@ -125,12 +129,13 @@
 	digest.Seq = l.seq
 	digest.Address = l.opts.Advertise
 	digest.VMsRevision = l.vms.Load().Revision
-	l.own.Store(&ownState{digest: digest})
-	return digest, digest.Validate()
+	own := newOwnState(digest, l.own.Load())
+	l.own.Store(own)
+	return own, digest.Validate()
 }
 
 // send hands a digest to the link to an address.
-func (l *loop) send(ctx context.Context, now time.Time, address string, digest peerapi.Digest) {
+func (l *loop) send(ctx context.Context, now time.Time, address string, own *ownState) {
 	k := l.links[address]
 	if k == nil {
 		if len(l.links) >= l.opts.MaxLinks {
@@ -141,7 +146,7 @@
 		l.links[address] = k
 	}
 	k.used = now
-	k.offer(outgoing{digest: digest, made: now})
+	k.offer(outgoing{own: own, made: now})
 }
 
 // closeIdle closes the links that are no longer used.
@@ -178,6 +183,7 @@
 		Seq:      d.Seq,
 		Address:  d.Address,
 		Draining: d.Draining,
+		Called:   ev.called,
 	})
 	l.mu.Unlock()
 	if err != nil {
@@ -211,11 +217,20 @@
 	r := ev.reply
 	l.mu.Lock()
 	commands, use := l.members.Replied(now, ev.address, member.Heard{VM: r.VM, Zone: r.Zone, Boot: r.Boot})
+	if l.vms.Load().Revision == 0 {
+		for _, k := range r.Known {
+			l.members.Learn(now, k.VM, k.Zone, k.Address)
+		}
+	}
 	l.mu.Unlock()
 	l.tell(commands)
 	if r.Digest != nil && use {
-		received{digest: *r.Digest, conn: ev.conn}.take(l, now)
-		return
+		whole, err := l.bases.whole(*r.Digest)
+		if err == nil {
+			received{digest: whole, conn: ev.conn}.take(l, now)
+			return
+		}
+		l.opts.Count(DigestsUnbased, 1)
 	}
 	if r.VM != l.opts.VM {
 		l.compare(pull{vm: r.VM, conn: ev.conn, config: r.ConfigDigest, vms: r.VMsRevision})
--- a/adapter/peer/options.go
+++ b/adapter/peer/options.go
@@ -67,6 +67,9 @@
 	DigestsTaken Counter = "peer_digests_taken"
 	// DigestsStale counts digests refused as repeated or older.
 	DigestsStale Counter = "peer_digests_stale"
+	// DigestsUnbased counts digests that referred to one not held, so that
+	// they could not be used.
+	DigestsUnbased Counter = "peer_digests_unbased"
 	// DigestsPaused counts digests refused since this process had stood
 	// still, so that their ages are not known.
 	DigestsPaused Counter = "peer_digests_after_pause"
--- a/adapter/peer/service.go
+++ b/adapter/peer/service.go
@@ -32,15 +32,12 @@
 	own atomic.Pointer[ownState]
 	// vms is the newest list of VMs.
 	vms atomic.Pointer[platformapi.VMList]
+	// bases are what digests of peers refer to.
+	bases *bases
 
 	duties sync.WaitGroup
 }
 
-// ownState is what the node last told of itself.
-type ownState struct {
-	digest peerapi.Digest
-}
-
 // New opens the port; nothing is sent before Run. The error is a
 // *ListenError.
 func New(opts Options) (*Service, error) {
@@ -58,6 +55,7 @@
 		events:   ring.New[event]("peer events", opts.Ring),
 		pulls:    ring.New[pull]("peer pulls", pullCapacity),
 		members:  member.New(memberOptions(opts)),
+		bases:    newBases(),
 	}
 	s.members.Seeds(opts.Seeds)
 	s.vms.Store(&platformapi.VMList{})
--- a/adapter/peer/wire.go
+++ b/adapter/peer/wire.go
@@ -1,57 +1,16 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
-	"encoding/binary"
 	"io"
 	"log"
 	"net"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-
-	"mimosaarch.example/core/peerapi"
 )
 
-// codec frames messages by their length and refuses those above the bound
-// before they are read.
-type codec struct{ jsonrpc2.VarintObjectCodec }
-
-// ReadObject implements jsonrpc2.ObjectCodec.
-func (c codec) ReadObject(stream *bufio.Reader, v any) error {
-	size, err := peekSize(stream)
-	if err != nil {
-		return err
-	}
-	if size > peerapi.MaxMessage {
-		return &peerapi.OversizeError{Field: "message", Size: int(min(size, maxInt)), Limit: peerapi.MaxMessage}
-	}
-	return c.VarintObjectCodec.ReadObject(stream, v)
-}
-
-// maxInt bounds the size that an OversizeError tells.
-const maxInt = 1<<31 - 1
-
-// peekSize gives the length that stands before a message, without taking it.
-func peekSize(stream *bufio.Reader) (uint64, error) {
-	for n := 1; n <= binary.MaxVarintLen64; n++ {
-		head, err := stream.Peek(n)
-		if err != nil {
-			return 0, err
-		}
-		size, used := binary.Uvarint(head)
-		if used > 0 {
-			return size, nil
-		}
-		if used < 0 {
-			break
-		}
-	}
-	return 0, &peerapi.InvalidError{Field: "message", Detail: "no length"}
-}
-
 // wire is a connection that counts its bytes and bounds each read and write.
 type wire struct {
 	*net.TCPConn
@@ -120,7 +79,7 @@
 
 // open starts JSON-RPC on a connection; either side may call.
 func (s *Service) open(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, codec{})
+	stream := jsonrpc2.NewBufferedStream(conn, new(codec))
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	return jsonrpc2.NewConn(ctx, stream, &dispatcher{s}, quiet)
 }
--- a/core/fleet/defaults.go
+++ b/core/fleet/defaults.go
@@ -5,7 +5,7 @@
 // Defaults of a Profile.
 const (
 	defaultDeadline        = Duration(60 * time.Second)
-	defaultTokenInterval   = Duration(54 * time.Millisecond)
+	defaultTokenInterval   = Duration(80 * time.Millisecond)
 	defaultStallAfter      = Duration(5 * time.Second)
 	defaultConnectTimeout  = Duration(500 * time.Millisecond)
 	defaultClaimRetention  = Duration(24 * time.Hour)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -58,7 +58,7 @@
 	Deadline Duration `yaml:"deadline,omitempty"`
 	// TokenInterval is the time between tokens that the choice of chains keeps
 	// to, strategy flow only. A longer one fills engines further: more
-	// throughput, slower streams. Default 54ms.
+	// throughput, slower streams. Default 80ms.
 	TokenInterval Duration `yaml:"token_interval,omitempty"`
 	// StallAfter ends an attempt without progress for this long. Default 5s.
 	StallAfter Duration `yaml:"stall_after,omitempty"`
--- a/core/peerapi/calls.go
+++ b/core/peerapi/calls.go
@@ -10,6 +10,12 @@
 	c.name("boot", r.Boot)
 	c.least("config_revision", r.ConfigRevision, 0)
 	c.least("vms_revision", r.VMsRevision, 0)
+	c.size("known", len(r.Known), MaxKnown)
+	for _, k := range r.Known[:min(len(r.Known), MaxKnown)] {
+		c.name("known.vm", string(k.VM))
+		c.name("known.zone", string(k.Zone))
+		c.address("known.address", k.Address)
+	}
 	if c.err != nil || r.Digest == nil {
 		return c.err
 	}
--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -38,12 +38,18 @@
 	CodeUnknownMethod Code = -32601
 	// CodeBusy: the node had no room for the message; it changed nothing.
 	CodeBusy Code = -32000
+	// CodeUnknownBase: the node does not hold the digest's base; the caller
+	// sends a whole one.
+	CodeUnknownBase Code = -32002
 	// CodeUnavailable: the node cannot answer the question now.
 	CodeUnavailable Code = -32001
 )
 
-// Digest is what a node tells its peers in one round. It is whole: what it
-// does not name is zero, absent or unknown.
+// Digest is what a node tells its peers in one round. One without a Base is
+// whole: what it does not name is zero, absent or unknown. One with a Base
+// tells by Figures what became of that earlier, whole digest, and by its other
+// fields what is beside that; Whole joins the two. A receiver keeps the newest
+// whole digest of each peer and says so by Have.
 type Digest struct {
 	// VM, Zone and Boot name the sender. Boot is drawn at random at each
 	// start of the process.
@@ -63,6 +69,17 @@
 	// VMsRevision is that of the newest list of VMs known; 0 means none.
 	VMsRevision int64 `json:"vms_revision"`
 
+	// Have is the Seq of the base that the sender holds of the receiver, to
+	// which the digest in the reply may refer; 0 means none.
+	Have uint64 `json:"have,omitempty"`
+	// Base is the Seq of the digest that Figures refer to; 0 means that this
+	// one is whole.
+	Base uint64 `json:"base,omitempty"`
+	// Figures are nil when the digest is whole.
+	Figures *Figures `json:"figures,omitempty"`
+	// BaseDigest is the base itself, for a receiver that holds another one.
+	BaseDigest *Digest `json:"base_digest,omitempty"`
+
 	// InFlight counts the sender's own requests at each upstream; no zeros.
 	InFlight map[ids.Upstream]int `json:"in_flight,omitempty"`
 	// Usage is the demand of the accounts worth telling.
@@ -122,9 +139,22 @@
 	ConfigDigest   uint64   `json:"config_digest"`
 	ConfigRevision int64    `json:"config_revision"`
 	VMsRevision    int64    `json:"vms_revision"`
-	// Digest is the replying node's newest, given to callers of other zones
-	// so that one link carries both ways; nil to those of its own zone.
+	// Have is the Seq of the base that the replying node holds of the caller;
+	// 0 means none.
+	Have uint64 `json:"have,omitempty"`
+	// Digest is the replying node's newest, so that one call carries both
+	// ways; nil before its first round.
 	Digest *Digest `json:"digest,omitempty"`
+	// Known lists peers that the replying node hears from, at most MaxKnown;
+	// given to callers that have no list of VMs.
+	Known []Known `json:"known,omitempty"`
+}
+
+// Known is how to reach a peer.
+type Known struct {
+	VM      ids.VM   `json:"vm"`
+	Zone    ids.Zone `json:"zone"`
+	Address string   `json:"address"`
 }
 
 // KeyVersion tells what a node has of one configuration object. It has the
--- a/core/peerapi/peerapi_test.go
+++ b/core/peerapi/peerapi_test.go
@@ -86,6 +86,10 @@
 	}{
 		"reply":              {&DigestReply{VM: "a", Zone: "z", Boot: "b", Digest: &own}, true},
 		"another's digest":   {&DigestReply{VM: "a", Zone: "z", Boot: "b", Digest: &other}, false},
+		"known":              {&DigestReply{VM: "a", Zone: "z", Boot: "b", Known: []Known{{"c", "z", "127.0.0.1:1"}}}, true},
+		"known without zone": {&DigestReply{VM: "a", Zone: "z", Boot: "b", Known: []Known{{"c", "", "127.0.0.1:1"}}}, false},
+		"known by name":      {&DigestReply{VM: "a", Zone: "z", Boot: "b", Known: []Known{{"c", "z", "host:1"}}}, false},
+		"many known":         {&DigestReply{VM: "a", Zone: "z", Boot: "b", Known: make([]Known, MaxKnown+1)}, false},
 		"unnamed reply":      {&DigestReply{Zone: "z", Boot: "b"}, false},
 		"pull":               {&Pull{Summary: []KeyVersion{{Key: "k", Version: 1}}}, true},
 		"negative version":   {&Pull{Summary: []KeyVersion{{Key: "k", Version: -1}}}, false},
--- a/decide/claim/apply.go
+++ b/decide/claim/apply.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"encoding/json"
 	"time"
 
 	"mimosaarch.example/decide/router"
@@ -28,7 +27,8 @@
 // holds its effect changes nothing and gives the same verdict.
 func (v *value) apply(settings *Settings, now time.Time, ops []*pending) (*change, []verdict) {
 	c := &change{value: v.clone(), settings: settings, now: now}
-	c.forgetExpired()
+	// That alone is no reason to write.
+	c.forget(now)
 	verdicts := make([]verdict, len(ops))
 	for i, p := range ops {
 		verdicts[i] = c.run(p.op)
@@ -36,16 +36,6 @@
 	return c, verdicts
 }
 
-// forgetExpired drops the entries whose time is over. That alone is no reason
-// to write.
-func (c *change) forgetExpired() {
-	for key, e := range c.entries {
-		if e.expired(c.now) {
-			c.drop(key)
-		}
-	}
-}
-
 // run applies one operation.
 func (c *change) run(op Op) verdict {
 	switch op.Kind {
@@ -61,36 +51,38 @@
 
 // claim takes a key if it may be taken.
 func (c *change) claim(op Op) verdict {
-	e := c.entries[entryKey(op.Record)]
-	if e != nil && e.nonce == op.Nonce {
+	e := c.find(keyOf(op.Record))
+	if e != nil && e.nonce == nonceOf(op.Nonce) {
 		return verdict{result: router.ClaimWon}
 	}
-	if e != nil && !op.mayReplace(e.record) {
-		return verdict{result: router.ClaimTaken, prior: e.record}
+	if e != nil && !op.mayReplace(e) {
+		return verdict{result: router.ClaimTaken, prior: e.record(op.Record)}
 	}
 	op.Record.State = router.ClaimHeld
-	if !c.insert(op) {
+	if !c.insert(newEntry(op), op.Retention) {
 		return verdict{result: router.ClaimFailed, full: true}
 	}
 	return verdict{result: router.ClaimWon}
 }
 
 // mayReplace reports whether a claim may take the place of one that stands.
-func (o Op) mayReplace(stands router.ClaimRecord) bool {
-	if stands.State != router.ClaimHeld {
+// The claim of an earlier attempt may come late, by way of another VM; it
+// does not replace a later attempt's.
+func (o Op) mayReplace(stands *entry) bool {
+	if stands.state != router.ClaimHeld {
 		return false
 	}
-	if stands.Request == o.request() {
-		return true
+	if stands.isOf(o.request()) {
+		return o.Record.Attempt >= stands.attempt
 	}
-	return o.Over != nil && o.Over.Request == stands.Request && o.Over.Attempt == stands.Attempt
+	return o.Over != nil && stands.isOf(o.Over.Request) && o.Over.Attempt == stands.attempt
 }
 
 // release gives up the request's own claim. Anything else stays.
 func (c *change) release(op Op) {
-	key := entryKey(op.Record)
-	e := c.entries[key]
-	if e == nil || e.record.Request != op.request() || e.record.State != router.ClaimHeld {
+	key := keyOf(op.Record)
+	e := c.find(key)
+	if e == nil || !e.isOf(op.request()) || e.state != router.ClaimHeld {
 		return
 	}
 	c.drop(key)
@@ -100,34 +92,27 @@
 // settle marks the request's own claim as done; a lost one is noted anew, so
 // that repeats learn of the run. Another request's claim stays.
 func (c *change) settle(op Op) {
-	e := c.entries[entryKey(op.Record)]
-	if e != nil && (e.record.Request != op.request() || e.record.State == router.ClaimDone) {
+	e := c.find(keyOf(op.Record))
+	if e != nil && (!e.isOf(op.request()) || e.state == router.ClaimDone) {
 		return
 	}
+	op.Record.State = router.ClaimDone
+	done := newEntry(op)
 	if e != nil {
-		op.Nonce = e.nonce
+		done.nonce, done.extra = e.nonce, e.extra
 	}
-	op.Record.State = router.ClaimDone
-	c.insert(op)
+	c.insert(done, op.Retention)
 }
 
-// insert stores an operation's record; false if there is no room.
-func (c *change) insert(op Op) bool {
-	raw, err := json.Marshal(op.Record)
-	if err != nil {
-		return false
-	}
-	keep := op.Retention
+// insert stores an entry for a time, zero standing for the Settings' value;
+// false if there is no room.
+func (c *change) insert(e *entry, keep time.Duration) bool {
 	if keep <= 0 {
 		keep = c.settings.Retention
 	}
-	e := &entry{nonce: op.Nonce, record: op.Record, raw: raw, since: c.now, keep: keep.Round(time.Second)}
-	old := c.entries[entryKey(op.Record)]
-	size := c.size + e.bytes()
-	if old != nil {
-		size -= old.bytes()
-	}
-	if size > c.settings.MaxBytes {
+	e.keep = keep.Round(time.Second)
+	e.since = c.now
+	if c.sizeWith(e) > c.settings.MaxBytes {
 		return false
 	}
 	c.put(e)
--- a/decide/claim/claim.go
+++ b/decide/claim/claim.go
@@ -43,7 +43,8 @@
 	// Record names the key by its Account and Key, and the holder by its
 	// Request.
 	Record router.ClaimRecord
-	// Nonce tells this claim from any other; random. Only for Claim.
+	// Nonce tells this operation from any other; random. Needed for Claim
+	// and for what is forwarded.
 	Nonce string
 	// Over is a held claim that a Claim may replace; nil for none. It is
 	// matched by key, Request and Attempt. The caller must have proof that
@@ -54,6 +55,8 @@
 	Retention time.Duration
 	// Deadline ends the wait for a Claim or Release; zero means none.
 	Deadline time.Time
+	// remote marks an operation of another VM.
+	remote bool
 }
 
 // Command is one thing for the adapter to do or to pass on.
@@ -79,8 +82,8 @@
 type Ended struct {
 	Op     Op
 	Result router.ClaimResult
-	// Prior is the claim that stands, for ClaimTaken. Its Fingerprint may
-	// differ from the operation's.
+	// Prior is the claim that stands, for ClaimTaken. Its Fingerprint is the
+	// operation's if that is the same, else one that no request has.
 	Prior router.ClaimRecord
 	// Full is true for ClaimFailed because the shard had no room.
 	Full bool
--- a/decide/claim/deadline.go
+++ b/decide/claim/deadline.go
@@ -15,6 +15,9 @@
 			continue
 		}
 		switch {
+		case p.op.remote:
+			m.giveBack(p)
+			done = done || p.done
 		case p.op.Kind == Release:
 			m.postpone(p)
 		case p.inFlight || p.taint != untainted:
--- a/decide/claim/errors.go
+++ b/decide/claim/errors.go
@@ -36,3 +36,24 @@
 
 // Unwrap gives the cause.
 func (e *ValueError) Unwrap() error { return e.Cause }
+
+// FormatError tells that a shard's value is not well-formed.
+type FormatError struct {
+	// Format is the one that the value names.
+	Format uint64
+}
+
+// Error implements error.
+func (e *FormatError) Error() string { return fmt.Sprintf("not well-formed (format %d)", e.Format) }
+
+// LateError refuses an operation of another VM whose time is over.
+type LateError struct{}
+
+// Error implements error.
+func (e *LateError) Error() string { return "the claim operation came too late" }
+
+// RepeatedError refuses an operation of another VM that came before.
+type RepeatedError struct{}
+
+// Error implements error.
+func (e *RepeatedError) Error() string { return "the claim operation came before" }
--- a/decide/claim/group.go
+++ b/decide/claim/group.go
@@ -5,33 +5,26 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mimosaarch.example/decide/router"
 )
 
 // Prefix starts the keys of the shards' objects.
 const Prefix = "claims/"
 
-// Counts tell what a Group did since it was made.
-type Counts struct {
-	// Reads and Writes are calls to the platform.
-	Reads, Writes uint64
-	// Conflicts, Lost and Failed count answers of those kinds.
-	Conflicts, Lost, Failed uint64
-	// Won, Taken, Refused and Uncertain count the ends of claims; Full is
-	// the part of Refused for want of room in a shard.
-	Won, Taken, Refused, Uncertain, Full uint64
-	// Abandoned counts releases and settlements given up for newer ones.
-	Abandoned uint64
-}
-
 // Group commits the claims of one VM over all shards.
 type Group struct {
 	settings Settings
 	rand     *rand.Rand
 	machines []*machine
 	counts   Counts
+	// forwards are the operations handed to other VMs, by number; forwarded
+	// is the last number given. forwardDue is no later than the first of
+	// their ends; zero when none is out.
+	forwards   map[uint64]*forward
+	forwarded  uint64
+	forwardDue time.Time
+	// served are the nonces of other VMs' operations, with their deadlines.
+	served map[string]time.Time
 	// cached is the encoded size of the values kept.
 	cached int
 	out    []Command
@@ -44,6 +37,8 @@
 		settings: settings,
 		rand:     rand.New(rand.NewPCG(settings.Seed, 0)),
 		machines: make([]*machine, settings.Shards),
+		forwards: make(map[uint64]*forward),
+		served:   make(map[string]time.Time),
 	}
 }
 
@@ -52,9 +47,12 @@
 
 // ShardOf gives the shard of a key.
 func (g *Group) ShardOf(record router.ClaimRecord) int {
-	return int(xxhash.Sum64String(entryKey(record)) % uint64(g.settings.Shards))
+	return ShardOf(record, g.settings.Shards)
 }
 
+// ShardOf gives the shard of a key among a number of shards.
+func ShardOf(record router.ClaimRecord, shards int) int { return keyOf(record).shard(shards) }
+
 // machine gives a shard's state machine.
 func (g *Group) machine(shard int) *machine {
 	if g.machines[shard] == nil {
@@ -72,7 +70,7 @@
 	if err := op.check(); err != nil {
 		return nil, err
 	}
-	if err := g.machine(g.ShardOf(op.Record)).submit(now, op); err != nil {
+	if err := g.machine(g.ShardOf(op.Record)).submit(now, op, untainted); err != nil {
 		return nil, err
 	}
 	return g.out, nil
@@ -103,6 +101,7 @@
 // Tick lets deadlines pass and calls start that are due.
 func (g *Group) Tick(now time.Time) []Command {
 	g.out = g.out[:0]
+	g.takeBack(now)
 	for _, m := range g.machines {
 		if m != nil {
 			m.drive(now, false)
@@ -113,7 +112,7 @@
 
 // Wake is when the next Tick is due; false when none is.
 func (g *Group) Wake() (time.Time, bool) {
-	var next time.Time
+	next := g.forwardDue
 	for _, m := range g.machines {
 		if m == nil {
 			continue
@@ -127,7 +126,7 @@
 
 // Pending counts the operations not done, those in the background included.
 func (g *Group) Pending() int {
-	n := 0
+	n := len(g.forwards)
 	for _, m := range g.machines {
 		if m != nil {
 			n += len(m.ops)
@@ -136,8 +135,5 @@
 	return n
 }
 
-// Counts tells what was done so far.
-func (g *Group) Counts() Counts { return g.counts }
-
 // emit adds a command to the current call's.
 func (g *Group) emit(c Command) { g.out = append(g.out, c) }
--- a/decide/claim/machine.go
+++ b/decide/claim/machine.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,8 +17,14 @@
 	callWrite
 )
 
-// untainted is the taint of an operation no write of which was lost.
-const untainted = -1
+const (
+	// untainted is the taint of an operation no write of which was lost.
+	untainted = -1
+	// anyVersion is the taint of an operation that another VM may have
+	// written over a version that is not known here. Only a write of the
+	// Group's own settles it.
+	anyVersion = math.MaxInt64
+)
 
 // pending is an operation not done yet.
 type pending struct {
@@ -61,16 +68,13 @@
 	failures, conflicts int
 }
 
-// submit queues an operation.
-func (m *machine) submit(now time.Time, op Op) error {
-	if op.Kind == Claim && m.waiting() >= m.group.settings.MaxQueue {
+// submit queues an operation. The error is a *FullError.
+func (m *machine) submit(now time.Time, op Op, taint int64) error {
+	if (op.Kind == Claim || op.remote) && m.waiting() >= m.group.settings.MaxQueue {
 		return &FullError{Shard: m.shard}
 	}
-	if len(m.ops) == 0 {
-		m.readyAt = now.Add(m.group.settings.Window)
-	}
-	p := &pending{op: op, told: op.Kind == Settle, taint: untainted}
-	m.ops = append(m.ops, p)
+	p := &pending{op: op, told: op.Kind == Settle && !op.remote, taint: taint}
+	m.queue(now, p)
 	if op.Kind == Release && m.waiting() > m.group.settings.MaxQueue {
 		m.postpone(p)
 	}
@@ -79,6 +83,26 @@
 	return nil
 }
 
+// queue adds an operation, which waits for company. Nobody waits for a
+// settlement, so it waits longer.
+func (m *machine) queue(now time.Time, p *pending) {
+	ready := now.Add(m.group.settings.Window)
+	if p.op.Kind == Settle {
+		ready = now.Add(m.group.settings.SettleWindow)
+	}
+	if len(m.ops) == 0 || ready.Before(m.readyAt) {
+		m.readyAt = ready
+	}
+	m.ops = append(m.ops, p)
+}
+
+// carryOn queues an operation to which the last word was said.
+func (m *machine) carryOn(now time.Time, op Op, taint int64) {
+	m.queue(now, &pending{op: op, told: true, taint: taint})
+	m.trim()
+	m.drive(now, false)
+}
+
 // waiting counts the operations whose last word is due.
 func (m *machine) waiting() int { return len(m.ops) - m.background() }
 
@@ -170,11 +194,7 @@
 
 // write starts a conditional update.
 func (m *machine) write(now time.Time, next *value, batch []*pending, verdicts []verdict) {
-	data, err := next.encode(m.group.settings.Shards, now)
-	if err != nil {
-		m.problem(now, &ValueError{Cause: err})
-		return
-	}
+	data := next.encode(m.group.settings.Shards, now)
 	m.batch = slices.Clone(batch)
 	m.next, m.verdicts = next, verdicts
 	for _, p := range m.batch {
@@ -208,6 +228,8 @@
 func (m *machine) tell(p *pending, v verdict) {
 	switch {
 	case p.told:
+	case p.op.remote:
+		m.serveDone(p, v)
 	case p.op.Kind == Release:
 		m.group.emit(Released{Op: p.op, Confirmed: true})
 	default:
--- a/decide/claim/settings.go
+++ b/decide/claim/settings.go
@@ -10,6 +10,7 @@
 const (
 	defaultShards        = 64
 	defaultWindow        = 5 * time.Millisecond
+	defaultSettleWindow  = 200 * time.Millisecond
 	defaultQueue         = 1024
 	defaultBatch         = 256
 	defaultBackground    = 256
@@ -19,6 +20,11 @@
 	defaultBackoffMax    = time.Second
 	conflictBackoff      = 2 * time.Millisecond
 	maxConflictDoublings = 5
+	defaultForwards      = 4096
+	defaultForwardTime   = 100 * time.Millisecond
+	// forwardShare is the part of an operation's time that another VM may
+	// take: one in so many.
+	forwardShare = 3
 )
 
 // Settings of a Group. Zero values stand for the defaults.
@@ -28,6 +34,10 @@
 	Shards int
 	// Window is how long a first operation waits for others. Default 5ms.
 	Window time.Duration
+	// SettleWindow is how long settlements wait for another operation, whose
+	// write takes them along. A VM that dies meanwhile leaves claims held
+	// that were done. Default 200ms.
+	SettleWindow time.Duration
 	// MaxQueue bounds the claims waiting for one shard. Default 1024.
 	MaxQueue int
 	// MaxBatch bounds the operations of one update. Default 256.
@@ -46,6 +56,13 @@
 	// BackoffMin and BackoffMax bound the pause after a failed call.
 	// Default 10ms and 1s.
 	BackoffMin, BackoffMax time.Duration
+	// MaxForwards bounds the operations handed to other VMs at a time, and
+	// those of other VMs whose time is not over. Default 4096.
+	MaxForwards int
+	// ForwardTime bounds the time that another VM may take for an operation;
+	// a third of the time to its deadline, if less. A settlement gets the
+	// SettleWindow on top. Default 100ms.
+	ForwardTime time.Duration
 	// Seed starts the random source of the pauses.
 	Seed uint64
 }
@@ -54,6 +71,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Shards, defaultShards)
 	setDefault(&s.Window, defaultWindow)
+	setDefault(&s.SettleWindow, defaultSettleWindow)
 	setDefault(&s.MaxQueue, defaultQueue)
 	setDefault(&s.MaxBatch, defaultBatch)
 	setDefault(&s.MaxBackground, defaultBackground)
@@ -62,6 +80,8 @@
 	setDefault(&s.CacheBytes, defaultCacheBytes)
 	setDefault(&s.BackoffMin, defaultBackoffMin)
 	setDefault(&s.BackoffMax, defaultBackoffMax)
+	setDefault(&s.MaxForwards, defaultForwards)
+	setDefault(&s.ForwardTime, defaultForwardTime)
 	s.MaxBytes = min(s.MaxBytes, platformapi.MaxValue)
 	return s
 }
--- a/decide/claim/settle.go
+++ b/decide/claim/settle.go
@@ -50,12 +50,12 @@
 		m.drive(now, true)
 	case AnswerConflict:
 		m.group.counts.Conflicts++
-		land(batch)
+		m.land(batch)
 		m.conflict(now, a.Object)
 	case AnswerLost:
 		m.group.counts.Lost++
 		m.taint(batch)
-		land(batch)
+		m.land(batch)
 		m.current = false
 		if m.failures > 0 {
 			m.pause(now)
@@ -64,23 +64,26 @@
 		m.drive(now, false)
 	default:
 		m.group.counts.Failed++
-		land(batch)
+		m.land(batch)
 		m.pause(now)
 		m.drive(now, false)
 	}
 }
 
-// land takes operations out of flight, not settled.
-func land(batch []*pending) {
+// land takes operations out of flight, not settled. Those of other VMs that
+// were given back meanwhile are theirs to settle.
+func (m *machine) land(batch []*pending) {
 	for _, p := range batch {
 		p.inFlight, p.replaced = false, false
+		p.done = p.op.remote && p.told
 	}
+	m.removeDone()
 }
 
 // taint marks the operations of a lost write.
 func (m *machine) taint(batch []*pending) {
 	for _, p := range batch {
-		p.taint = m.version
+		p.taint = max(p.taint, m.version)
 	}
 }
 
--- a/decide/claim/value.go
+++ b/decide/claim/value.go
@@ -1,98 +1,110 @@
 package claim
 
 import (
-	"encoding/json"
+	"bytes"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/router"
 )
 
-// entryOverhead bounds the bytes of an encoded entry beside its nonce and
-// record; valueOverhead those of a value beside its entries.
-const (
-	entryOverhead = 96
-	valueOverhead = 64
-)
-
 // value is the content of a shard's object. A value is changed only by the
 // one that made it; entries are never changed.
 type value struct {
-	entries map[string]*entry
+	// entries are sorted by key.
+	entries []*entry
+	// names counts the uses of the texts that entries share.
+	names map[string]int
 	// size bounds the encoded size from above.
 	size int
 }
 
 // entry is one claimed key.
 type entry struct {
-	nonce  string
-	record router.ClaimRecord
-	// raw is the record as encoded; fields that this version does not know
-	// stay in it.
-	raw json.RawMessage
+	key, fingerprint digest
+	nonce            nonce
+	state            router.ClaimState
+	attempt          ids.Attempt
+	vm, upstream     string
+	epoch            string
+	// prefix and suffix together are the request's name. Requests of one
+	// process life share their prefix.
+	prefix, suffix string
+	// extra are fields that this version does not know.
+	extra []byte
 	// age is the least time since the last operation, as of since.
 	age   time.Duration
 	since time.Time
 	keep  time.Duration
 }
 
-// wireValue and wireEntry are the encoded forms. Times are in seconds.
-type (
-	wireValue struct {
-		Shards  int         `json:"shards"`
-		Entries []wireEntry `json:"entries"`
-	}
-	wireEntry struct {
-		Age    int64           `json:"age"`
-		Keep   int64           `json:"keep"`
-		Nonce  string          `json:"nonce"`
-		Record json.RawMessage `json:"record"`
-	}
-)
-
 // newValue is the value of a shard without object.
 func newValue() *value {
-	return &value{entries: make(map[string]*entry), size: valueOverhead}
+	return &value{names: make(map[string]int), size: valueOverhead}
 }
 
-// entryKey names a claimed key within all shards.
-func entryKey(record router.ClaimRecord) string {
-	return string(record.Account) + "\x00" + record.Key
+// newEntry makes the entry of an operation.
+func newEntry(op Op) *entry {
+	request := string(op.Record.Request)
+	cut := strings.LastIndexByte(request, '-') + 1
+	return &entry{
+		key:         keyOf(op.Record),
+		fingerprint: digestOf(op.Record.Fingerprint),
+		nonce:       nonceOf(op.Nonce),
+		state:       op.Record.State,
+		attempt:     op.Record.Attempt,
+		vm:          string(op.Record.VM),
+		upstream:    string(op.Record.Upstream),
+		epoch:       op.Record.Epoch,
+		prefix:      request[:cut],
+		suffix:      request[cut:],
+	}
 }
 
-// decode reads a value that was observed at now. Ages known from an earlier
-// value of the same shard are kept where they are higher; old may be nil.
-func decode(data []byte, shards int, now time.Time, old *value) (*value, *ValueError) {
-	var wire wireValue
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return nil, &ValueError{Cause: err}
-	}
-	if wire.Shards != shards {
-		return nil, &ValueError{Shards: wire.Shards}
+// request is the holder.
+func (e *entry) request() ids.Request { return ids.Request(e.prefix + e.suffix) }
+
+// isOf reports whether a request is the holder.
+func (e *entry) isOf(request ids.Request) bool {
+	suffix, ok := strings.CutPrefix(string(request), e.prefix)
+	return ok && suffix == e.suffix
+}
+
+// shared lists the texts that the entry may share with others.
+func (e *entry) shared() [4]string { return [4]string{e.vm, e.upstream, e.epoch, e.prefix} }
+
+// record tells of the entry to an operation on its key. The fingerprint is
+// the operation's when it is the same, else the hex form of its digest, which
+// no fingerprint equals.
+func (e *entry) record(asked router.ClaimRecord) router.ClaimRecord {
+	fingerprint := asked.Fingerprint
+	if digestOf(fingerprint) != e.fingerprint {
+		fingerprint = e.fingerprint.String()
 	}
-	v := newValue()
-	for _, w := range wire.Entries {
-		e := &entry{nonce: w.Nonce, raw: w.Record, age: seconds(w.Age), since: now, keep: seconds(w.Keep)}
-		if err := json.Unmarshal(w.Record, &e.record); err != nil {
-			return nil, &ValueError{Cause: err}
-		}
-		v.put(e.older(old))
+	return router.ClaimRecord{
+		Account:     asked.Account,
+		Key:         asked.Key,
+		Fingerprint: fingerprint,
+		Request:     e.request(),
+		VM:          ids.VM(e.vm),
+		Upstream:    ids.Upstream(e.upstream),
+		Attempt:     e.attempt,
+		Epoch:       e.epoch,
+		State:       e.state,
 	}
-	return v, nil
 }
 
-// seconds turns encoded seconds into a duration.
-func seconds(n int64) time.Duration { return time.Duration(n) * time.Second }
-
 // older gives the entry with the higher age of itself and its like in an
-// earlier value.
+// earlier value, which may be nil.
 func (e *entry) older(old *value) *entry {
 	if old == nil {
 		return e
 	}
-	known := old.entries[entryKey(e.record)]
-	same := known != nil && known.nonce == e.nonce && known.record.State == e.record.State
+	known := old.find(e.key)
+	same := known != nil && known.nonce == e.nonce && known.state == e.state
 	if !same || known.ageAt(e.since) <= e.age {
 		return e
 	}
@@ -100,47 +112,96 @@
 	return e
 }
 
-// encode writes the value with the ages at now, by key.
-func (v *value) encode(shards int, now time.Time) ([]byte, error) {
-	wire := wireValue{Shards: shards, Entries: make([]wireEntry, 0, len(v.entries))}
-	for _, key := range slices.Sorted(maps.Keys(v.entries)) {
-		e := v.entries[key]
-		wire.Entries = append(wire.Entries, wireEntry{
-			Age:    int64(e.ageAt(now) / time.Second),
-			Keep:   int64(e.keep / time.Second),
-			Nonce:  e.nonce,
-			Record: e.raw,
-		})
-	}
-	return json.Marshal(wire)
-}
-
 // ageAt is the entry's least age.
 func (e *entry) ageAt(now time.Time) time.Duration { return e.age + now.Sub(e.since) }
 
 // expired reports whether the entry may be forgotten.
 func (e *entry) expired(now time.Time) bool { return e.ageAt(now) > e.keep }
 
-// bytes bounds the entry's encoded size.
-func (e *entry) bytes() int { return len(e.raw) + len(e.nonce) + entryOverhead }
+// place gives where the entry of a key is, or belongs.
+func (v *value) place(key digest) (int, bool) {
+	return slices.BinarySearchFunc(v.entries, key, func(e *entry, key digest) int {
+		return bytes.Compare(e.key[:], key[:])
+	})
+}
+
+// find gives the entry of a key; nil when there is none.
+func (v *value) find(key digest) *entry {
+	if i, ok := v.place(key); ok {
+		return v.entries[i]
+	}
+	return nil
+}
 
 // put stores an entry in place of one for the same key.
 func (v *value) put(e *entry) {
-	key := entryKey(e.record)
-	v.drop(key)
-	v.entries[key] = e
-	v.size += e.bytes()
+	i, ok := v.place(e.key)
+	if ok {
+		v.uncount(v.entries[i])
+		v.entries[i] = e
+	} else {
+		v.entries = slices.Insert(v.entries, i, e)
+	}
+	v.count(e)
 }
 
 // drop removes the entry of a key, if there is one.
-func (v *value) drop(key string) {
-	if old := v.entries[key]; old != nil {
-		v.size -= old.bytes()
-		delete(v.entries, key)
+func (v *value) drop(key digest) {
+	if i, ok := v.place(key); ok {
+		v.uncount(v.entries[i])
+		v.entries = slices.Delete(v.entries, i, i+1)
+	}
+}
+
+// forget drops the entries whose time is over.
+func (v *value) forget(now time.Time) {
+	v.entries = slices.DeleteFunc(v.entries, func(e *entry) bool {
+		expired := e.expired(now)
+		if expired {
+			v.uncount(e)
+		}
+		return expired
+	})
+}
+
+// count adds an entry to the size.
+func (v *value) count(e *entry) {
+	v.size += e.bytes()
+	for _, name := range e.shared() {
+		if v.names[name] == 0 {
+			v.size += nameBytes(name)
+		}
+		v.names[name]++
+	}
+}
+
+// uncount takes an entry out of the size.
+func (v *value) uncount(e *entry) {
+	v.size -= e.bytes()
+	for _, name := range e.shared() {
+		v.names[name]--
+		if v.names[name] == 0 {
+			delete(v.names, name)
+			v.size -= nameBytes(name)
+		}
+	}
+}
+
+// sizeWith bounds the encoded size if an entry were put.
+func (v *value) sizeWith(e *entry) int {
+	size := v.size + e.bytes()
+	if old := v.find(e.key); old != nil {
+		size -= old.bytes()
+	}
+	for _, name := range e.shared() {
+		if v.names[name] == 0 {
+			size += nameBytes(name)
+		}
 	}
+	return size
 }
 
 // clone gives a copy that may be changed.
 func (v *value) clone() *value {
-	return &value{entries: maps.Clone(v.entries), size: v.size}
+	return &value{entries: slices.Clone(v.entries), names: maps.Clone(v.names), size: v.size}
 }
--- a/decide/member/events.go
+++ b/decide/member/events.go
@@ -18,6 +18,9 @@
 	// Address is where the sender takes calls; empty when not known.
 	Address  string
 	Draining bool
+	// Called is true when the sender called with its digest, false when the
+	// digest came with a reply to this node's call.
+	Called bool
 }
 
 // Seeds sets the addresses to start from, at most MaxSeeds of them. The
@@ -119,6 +122,9 @@
 	if from.Address != "" {
 		p.address = from.Address
 	}
+	if from.Called {
+		p.called = now
+	}
 	m.prove(now, p, Alive)
 	return m.out, nil
 }
--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -3,8 +3,10 @@
 //
 // Inside its zone a node sends to all others, to at most Fanout of them in a
 // round, in rotation. To each other zone it holds at most CrossLinks links,
-// chosen by rendezvous hash, so that zones stay joined when nodes go. The work
-// of a round thus has a bound that does not grow with the fleet.
+// chosen by rendezvous hash, so that zones stay joined when nodes go. A reply
+// carries a digest too: of two nodes that would call each other only the one
+// whose name comes first does. The work of a round thus has a bound that does
+// not grow with the fleet.
 //
 // The view is a hint. Where it is wrong, two nodes may do the same work or
 // news may come late; no promise of the fleet rests on it.
@@ -35,11 +37,17 @@
 	Seed uint64
 	// Interval is the time between two calls of Tick. Default 250ms.
 	Interval time.Duration
-	// Fanout is the most peers of the own zone sent to in a round, and the
-	// most of all other zones together. Default 8.
+	// Fanout is the most peers of the own zone sent to in a round. Default 5.
 	Fanout int
-	// CrossLinks is the most peers of one other zone sent to. Default 2.
+	// FanoutAcross is the most peers of all other zones together sent to in a
+	// round. Default 3.
+	FanoutAcross int
+	// CrossLinks is the most peers of one other zone sent to. Default 3, so
+	// that each two nodes of zones of three hear each other.
 	CrossLinks int
+	// LinksAcross bounds the links to all other zones together where there
+	// are many of them: each gets an even part, but at least one. Default 15.
+	LinksAcross int
 	// SuspectAfter and GoneAfter are how many of its turns a peer may stay
 	// silent. Default 4 and 20.
 	SuspectAfter, GoneAfter int
@@ -55,8 +63,10 @@
 // Defaults of Options.
 const (
 	DefaultInterval     = 250 * time.Millisecond
-	DefaultFanout       = 8
-	DefaultCrossLinks   = 2
+	DefaultFanout       = 5
+	DefaultFanoutAcross = 3
+	DefaultCrossLinks   = 3
+	DefaultLinksAcross  = 15
 	DefaultSuspectAfter = 4
 	DefaultGoneAfter    = 20
 	DefaultForgetAfter  = 10 * time.Minute
@@ -74,7 +84,9 @@
 func (o Options) withDefaults() Options {
 	o.Interval = cmp.Or(o.Interval, DefaultInterval)
 	o.Fanout = cmp.Or(o.Fanout, DefaultFanout)
+	o.FanoutAcross = cmp.Or(o.FanoutAcross, DefaultFanoutAcross)
 	o.CrossLinks = cmp.Or(o.CrossLinks, DefaultCrossLinks)
+	o.LinksAcross = cmp.Or(o.LinksAcross, DefaultLinksAcross)
 	o.SuspectAfter = cmp.Or(o.SuspectAfter, DefaultSuspectAfter)
 	o.GoneAfter = cmp.Or(o.GoneAfter, DefaultGoneAfter)
 	o.ForgetAfter = cmp.Or(o.ForgetAfter, DefaultForgetAfter)
@@ -142,6 +154,8 @@
 	draining bool
 	// heard is when it was last heard from, or became known.
 	heard time.Time
+	// called is when it last called this node with a digest.
+	called time.Time
 	// misses counts calls without reply since it was heard.
 	misses int
 }
--- a/decide/member/tick.go
+++ b/decide/member/tick.go
@@ -17,8 +17,8 @@
 	m.out = m.out[:0]
 	m.rounds++
 	m.age(now)
-	m.sendInZone()
-	m.sendAcross()
+	m.sendInZone(now)
+	m.sendAcross(now)
 	m.probeSilent()
 	m.probeSeed()
 	return m.out
@@ -32,17 +32,32 @@
 			peers++
 		}
 	}
-	rounds := max((peers+m.opts.Fanout-1)/m.opts.Fanout, 1)
+	return m.roundsFor(peers, m.opts.Fanout)
+}
+
+// turnAcross is the time in which each linked peer of another zone gets one
+// digest, and at least that of the zone.
+func (m *Members) turnAcross() time.Duration {
+	return max(m.turn(), m.roundsFor(len(m.links()), m.opts.FanoutAcross))
+}
+
+// roundsFor is how long a number of peers takes, so many in a round.
+func (m *Members) roundsFor(peers, fanout int) time.Duration {
+	rounds := max((peers+fanout-1)/fanout, 1)
 	return time.Duration(rounds) * m.opts.Interval
 }
 
 // age moves silent peers on.
 func (m *Members) age(now time.Time) {
-	turn := m.turn()
-	suspect := time.Duration(m.opts.SuspectAfter) * turn
-	gone := time.Duration(m.opts.GoneAfter) * turn
+	inZone, across := m.turn(), m.turnAcross()
 	for _, vm := range slices.Clone(m.order) {
 		p := m.peers[vm]
+		turn := across
+		if p.zone == m.opts.Zone {
+			turn = inZone
+		}
+		suspect := time.Duration(m.opts.SuspectAfter) * turn
+		gone := time.Duration(m.opts.GoneAfter) * turn
 		silent := now.Sub(p.heard)
 		switch {
 		case p.state == Alive && silent >= suspect:
@@ -56,6 +71,15 @@
 	}
 }
 
+// spare leaves out the peers that call this node, by whose calls both hear
+// each other: those heard that way within a turn and a half.
+func (m *Members) spare(now time.Time, turn time.Duration, peers []*peer) []*peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(p *peer) bool {
+		calls := !p.called.IsZero() && now.Sub(p.called) < turn+turn/2
+		return calls && p.state == Alive && p.misses == 0 && p.vm < m.opts.VM
+	})
+}
+
 // lose gives up a silent peer.
 func (m *Members) lose(p *peer) {
 	m.change(p, Gone)
@@ -72,7 +96,7 @@
 
 // sendInZone sends to peers of the zone: first to those whose last call got
 // no reply, so that a failure is soon certain, then to the rest in rotation.
-func (m *Members) sendInZone() {
+func (m *Members) sendInZone(now time.Time) {
 	var doubtful, rest []*peer
 	for _, vm := range m.order {
 		p := m.peers[vm]
@@ -86,12 +110,14 @@
 		rest = append(rest, p)
 	}
 	m.send(doubtful)
-	m.send(rotate(rest, &m.inZone, m.opts.Fanout-len(doubtful)))
+	turned := rotate(rest, &m.inZone, m.opts.Fanout-len(doubtful))
+	m.send(m.spare(now, m.turn(), turned))
 }
 
 // sendAcross sends to the linked peers of other zones.
-func (m *Members) sendAcross() {
-	m.send(rotate(m.links(), &m.across, m.opts.Fanout))
+func (m *Members) sendAcross(now time.Time) {
+	turned := rotate(m.links(), &m.across, m.opts.FanoutAcross)
+	m.send(m.spare(now, m.turnAcross(), turned))
 }
 
 // probeSilent sends to one peer that is Gone, in rotation.
@@ -180,15 +206,16 @@
 	slices.Sort(zones)
 	var out []*peer
 	for _, zone := range zones {
-		out = append(out, m.chosen(byZone[zone])...)
+		out = append(out, m.chosen(byZone[zone], len(zones))...)
 	}
 	return out
 }
 
-// chosen gives the peers of one zone that rank highest for this node.
-func (m *Members) chosen(peers []*peer) []*peer {
+// chosen gives the peers of one of some zones that rank highest for this node.
+func (m *Members) chosen(peers []*peer, zones int) []*peer {
 	slices.SortFunc(peers, func(a, b *peer) int {
 		return byRank(m.opts.VM, string(a.vm), string(b.vm))
 	})
-	return peers[:min(len(peers), m.opts.CrossLinks)]
+	part := max(m.opts.LinksAcross/zones, 1)
+	return peers[:min(len(peers), m.opts.CrossLinks, part)]
 }
--- a/decide/router/dispatch.go
+++ b/decide/router/dispatch.go
@@ -31,12 +31,25 @@
 	}
 }
 
-// pick chooses a chain for the request; false when none has room. A request
-// that has failed at upstreams goes elsewhere, but where nothing else is left
-// it may go back.
+// pick chooses a chain for the request; false when none has room. One that
+// leads to the upstream that was full just now is drawn anew, once: to exclude
+// that one would set off the search of all chains, over slow links too.
 func (r *Router) pick(req *request) (topology.Chain, bool) {
+	chain, ok := r.pickUsable(req)
+	if ok && chain[0].ID == req.full {
+		return r.pickUsable(req)
+	}
+	return chain, ok
+}
+
+// pickUsable chooses among the upstreams that the request has not failed at,
+// or, where nothing else is left, among all.
+func (r *Router) pickUsable(req *request) (topology.Chain, bool) {
+	if len(req.failed) == 0 {
+		return r.pickExcluding(req, nil)
+	}
 	chain, ok := r.pickExcluding(req, req.exclude)
-	if !ok && (len(req.failed) > 0 || req.full != "") {
+	if !ok {
 		return r.pickExcluding(req, nil)
 	}
 	return chain, ok
--- a/decide/router/peer.go
+++ b/decide/router/peer.go
@@ -22,7 +22,7 @@
 	Health     []Observation
 	// Leaving lists the upstreams that the VM itself knows to be leaving.
 	Leaving []ids.Upstream
-	// Loads are the newest reports, those of peers included.
+	// Loads are the newest reports that the VM asked for itself.
 	Loads []Load
 }
 
@@ -37,8 +37,6 @@
 	Report engineapi.LoadReport
 	// Age is the time since the report was received, beside its own age.
 	Age time.Duration
-	// Relayed tells that the VM had the report from a peer.
-	Relayed bool
 }
 
 // DigestDue asks for a Share.
@@ -100,8 +98,8 @@
 	if state := r.health.State(r.now, id); state == health.Ejected || state == health.HalfOpen {
 		d.Health = append(d.Health, Observation{Upstream: id, State: state})
 	}
-	if u.load != nil && r.now.Sub(u.load.at) < loadTold {
-		d.Loads = append(d.Loads, Load{Report: u.load.report, Age: r.now.Sub(u.load.at), Relayed: u.load.relayed})
+	if u.load != nil && !u.load.relayed && r.now.Sub(u.load.at) < loadTold {
+		d.Loads = append(d.Loads, Load{Report: u.load.report, Age: r.now.Sub(u.load.at)})
 	}
 }
 
@@ -120,9 +118,7 @@
 	}
 	r.peerLeaving(ev.VM, ev.Digest.Leaving)
 	for _, l := range ev.Digest.Loads {
-		if !l.Relayed {
-			r.takeLoad(seenLoad{report: l.Report, at: ev.At.Add(-l.Age), relayed: true})
-		}
+		r.takeLoad(seenLoad{report: l.Report, at: ev.At.Add(-l.Age), relayed: true})
 	}
 }
 
--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -56,7 +56,7 @@
 	// rejoins counts the attempts that only rejoined the running stream.
 	rejoins int
 	// busy counts the attempts that met an upstream without room; full is
-	// the last of these, passed over by the next choice.
+	// the last of these, which the next choice avoids where it can.
 	busy int
 	full ids.Upstream
 	// lostAt holds the upstreams that lost this request's connection or failed
@@ -90,12 +90,8 @@
 	return quarantine.Fingerprint(q.arrive.Fingerprint)
 }
 
-// exclude reports whether the request has failed at the upstream, or found it
-// full just now.
+// exclude reports whether the request has failed at the upstream.
 func (q *request) exclude(id ids.Upstream) bool {
-	if id == q.full {
-		return true
-	}
 	for _, f := range q.failed {
 		if f == id {
 			return true
--- a/node/peers.go
+++ b/node/peers.go
@@ -104,7 +104,7 @@
 		out.Health = append(out.Health, peerapi.Observation{Upstream: o.Upstream, State: o.State.String()})
 	}
 	for _, l := range d.Loads {
-		out.Loads = append(out.Loads, peerapi.Load{Report: l.Report, AgeNs: int64(l.Age), Relayed: l.Relayed})
+		out.Loads = append(out.Loads, peerapi.Load{Report: l.Report, AgeNs: int64(l.Age)})
 	}
 	return out
 }
@@ -125,7 +125,9 @@
 		}
 	}
 	for _, l := range d.Loads {
-		out.Loads = append(out.Loads, router.Load{Report: l.Report, Age: time.Duration(l.AgeNs), Relayed: l.Relayed})
+		if !l.Relayed {
+			out.Loads = append(out.Loads, router.Load{Report: l.Report, Age: time.Duration(l.AgeNs)})
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/scenario/capacity/record_test.go
@@ -0,0 +1,46 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/router"
+	"mimosaarch.example/node/record"
+)
+
+// stepsPerRequest are the decisions kept of an ordinary request.
+const stepsPerRequest = 3
+
+// BenchmarkRecords is the memory of the decisions that a node keeps, and the
+// time to add one.
+func BenchmarkRecords(b *testing.B) {
+	for _, kept := range []int{1000, 5000, 20000} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
+			before := heap()
+			book := record.New(kept)
+			for i := range 2 * kept {
+				book.Add(decision(i))
+			}
+			held := float64(int64(heap())-int64(before)) / 1024
+			i := 2 * kept
+			for b.Loop() {
+				book.Add(decision(i))
+				i++
+			}
+			b.ReportMetric(held, "KB-held")
+		})
+	}
+}
+
+// decision makes one step of a request.
+func decision(i int) router.Decision {
+	return router.Decision{
+		At:      start,
+		ID:      ids.Request(fmt.Sprintf("entry-000-abcdef-%d", i/stepsPerRequest)),
+		Account: "account-00001",
+		Step:    router.StepSent,
+		Attempt: 1,
+		Chain:   []ids.Upstream{"engine-a", "engine-b", "engine-c"},
+	}
+}
