Router and node in files by job; one command for all stand-ins

No behaviour changes. The four stand-ins' commands were the same but for their addresses: internal/cmd.Main serves all. upstream.go and attempt.go of the router held the VM list, the graphs and the retries too. The ledger's property test draws only places that apply, in place of skipping.

--- a/decide/ledger/ledger_test.go
+++ b/decide/ledger/ledger_test.go
@@ -143,14 +143,15 @@
 func TestMutationsAreCaught(t *testing.T) {
 	for name, m := range mutations {
 		t.Run(name, rapid.MakeCheck(func(t *rapid.T) {
-			count := rapid.IntRange(1, 40).Draw(t, "count")
-			reorder := rapid.IntRange(0, 6).Draw(t, "reorder")
 			rejoin := rapid.Bool().Draw(t, "rejoin")
-			in := shuffled(t, 0, count, reorder)
-			at := rapid.IntRange(0, count-1).Draw(t, "at")
-			if rejoin && at == 0 && name != "repeat" && name != "skip" {
-				t.Skip("the first token shows a rejoined stream's chain")
+			least := 0
+			if rejoin && name != "repeat" && name != "skip" {
+				least = 1 // the first token shows a rejoined stream's chain
 			}
+			count := rapid.IntRange(least+1, 40).Draw(t, "count")
+			reorder := rapid.IntRange(0, 6).Draw(t, "reorder")
+			in := shuffled(t, 0, count, reorder)
+			at := rapid.IntRange(least, count-1).Draw(t, "at")
 			l := New(testChain, testLayers, testAttempt, 0, reorder)
 			if rejoin {
 				l = NewRejoin("a", testLayers, testAttempt, 0, reorder)
--- a/decide/router/upstream.go
+++ b/decide/router/upstream.go
@@ -1,13 +1,9 @@
 package router
 
 import (
-	"slices"
 	"time"
 
-	"mimosaarch.example/core/engineapi"
 	"mimosaarch.example/core/ids"
-	"mimosaarch.example/core/platformapi"
-	"mimosaarch.example/decide/load"
 	"mimosaarch.example/decide/topology"
 )
 
@@ -41,66 +37,6 @@
 	suspect *suspect
 }
 
-// vmsSeen takes in the platform's list of VMs, unless it is older than the
-// one in use.
-func (r *Router) vmsSeen(ev VMsSeen) {
-	if ev.List.Revision < r.vmsRevision {
-		return
-	}
-	if r.vmsRevision == 0 {
-		r.firstList = r.now
-	}
-	r.vmsRevision = ev.List.Revision
-	for _, u := range r.upstreams {
-		u.listed = false
-	}
-	r.vms = make(map[ids.VM]bool)
-	for _, vm := range ev.List.VMs {
-		r.vmSeen(vm)
-	}
-	for id, u := range r.upstreams {
-		if !u.listed && len(u.running) == 0 {
-			delete(r.upstreams, id)
-			r.book.Forget(id)
-		}
-	}
-	r.limiter.SetFleet(r.now, max(1, len(r.vms)))
-	r.rebuildAll()
-}
-
-// vmSeen takes in one VM of the list.
-func (r *Router) vmSeen(vm platformapi.VM) {
-	switch vm.Role {
-	case platformapi.RoleEntry:
-		if vm.State == platformapi.StateLive {
-			r.vms[ids.VM(vm.ID)] = true
-		}
-	case platformapi.RoleEngine, platformapi.RolePlain:
-		r.upstreamSeen(vm)
-	}
-}
-
-// upstreamSeen takes in one upstream of the list.
-func (r *Router) upstreamSeen(vm platformapi.VM) {
-	id := ids.Upstream(vm.ID)
-	u := r.upstreams[id]
-	if u == nil {
-		u = &upstream{
-			running:      make(map[ids.Request]*request),
-			leavingPeers: make(map[ids.VM]bool),
-			firstListed:  r.now,
-		}
-		r.upstreams[id] = u
-	}
-	u.listed = true
-	u.model = vm.Role == platformapi.RoleEngine
-	u.engine.ID = id
-	u.engine.Address = vm.Address
-	u.engine.Zone = ids.Zone(vm.Zone)
-	u.engine.Service = ids.Service(vm.Service)
-	u.leavingListed = vm.State == platformapi.StateLeaving
-}
-
 // loadSeen takes in an engine's report of itself.
 func (r *Router) loadSeen(ev LoadSeen) {
 	r.takeLoad(seenLoad{report: ev.Report, at: ev.At})
@@ -165,94 +101,6 @@
 	r.confirmDeath(u)
 }
 
-// describe takes the engine's layers, capacity and links from its report, and
-// reports whether anything changed.
-func (u *upstream) describe(report engineapi.LoadReport) bool {
-	before := u.engine
-	u.engine.First = report.First
-	u.engine.Last = report.Last
-	u.engine.Slots = report.Slots
-	u.engine.Rate = report.TokensPerSecond
-	links := linksOf(u.engine.ID, report.Links)
-	changed := !u.reported || u.engine != before || u.leavingSaid != report.Leaving || !slices.Equal(u.links, links)
-	u.leavingSaid = report.Leaving
-	u.reported = true
-	u.links = links
-	return changed
-}
-
-// linksOf converts an engine's report of its links.
-func linksOf(from ids.Upstream, reported []engineapi.Link) []topology.Link {
-	links := make([]topology.Link, len(reported))
-	for i, l := range reported {
-		links[i] = topology.Link{
-			From:    from,
-			To:      ids.Upstream(l.To),
-			Latency: time.Duration(l.LatencyUs) * time.Microsecond,
-			Rate:    l.TokensPerSecond,
-		}
-	}
-	return links
-}
-
-// rebuildAll makes the upstreams of every service anew.
-func (r *Router) rebuildAll() {
-	for _, name := range r.serviceNames {
-		r.dirty[name] = true
-	}
-	r.rebuildGraphs()
-}
-
-// rebuildGraphs makes the upstreams of each changed service anew.
-func (r *Router) rebuildGraphs() {
-	for _, name := range r.serviceNames {
-		if r.dirty[name] {
-			r.rebuild(name, r.services[name])
-		}
-	}
-	clear(r.dirty)
-}
-
-// rebuild makes the upstreams of one service anew from what is known.
-func (r *Router) rebuild(name ids.Service, svc *service) {
-	var engines []topology.Engine
-	var links []topology.Link
-	var members []ids.Upstream
-	for _, id := range sortedKeys(r.upstreams) {
-		u := r.upstreams[id]
-		if u.engine.Service != name || !u.listed {
-			continue
-		}
-		members = append(members, id)
-		u.leavingOperators = slices.Contains(svc.def.Leaving, id)
-		if !u.usable() {
-			continue
-		}
-		engines = append(engines, u.engine)
-		links = append(links, u.links...)
-	}
-	svc.upstreams = engines
-	svc.members = members
-	svc.graph = nil
-	if svc.model() && len(engines) > 0 {
-		svc.graph = topology.NewGraph(svc.def.Layers, engines, links)
-	}
-	r.health.SetMembers(r.now, name, members)
-	for _, id := range members {
-		r.health.SetLeaving(id, r.upstreams[id].leaving())
-	}
-}
-
-// usable reports whether the upstream may be given new work, its health apart.
-func (u *upstream) usable() bool {
-	return u.listed && !u.leaving() && (u.reported || !u.model)
-}
-
-// leaving reports whether the upstream is leaving, by whoever's word.
-func (u *upstream) leaving() bool {
-	return u.leavingListed || u.leavingSaid || u.leavingOperators || len(u.leavingPeers) > 0
-}
-
 // track counts a request in the load of an upstream.
 func (r *Router) track(id ids.Upstream, req *request) {
 	u := r.upstreams[id]
@@ -276,25 +124,3 @@
 	delete(u.running, req.arrive.ID)
 	r.book.Ended(r.now, id)
 }
-
-// Graph implements balancer.View.
-func (r *Router) Graph(name ids.Service) *topology.Graph {
-	svc := r.services[name]
-	if svc == nil {
-		return nil
-	}
-	return svc.graph
-}
-
-// Estimate implements balancer.View.
-func (r *Router) Estimate(now time.Time, id ids.Upstream) load.Estimate {
-	return r.book.Estimate(now, id)
-}
-
-// Weight implements balancer.View.
-func (r *Router) Weight(id ids.Upstream) float64 { return r.health.Weight(r.now, id) }
-
-// LinkWeight implements balancer.View.
-func (r *Router) LinkWeight(from, to ids.Upstream) float64 {
-	return r.health.LinkWeight(r.now, from, to)
-}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+
+	"mimosaarch.example/adapter/platform"
+	"mimosaarch.example/decide/router"
+)
+
+// Shutdown is the planned stop: no new requests, those in flight end, then
+// the node stops. When ctx ends first it stops at once and gives a
+// *CutOffError.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.log.Info().Msg("draining")
+	n.tell(router.Drain{})
+	err := n.waitIdle(ctx)
+	if shutdownErr := n.callers.Shutdown(ctx); err == nil && shutdownErr != nil {
+		err = &CutOffError{Requests: n.view.Load().requests}
+	}
+	n.Close()
+	return err
+}
+
+// waitIdle waits until no request is held.
+func (n *Node) waitIdle(ctx context.Context) error {
+	idle := func() bool {
+		v := n.view.Load()
+		return !v.ready && v.requests == 0 && n.events.Len() == 0
+	}
+	if n.poll(ctx, idle) {
+		return nil
+	}
+	return &CutOffError{Requests: n.view.Load().requests}
+}
+
+// Close stops the node at once; requests in flight are cut off.
+func (n *Node) Close() {
+	n.stop()
+	n.operator.close()
+	_ = n.callerListener.Close()
+	n.duties.Wait()
+	n.platform.Close()
+	n.log.Info().Msg("node stopped")
+}
--- a/standin/engine/main.go
+++ b/standin/engine/main.go
@@ -13,19 +13,13 @@
 // program's name. A request that crashes the engine exits the process with
 // ExitCrash.
 func Main(args []string) int {
-	const name = "engine"
 	var cfg Config
-	if code, ok := cmd.Parse(name, &cfg, args); !ok {
-		return code
+	start := func() (*Engine, error) {
+		cfg.OnCrash = func() { os.Exit(ExitCrash) }
+		return Start(cfg)
 	}
-	cfg.OnCrash = func() { os.Exit(ExitCrash) }
-	e, err := Start(cfg)
-	if err != nil {
-		return cmd.Fail(name, err)
+	files := func(s *Engine) []cmd.File {
+		return []cmd.File{{Name: cfg.AddrFile, Addr: s.Addr()}}
 	}
-	if err := cmd.WriteAddr(cfg.AddrFile, e.Addr()); err != nil {
-		e.Close()
-		return cmd.Fail(name, err)
-	}
-	return cmd.Run(e.Addr(), e.Close)
+	return cmd.Main("engine", &cfg, args, start, files)
 }
--- a/standin/internal/cmd/cmd.go
+++ b/standin/internal/cmd/cmd.go
@@ -61,6 +61,36 @@
 	return os.WriteFile(file, []byte(addr), addrFileMode)
 }
 
+// Server is a running stand-in.
+type Server interface {
+	Addr() string
+	Close()
+}
+
+// File receives an address; an empty name stands for none.
+type File struct{ Name, Addr string }
+
+// Main runs a stand-in as a command until SIGTERM and gives its exit code. It
+// reads args, those after the program's name, into options, a pointer to a
+// struct with flag tags, before it calls start; files lists where the running
+// stand-in's addresses are to be written.
+func Main[S Server](name string, options any, args []string, start func() (S, error), files func(S) []File) int {
+	if code, ok := Parse(name, options, args); !ok {
+		return code
+	}
+	s, err := start()
+	if err != nil {
+		return Fail(name, err)
+	}
+	for _, file := range files(s) {
+		if err := WriteAddr(file.Name, file.Addr); err != nil {
+			s.Close()
+			return Fail(name, err)
+		}
+	}
+	return Run(s.Addr(), s.Close)
+}
+
 // Run prints the address listened on, waits for SIGTERM or SIGINT, and then
 // calls stop.
 func Run(addr string, stop func()) int {
--- a/standin/link/main.go
+++ b/standin/link/main.go
@@ -5,22 +5,13 @@
 // Main runs a relay as a command until SIGTERM; args are those after the
 // program's name.
 func Main(args []string) int {
-	const name = "link"
 	var cfg Config
-	if code, ok := cmd.Parse(name, &cfg, args); !ok {
-		return code
+	start := func() (*Relay, error) { return Start(cfg) }
+	files := func(s *Relay) []cmd.File {
+		return []cmd.File{
+			{Name: cfg.AddrFile, Addr: s.Addr()},
+			{Name: cfg.ControlFile, Addr: s.ControlAddr()},
+		}
 	}
-	r, err := Start(cfg)
-	if err != nil {
-		return cmd.Fail(name, err)
-	}
-	if err := cmd.WriteAddr(cfg.AddrFile, r.Addr()); err != nil {
-		r.Close()
-		return cmd.Fail(name, err)
-	}
-	if err := cmd.WriteAddr(cfg.ControlFile, r.ControlAddr()); err != nil {
-		r.Close()
-		return cmd.Fail(name, err)
-	}
-	return cmd.Run(r.Addr(), r.Close)
+	return cmd.Main("link", &cfg, args, start, files)
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -220,18 +220,10 @@
 // Main runs a stand-in as a command until SIGTERM; args are those after the
 // program's name.
 func Main(args []string) int {
-	const name = "plain"
 	var cfg Config
-	if code, ok := cmd.Parse(name, &cfg, args); !ok {
-		return code
+	start := func() (*Plain, error) { return Start(cfg) }
+	files := func(s *Plain) []cmd.File {
+		return []cmd.File{{Name: cfg.AddrFile, Addr: s.Addr()}}
 	}
-	p, err := Start(cfg)
-	if err != nil {
-		return cmd.Fail(name, err)
-	}
-	if err := cmd.WriteAddr(cfg.AddrFile, p.Addr()); err != nil {
-		p.Close()
-		return cmd.Fail(name, err)
-	}
-	return cmd.Run(p.Addr(), p.Close)
+	return cmd.Main("plain", &cfg, args, start, files)
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -123,18 +123,10 @@
 // Main runs a stand-in as a command until SIGTERM; args are those after the
 // program's name.
 func Main(args []string) int {
-	const name = "platform"
 	var cfg Config
-	if code, ok := cmd.Parse(name, &cfg, args); !ok {
-		return code
+	start := func() (*Platform, error) { return Start(cfg) }
+	files := func(s *Platform) []cmd.File {
+		return []cmd.File{{Name: cfg.AddrFile, Addr: s.Addr()}}
 	}
-	p, err := Start(cfg)
-	if err != nil {
-		return cmd.Fail(name, err)
-	}
-	if err := cmd.WriteAddr(cfg.AddrFile, p.Addr()); err != nil {
-		p.Close()
-		return cmd.Fail(name, err)
-	}
-	return cmd.Run(p.Addr(), p.Close)
+	return cmd.Main("platform", &cfg, args, start, files)
 }
