--- a/node/stop.go
+++ b/node/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"mimosaarch.example/adapter/platform"
 	"mimosaarch.example/decide/router"
 )
 
