Load polls keep their connections

Attempts of requests keep to a connection each; asking for a report twice is harmless, running a request twice is not.

--- a/adapter/upstream/control.go
+++ b/adapter/upstream/control.go
@@ -30,17 +30,6 @@
 	return reply, err
 }
 
-// FetchLoad gets an engine's report of itself, on a connection of its own.
-// Errors: *CallError, *StatusError, *AnswerError. Any goroutine may call it.
-func FetchLoad(ctx context.Context, address string) (engineapi.LoadReport, error) {
-	var report engineapi.LoadReport
-	err := control(ctx, fasthttp.MethodGet, address, engineapi.LoadPath, &report)
-	if err == nil && report.Engine == "" {
-		err = &AnswerError{}
-	}
-	return report, err
-}
-
 // control makes one call and decodes its JSON answer.
 func control(ctx context.Context, method, address, uri string, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/adapter/upstream/control_test.go
+++ b/adapter/upstream/control_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -150,7 +151,9 @@
 		}
 	})
 	ctx := t.Context()
-	if report, err := FetchLoad(ctx, f.address); err != nil || report.Epoch != "x" {
+	poller := NewPoller(time.Second)
+	defer poller.Keep(nil)
+	if report, err := poller.Fetch(ctx, f.address); err != nil || report.Epoch != "x" {
 		t.Fatalf("%+v, %v", report, err)
 	}
 	if reply, err := Cancel(ctx, f.address, "a/b"); err != nil || reply.State != engineapi.CancelFinished {
@@ -165,7 +168,7 @@
 		t.Fatalf("odd: %v", err)
 	}
 	var failed *CallError
-	if _, err := FetchLoad(ctx, "name:1"); !errors.As(err, &failed) {
+	if _, err := poller.Fetch(ctx, "name:1"); !errors.As(err, &failed) {
 		t.Fatalf("name: %v", err)
 	}
 }
--- a/adapter/upstream/link.go
+++ b/adapter/upstream/link.go
@@ -28,8 +28,8 @@
 
 // dial opens a fresh connection to an IP address and port.
 func dial(ctx context.Context, address string, connect, stall time.Duration) (*link, error) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		return nil, &AddressError{Address: address}
+	if err := checkAddress(address); err != nil {
+		return nil, err
 	}
 	dialer := net.Dialer{Timeout: connect}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
@@ -39,6 +39,14 @@
 	return &link{Conn: conn, stall: stall}, nil
 }
 
+// checkAddress refuses what is not an IP address and port.
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &AddressError{Address: address}
+	}
+	return nil
+}
+
 // progress gives the upstream another stall time to make progress.
 func (l *link) progress() {
 	l.note(l.SetReadDeadline(time.Now().Add(l.stall)))
--- a/node/polls.go
+++ b/node/polls.go
@@ -16,7 +16,8 @@
 
 // polls asks the platform for the list of VMs and the engines for their load.
 type polls struct {
-	node *Node
+	node   *Node
+	poller *upstream.Poller
 	// rounds counts the intervals of the list of VMs; one goroutine uses it.
 	rounds int
 	mu     sync.Mutex
@@ -31,6 +32,7 @@
 func newPolls(n *Node) *polls {
 	return &polls{
 		node:    n,
+		poller:  upstream.NewPoller(pollTimeout),
 		engines: make(map[ids.Upstream]platformapi.VM),
 		asking:  make(map[ids.Upstream]bool),
 	}
@@ -109,9 +111,11 @@
 // setEngines takes the engines from the list, unless it is an older one.
 func (p *polls) setEngines(list platformapi.VMList) {
 	engines := make(map[ids.Upstream]platformapi.VM)
+	addresses := make(map[string]bool)
 	for _, vm := range list.VMs {
 		if vm.Role == platformapi.RoleEngine {
 			engines[ids.Upstream(vm.ID)] = vm
+			addresses[vm.Address] = true
 		}
 	}
 	p.mu.Lock()
@@ -121,6 +125,7 @@
 	}
 	p.revision = list.Revision
 	p.engines = engines
+	p.poller.Keep(addresses)
 }
 
 // askAll starts a poll of each engine of this node's share that has none under
@@ -148,7 +153,7 @@
 func (p *polls) ask(id ids.Upstream, address string) {
 	ctx, done := context.WithTimeout(p.node.ctx, pollTimeout)
 	defer done()
-	report, err := upstream.FetchLoad(ctx, address)
+	report, err := p.poller.Fetch(ctx, address)
 	p.mu.Lock()
 	delete(p.asking, id)
 	p.mu.Unlock()
--- a/scenario/capacity/poll_test.go
+++ b/scenario/capacity/poll_test.go
@@ -12,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/adapter/upstream"
-	"mimosaarch.example/core/engineapi"
 )
 
 // pollsFor is how long polls are measured.
@@ -55,13 +54,13 @@
 // poll asks at a pace for pollsFor, and gives the count of answers.
 func poll(b *testing.B, address string, perSecond int) int {
 	b.Helper()
+	poller := upstream.NewPoller(time.Second)
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	count := perSecond * int(pollsFor/time.Second)
 	for range count {
 		<-ticker.C
-		var got engineapi.LoadReport
-		got, err := upstream.FetchLoad(b.Context(), address)
+		got, err := poller.Fetch(b.Context(), address)
 		if err != nil || len(got.Links) != linksPerReport {
 			b.Fatalf("%+v, %v", got, err)
 		}
