Scatter in measured figures no longer makes chains anew

Cause: any difference in an engine's reported rate or links made its service's graph and plan anew, 0.05 to 1.5 ms and 0.09 to 3 ms each; measured figures differ in each report. Figures within a fifth of those in use do not count. Seen to fail with the part at 0, and with all links taken for near.

--- a/decide/router/graph.go
+++ b/decide/router/graph.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,15 +18,36 @@
 	u.engine.First = report.First
 	u.engine.Last = report.Last
 	u.engine.Slots = report.Slots
-	u.engine.Rate = report.TokensPerSecond
+	if !near(before.Rate, report.TokensPerSecond) {
+		u.engine.Rate = report.TokensPerSecond
+	}
 	links := linksOf(u.engine.ID, report.Links)
-	changed := !u.reported || u.engine != before || u.leavingSaid != report.Leaving || !slices.Equal(u.links, links)
+	relinked := !slices.EqualFunc(u.links, links, nearLink)
+	changed := !u.reported || u.engine != before || u.leavingSaid != report.Leaving || relinked
 	u.leavingSaid = report.Leaving
 	u.reported = true
-	u.links = links
+	if relinked {
+		u.links = links
+	}
 	return changed
 }
 
+// nearPart is the part by which a measured figure may differ from the one in
+// use before it counts as another: each change makes a graph and a plan anew.
+const nearPart = 0.2
+
+// near reports whether a figure is close to the one in use.
+func near(used, now float64) bool {
+	return math.Abs(now-used) <= nearPart*math.Abs(used)
+}
+
+// nearLink reports whether a link is close to the one in use.
+func nearLink(used, now topology.Link) bool {
+	return used.From == now.From && used.To == now.To &&
+		near(used.Rate, now.Rate) &&
+		near(float64(used.Latency), float64(now.Latency))
+}
+
 // linksOf converts an engine's report of its links.
 func linksOf(from ids.Upstream, reported []engineapi.Link) []topology.Link {
 	links := make([]topology.Link, len(reported))
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -381,3 +381,31 @@
 		t.Errorf("the full one of two heads was tried again %d of 6 times", same)
 	}
 }
+
+// TestGraphIsKeptWhileFiguresAreNear makes chains anew for a change that counts,
+// and not for the scatter of measured figures.
+func TestGraphIsKeptWhileFiguresAreNear(t *testing.T) {
+	s := newScript()
+	tell := func(rate float64, latency time.Duration) {
+		s.step(LoadSeen{At: s.now, Report: engineapi.LoadReport{
+			Engine: "head-1", Epoch: "e-head-1", Model: "drafts", First: 0, Last: 3, Slots: 8, TokensPerSecond: rate,
+			Links: []engineapi.Link{{To: "tail-1", LatencyUs: latency.Microseconds()}},
+		}})
+		s.tick(TickInterval)
+	}
+	tell(100, time.Millisecond)
+	graph := s.router.Graph("drafts")
+	tell(110, 900*time.Microsecond)
+	if s.router.Graph("drafts") != graph {
+		t.Error("the graph was made anew for scatter")
+	}
+	tell(130, time.Millisecond)
+	slower := s.router.Graph("drafts")
+	if slower == graph {
+		t.Error("a changed rate was passed over")
+	}
+	tell(130, 2*time.Millisecond)
+	if s.router.Graph("drafts") == slower {
+		t.Error("a changed link was passed over")
+	}
+}
