--- a/adapter/configfeed/owner.go
+++ b/adapter/configfeed/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"mimosaarch.example/core/platformapi"
@@ -71,15 +70,11 @@
 	return changed
 }
 
-// note counts and reports refused objects. An older object that a peer
-// relayed late is counted only.
+// note counts and reports refused objects.
 func (o *owner) note(errs ...error) {
 	for _, err := range errs {
 		o.sums.Refused++
-		var backwards *configorder.BackwardsError
-		if !errors.As(err, &backwards) {
-			o.feed.settings.OnProblem(err)
-		}
+		o.feed.settings.OnProblem(err)
 	}
 }
 
--- a/adapter/peer/codec.go
+++ b/adapter/peer/codec.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"sync"
 
 	"github.com/klauspost/compress/flate"
@@ -21,6 +23,8 @@
 	// wrote and read are the ends of the plain bytes of either direction. The
 	// stream writes one message at a time and reads one at a time.
 	wrote, read []byte
+	// invalid is told of bytes that are no message; may be nil.
+	invalid func()
 }
 
 // historySize is the most plain bytes that are kept for either direction.
@@ -52,6 +56,22 @@
 // ReadObject implements jsonrpc2.ObjectCodec. A message above the bound,
 // packed or plain, is refused with an *OversizeError before it is held.
 func (c *codec) ReadObject(stream *bufio.Reader, v any) error {
+	err := c.readObject(stream, v)
+	if c.invalid != nil && outOfForm(err) {
+		c.invalid()
+	}
+	return err
+}
+
+// outOfForm tells bytes that are no message from a connection that ended.
+func outOfForm(err error) bool {
+	var broken net.Error
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
+	return err != nil && !ended && !errors.As(err, &broken)
+}
+
+// readObject reads one message.
+func (c *codec) readObject(stream *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
--- a/adapter/peer/wire.go
+++ b/adapter/peer/wire.go
@@ -79,7 +79,8 @@
 
 // open starts JSON-RPC on a connection; either side may call.
 func (s *Service) open(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, new(codec))
+	form := &codec{invalid: func() { s.opts.Count(MessagesInvalid, 1) }}
+	stream := jsonrpc2.NewBufferedStream(conn, form)
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	return jsonrpc2.NewConn(ctx, stream, &dispatcher{s}, quiet)
 }
--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -32,6 +32,16 @@
 	"exact": exact,
 	// executions METHOD N PLAIN...: the calls executed on all the services.
 	"executions": executions,
+	// once N PLAIN...: N bodies were executed, each once on all the services.
+	"once": once,
+	// answers N GROUP... FIELD=VALUE...: the ended calls of groups that "calls"
+	// made, with these fields.
+	"answers": answers,
+	// outcomes N ADDRESS OUTCOME METHOD PATH OPTION...: as outcome, for the N
+	// keys of a group of calls.
+	"outcomes": outcomesAre,
+	// sum NAME N NODE...: a counter, summed over nodes.
+	"sum": metricSum,
 	// exit NAME CODE: the process has ended.
 	"exit": exited,
 	// ended REQUEST...: the answers have ended.
@@ -45,6 +55,8 @@
 	"outcome": outcomeIs,
 	// documents NODE N: the configuration documents in force.
 	"documents": documentsInForce,
+	// peers NODE PEER...: all the peers that a node knows, in order.
+	"peers": peersAre,
 	// upstream NODE STATE UPSTREAM...: how a node sees the upstreams.
 	"upstream": upstream,
 	// dead N NAME...: how many of the processes have ended.
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -64,6 +64,8 @@
 	"publish": publish,
 	"chat":    chat,
 	"call":    callPlain,
+	"calls":   callMany,
+	"message": message,
 	"hangup":  hangUp,
 	"raw":     raw,
 	"answer":  answer,
--- a/scenario/node_condition_test.go
+++ b/scenario/node_condition_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
@@ -65,6 +66,7 @@
 type nodeStatus struct {
 	router.Status
 	Config struct{ Objects []struct{ Key string } }
+	Peers  []struct{ VM string }
 }
 
 // statusOf asks a node for its status.
@@ -103,3 +105,20 @@
 	}
 	return nil
 }
+
+// peersAre is a condition.
+func peersAre(ts *testscript.TestScript, w *world, args []string) error {
+	status, err := statusOf(w.process(ts, args[0]))
+	if err != nil {
+		return err
+	}
+	var names []string
+	for _, p := range status.Peers {
+		names = append(names, p.VM)
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, args[1:]) {
+		return fmt.Errorf("peers %v, not %v", names, args[1:])
+	}
+	return nil
+}
--- a/scenario/request_test.go
+++ b/scenario/request_test.go
@@ -170,14 +170,7 @@
 	ts.Logf("%s: status %d, %s %s %q, %d tokens, error %v, body %s",
 		args[0], r.result.Status, r.result.Outcome, r.result.Reason, r.result.Message, r.result.Tokens, r.err, r.result.Body)
 	ts.Check(r.checkText())
-	got := map[string]string{
-		"outcome": string(r.result.Outcome),
-		"reason":  string(r.result.Reason),
-		"status":  strconv.Itoa(r.result.Status),
-		"tokens":  strconv.Itoa(r.result.Tokens),
-		"retry":   yesNo(r.result.RetryAfter > 0),
-		"error":   yesNo(r.err != nil),
-	}
+	got := r.fields()
 	for _, arg := range args[1:] {
 		field, want, _ := strings.Cut(arg, "=")
 		if field == "body" {
@@ -196,6 +189,18 @@
 	}
 }
 
+// fields words what an ended request's fields are.
+func (r *request) fields() map[string]string {
+	return map[string]string{
+		"outcome": string(r.result.Outcome),
+		"reason":  string(r.result.Reason),
+		"status":  strconv.Itoa(r.result.Status),
+		"tokens":  strconv.Itoa(r.result.Tokens),
+		"retry":   yesNo(r.result.RetryAfter > 0),
+		"error":   yesNo(r.err != nil),
+	}
+}
+
 // oneOf reports whether value is among those that "|" separates.
 func oneOf(value, allowed string) bool {
 	for _, a := range strings.Split(allowed, "|") {
--- a/scenario/standin_condition_test.go
+++ b/scenario/standin_condition_test.go
@@ -80,6 +80,26 @@
 	return bounded(n, args[1])
 }
 
+// once is a condition.
+func once(ts *testscript.TestScript, w *world, args []string) error {
+	times := make(map[string]int)
+	for _, name := range args[1:] {
+		var reply plain.Runs
+		if err := control.Get(w.process(ts, name).addr, plain.RunsPath, &reply); err != nil {
+			return err
+		}
+		for body, n := range reply.Executions {
+			times[body] += n
+		}
+	}
+	for body, n := range times {
+		if n > 1 {
+			return fmt.Errorf("%q executed %d times", body, n)
+		}
+	}
+	return bounded(len(times), args[0])
+}
+
 // accepted is a condition.
 func accepted(ts *testscript.TestScript, _ *world, args []string) error {
 	var reply link.Stats
