Measurements of the whole; the scenarios' language is a package of its own

mimosactl bench can fail an engine or a node, or stop one as planned, and report the recovery.

Cause found by the bench: a node that stopped at once left the streams of its callers open, without an answer, until they gave up themselves. It now tells them that the outcome is not known; the test hung for its whole time before.

The commands and conditions of scenarios are a package, scenario/lang, with typed errors, in place of test files: they are a language that scripts are written in, and test nothing by themselves.

--- a/loadgen/report/recorder.go
+++ b/loadgen/report/recorder.go
@@ -45,6 +45,10 @@
 	delivered series
 	good      series
 	inWindow  struct{ delivered, good int }
+	// fine is the delivered tokens by the steps of recovery.
+	fine                series
+	failure             *failure
+	cutOff, notComplete int
 
 	first, interval, whole, plain, delay *histogram
 }
@@ -89,6 +93,7 @@
 		r.wrong++
 	}
 	r.outcomes[s.Outcome]++
+	r.countFailed(s)
 	if s.Reason != "" {
 		r.reasons[s.Reason]++
 	}
@@ -112,6 +117,7 @@
 	for _, at := range s.Tokens {
 		after := at.Sub(r.options.Start)
 		r.delivered.add(after, r.options.Bucket)
+		r.fine.add(after, recoveryStep)
 		steady := after >= r.options.From && after < r.options.Until
 		if steady {
 			r.inWindow.delivered++
--- /dev/null
+++ b/loadgen/report/recovery_test.go
@@ -0,0 +1,59 @@
+package report
+
+import (
+	"testing"
+	"time"
+
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/loadgen/load"
+)
+
+// steady gives a request with a token each 50 ms from one time until another,
+// in milliseconds.
+func steady(from, until int) *load.Sample {
+	var tokens []int
+	for ms := from; ms < until; ms += 50 {
+		tokens = append(tokens, ms)
+	}
+	return sample(from, tokens...)
+}
+
+// failing gives the report of samples with a failure after 2 s of 4 and a
+// target of 20 tokens a second.
+func failing(samples ...*load.Sample) *Recovery {
+	r := New(Options{Start: start, From: time.Second, Until: 4 * time.Second})
+	r.Failed(at(2000), 20)
+	for _, s := range samples {
+		r.Done(s)
+	}
+	return r.Report().Recovery
+}
+
+func TestRecoveryCountsFromTheFailureToAWholeWindow(t *testing.T) {
+	cut := steady(0, 2000)
+	cut.End, cut.Outcome, cut.Reason = at(2001), outcome.Unknown, load.CutOff
+	refused := &load.Sample{Due: at(2100), End: at(2100), Outcome: outcome.NotRun, Reason: outcome.QueueFull}
+	early := &load.Sample{Due: at(100), End: at(1900), Outcome: outcome.Unknown, Reason: load.CutOff}
+	r := failing(cut, refused, early, steady(2600, 4000))
+	if !r.Recovered || !near(r.Time, 1.1) || !near(r.LastBelow, 1.0) {
+		t.Errorf("recovery is %+v, want 1.1 s, the end of the first whole window after 2.6 s", r)
+	}
+	if !near(r.Before, 20) || !near(r.After, 14) || r.Lowest != 0 || r.BelowBefore != 0 || !near(r.BelowAfter, 6.0/16) {
+		t.Errorf("rates are %+v", r)
+	}
+	if r.CutOff != 1 || r.NotComplete != 2 {
+		t.Errorf("%d cut off, %d not complete", r.CutOff, r.NotComplete)
+	}
+}
+
+func TestNoRecovery(t *testing.T) {
+	if r := failing(steady(0, 2000)); r.Recovered || r.Time != 0 || !near(r.LastBelow, 2) {
+		t.Errorf("recovery is %+v without a token after the failure", r)
+	}
+	if r := recorded(steady(0, 2000)).Recovery; r != nil {
+		t.Errorf("recovery is %+v without a failure", r)
+	}
+}
+
+// near reports whether two figures are the same but for rounding.
+func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
--- a/loadgen/report/report.go
+++ b/loadgen/report/report.go
@@ -54,6 +54,8 @@
 	SendDelay Latency   `json:"send_delay"`
 	Accounts  []Account `json:"accounts"`
 	Series    []Point   `json:"series"`
+	// Recovery is nil when nothing was made to fail.
+	Recovery *Recovery `json:"recovery,omitempty"`
 }
 
 // Report sums up what was gathered so far.
@@ -79,6 +81,7 @@
 		SendDelay:  r.delay.latency(),
 		Accounts:   append([]Account{}, r.accounts...),
 		Series:     r.points(),
+		Recovery:   r.recovery(),
 	}
 	if out.Bound > 0 {
 		out.Share = out.Delivered / out.Bound
--- a/loadgen/report/text.go
+++ b/loadgen/report/text.go
@@ -23,12 +23,28 @@
 	if r.Bound > 0 {
 		fmt.Fprintf(w, "of the bound  %.3f of %.1f tokens/s, %.3f in complete answers\n", r.Share, r.Bound, r.GoodShare)
 	}
+	if r.Recovery != nil {
+		r.Recovery.text(w)
+	}
 	r.latencyTable(w)
 	if len(r.Accounts) > 1 {
 		r.accountTable(w)
 	}
 }
 
+// text prints the recovery.
+func (o *Recovery) text(w io.Writer) {
+	back := fmt.Sprintf("back after %.2f s", o.Time)
+	if !o.Recovered {
+		back = "not back before the end"
+	}
+	fmt.Fprintf(w, "recovery      %s at 95%% of %.1f tokens/s, failure at %.2f s, last window below ended %.2f s after it\n",
+		back, o.Target, o.At, o.LastBelow)
+	fmt.Fprintf(w, "around it     %.1f tokens/s before, %.1f after, lowest %.1f; windows below: %.2f of those before, %.2f after\n",
+		o.Before, o.After, o.Lowest, o.BelowBefore, o.BelowAfter)
+	fmt.Fprintf(w, "after it      %d requests cut off, %d not complete\n", o.CutOff, o.NotComplete)
+}
+
 // latencyTable prints the latencies.
 func (r Report) latencyTable(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)
--- a/mimosactl/app/bench.go
+++ b/mimosactl/app/bench.go
@@ -28,6 +28,8 @@
 	For           time.Duration `long:"for" default:"20s" description:"length of the run"`
 	Warmup        time.Duration `long:"warmup" default:"8s" description:"first part of the run that is not measured"`
 	Scale         float64       `long:"scale" default:"0.5" description:"factor to the stand-ins' rates"`
+	Fail          string        `long:"fail" choice:"engine" choice:"node" choice:"drain" description:"what is made to fail: an engine of a middle stage, a node at once, or a node by a planned stop; callers then go through a front that leads each request to a ready node"`
+	FailAt        time.Duration `long:"fail-at" default:"8s" description:"when it fails, from the run's start"`
 	Verbose       bool          `short:"v" long:"verbose" description:"print the nodes' warnings"`
 }
 
@@ -64,6 +66,8 @@
 		Seed:          c.Seed,
 		Deadline:      c.Deadline,
 		Returns:       c.Returns,
+		Fail:          bench.Failure(c.Fail),
+		FailAt:        c.FailAt,
 		Log:           log,
 		OnProgress:    c.env.progress,
 	})
@@ -90,5 +94,23 @@
 		r.Nodes, r.Engines, r.Strategy, r.Load, r.Scale)
 	fmt.Fprintf(w, "bound         %.1f token steps/s, offered %.2f requests/s, %.2f cores used by all parts\n",
 		r.BoundSteps, r.Rate, r.Cores)
+	if r.Failed != nil {
+		failedText(w, r.Failed)
+	}
 	r.Report.Text(w)
 }
+
+// failedText prints what failed and the requests it held up most.
+func failedText(w io.Writer, f *bench.Failed) {
+	fmt.Fprintf(w, "failed        %s %s; the rest allows %.1f token steps/s; the front sent %d requests anew\n",
+		f.Kind, f.Name, f.BoundSteps, f.Repeats)
+	if f.StopError != "" {
+		fmt.Fprintf(w, "planned stop  %s\n", f.StopError)
+	}
+	for _, h := range f.HeldUp {
+		fmt.Fprintf(w, "held up       %s for %.3f s, %s %s\n", h.Request, h.Seconds, h.Outcome, h.Reason)
+		for _, d := range h.Decisions {
+			fmt.Fprintf(w, "  %+.3f s %s attempt %d %v %s %s\n", d.After, d.Step, d.Attempt, d.Chain, d.Reason, d.Detail)
+		}
+	}
+}
--- a/mimosactl/bench/bench.go
+++ b/mimosactl/bench/bench.go
@@ -43,6 +43,10 @@
 	Deadline time.Duration
 	// Returns is how often refused callers come back.
 	Returns int
+	// Fail is made to happen FailAt after the run's start; FailNothing for
+	// nothing.
+	Fail   Failure
+	FailAt time.Duration
 	// Log takes the nodes' log lines.
 	Log zerolog.Logger
 	// OnProgress is told how far the load has come, each second; nil means
@@ -66,6 +70,8 @@
 	// load tool, for each second of the run.
 	Cores  float64       `json:"cores"`
 	Report report.Report `json:"report"`
+	// Failed is nil when nothing was made to fail.
+	Failed *Failed `json:"failed,omitempty"`
 }
 
 // SettingError tells that an option can't be used.
@@ -90,7 +96,7 @@
 	case o.Mix.PlainShare >= 1:
 		return &SettingError{Option: "plain share", Expected: "below 1"}
 	}
-	return nil
+	return o.checkFailure()
 }
 
 // Run runs a bench and leaves nothing running. Errors: *SettingError,
@@ -126,28 +132,36 @@
 		BoundSteps: bound,
 		Rate:       o.Load * bound / means.Steps / means.ModelShare,
 	}
+	start := time.Now()
 	recorder := report.New(report.Options{
-		Start: time.Now(),
+		Start: start,
 		From:  o.Warmup,
 		Until: o.For,
 		Bound: bound * means.Tokens / means.Steps,
 	})
+	failing, err := f.newFailing(recorder, o.Load*bound, means.Tokens/means.Steps)
+	if err != nil {
+		return Result{}, err
+	}
+	defer failing.close()
 	run, err := load.New(load.Settings{
-		Nodes:    f.addresses(),
+		Nodes:    failing.addresses(),
 		Mix:      mix,
 		Schedule: load.Schedule{Rate: result.Rate, Shape: o.Shape, For: o.For},
 		Seed:     o.Seed,
 		Deadline: o.Deadline,
 		Returns:  o.Returns,
 		Checker:  answers.Checker{},
-		Observer: recorder,
+		Observer: failing,
 	})
 	if err != nil {
 		return Result{}, err
 	}
 	began, used := time.Now(), cpuTime()
+	failing.schedule(ctx, start)
 	load.Watch(ctx, run, o.OnProgress)
 	result.Cores = (cpuTime() - used).Seconds() / time.Since(began).Seconds()
+	result.Failed = failing.end()
 	result.Report = recorder.Report()
 	return result, nil
 }
--- a/mimosactl/bench/fixture.go
+++ b/mimosactl/bench/fixture.go
@@ -47,6 +47,8 @@
 	standins *standins.Fleet
 	nodes    []*node.Node
 	vms      []platformapi.VM
+	// stopped are the nodes that were stopped before the end.
+	stopped map[*node.Node]bool
 }
 
 // start starts everything and waits until the nodes are ready.
@@ -71,7 +73,9 @@
 // close stops whatever runs.
 func (f *fixture) close() {
 	for _, n := range f.nodes {
-		n.Close()
+		if !f.stopped[n] {
+			n.Close()
+		}
 	}
 	if f.standins != nil {
 		f.standins.Close()
--- a/node/calls.go
+++ b/node/calls.go
@@ -6,6 +6,7 @@
 
 	"mimosaarch.example/adapter/call"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/outcome"
 )
 
 // calls holds the calls of requests in work. Any goroutine may use it.
@@ -38,6 +39,16 @@
 	delete(c.byID, id)
 }
 
+// finishAll gives every call held the same final answer.
+func (c *calls) finishAll(err *outcome.Error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, work := range c.byID {
+		work.Finish(err)
+		delete(c.byID, id)
+	}
+}
+
 // attempts holds the cancel functions of attempts in flight. Any goroutine
 // may use it.
 type attempts struct {
--- a/node/stop.go
+++ b/node/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/router"
 )
 
@@ -32,12 +33,18 @@
 	return &CutOffError{Requests: n.view.Load().requests}
 }
 
-// Close stops the node at once; requests in flight are cut off.
+// Close stops the node at once. Requests in flight are cut off: what becomes of
+// them is not known here any more, and their callers are told so.
 func (n *Node) Close() {
 	n.stop()
 	n.operator.close()
 	_ = n.callerListener.Close()
 	n.duties.Wait()
+	n.calls.finishAll(&outcome.Error{
+		Outcome: outcome.Unknown,
+		Reason:  outcome.Draining,
+		Detail:  "the node stopped before the answer was whole",
+	})
 	n.platform.Close()
 	n.log.Info().Msg("node stopped")
 }
--- a/scenario/condition_test.go
+++ b/scenario/lang/condition.go
@@ -1,7 +1,6 @@
-package scenario
+package lang
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -111,10 +110,10 @@
 	case "<=":
 		holds = n <= want
 	default:
-		return fmt.Errorf("no such bound: %q", bound)
+		return mismatch("no such bound: %q", bound)
 	}
 	if !holds {
-		return fmt.Errorf("%d, not %s", n, bound)
+		return mismatch("%d, not %s", n, bound)
 	}
 	return nil
 }
@@ -131,7 +130,7 @@
 	case <-p.ended:
 		return bounded(p.code, "="+args[1])
 	default:
-		return fmt.Errorf("%s still runs", args[0])
+		return mismatch("%s still runs", args[0])
 	}
 }
 
@@ -141,7 +140,7 @@
 		select {
 		case <-w.request(ts, name).done:
 		default:
-			return fmt.Errorf("%s has not ended", name)
+			return mismatch("%s has not ended", name)
 		}
 	}
 	return nil
--- a/scenario/group_test.go
+++ b/scenario/lang/group.go
@@ -1,7 +1,6 @@
-package scenario
+package lang
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,7 +40,7 @@
 func outcomesAre(ts *testscript.TestScript, w *world, args []string) error {
 	for i := range number(ts, args[0]) {
 		if err := outcomeIs(ts, w, ownKey(args[1:], i)); err != nil {
-			return fmt.Errorf("call %d: %w", i+1, err)
+			return mismatch("call %d: %v", i+1, err)
 		}
 	}
 	return nil
@@ -77,7 +76,7 @@
 		}
 	}
 	if err := bounded(n, args[0]); err != nil {
-		return fmt.Errorf("%w: %v", err, seen)
+		return mismatch("%v: %v", err, seen)
 	}
 	return nil
 }
--- a/scenario/node_condition_test.go
+++ b/scenario/lang/node_condition.go
@@ -1,9 +1,8 @@
-package scenario
+package lang
 
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -21,7 +20,7 @@
 				return err
 			}
 			if code != status {
-				return fmt.Errorf("%s: readiness %d", name, code)
+				return mismatch("%s: readiness %d", name, code)
 			}
 		}
 		return nil
@@ -57,7 +56,7 @@
 		return err
 	}
 	if !oneOf(string(result.Outcome), args[1]) {
-		return fmt.Errorf("%s (%s %s), not %s", result.Outcome, result.Reason, result.Message, args[1])
+		return mismatch("%s (%s %s), not %s", result.Outcome, result.Reason, result.Message, args[1])
 	}
 	return nil
 }
@@ -100,7 +99,7 @@
 	}
 	for _, id := range args[2:] {
 		if states[id] != args[1] {
-			return fmt.Errorf("%s: %q, not %q", id, states[id], args[1])
+			return mismatch("%s: %q, not %q", id, states[id], args[1])
 		}
 	}
 	return nil
@@ -118,7 +117,7 @@
 	}
 	slices.Sort(names)
 	if !slices.Equal(names, args[1:]) {
-		return fmt.Errorf("peers %v, not %v", names, args[1:])
+		return mismatch("peers %v, not %v", names, args[1:])
 	}
 	return nil
 }
--- a/scenario/peer_test.go
+++ b/scenario/lang/peer.go
@@ -1,4 +1,4 @@
-package scenario
+package lang
 
 import (
 	"bytes"
@@ -65,7 +65,7 @@
 	got, err := io.ReadAll(conn)
 	switch {
 	case len(got) > 0:
-		return fmt.Errorf("an answer of %d bytes", len(got))
+		return mismatch("an answer of %d bytes", len(got))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return err
 	}
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	if !json.Valid(plain) {
-		return nil, fmt.Errorf("no JSON: %q", plain)
+		return nil, mismatch("no JSON: %q", plain)
 	}
 	return plain, nil
 }
--- a/scenario/process_test.go
+++ b/scenario/lang/process.go
@@ -1,4 +1,4 @@
-package scenario
+package lang
 
 import (
 	"bufio"
@@ -231,3 +231,19 @@
 		<-p.ended
 	}
 }
+
+// Start starts a command in a directory and waits for its address; stop kills
+// it. The error is a *MismatchError, with what the command printed, or that of
+// starting it.
+func Start(dir string, args ...string) (address string, stop func(), err error) {
+	p, err := startProcess(args[0], dir, args)
+	if err != nil {
+		return "", nil, err
+	}
+	<-p.started
+	if p.addr == "" {
+		p.kill()
+		return "", nil, mismatch("%v ended:\n%s", args, p.log())
+	}
+	return p.addr, p.kill, nil
+}
--- a/scenario/request_test.go
+++ b/scenario/lang/request.go
@@ -1,8 +1,7 @@
-package scenario
+package lang
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -226,14 +225,14 @@
 		return nil
 	}
 	if r.result.Tokens >= len(r.prefixes) {
-		return fmt.Errorf("%d tokens, only %d asked for", r.result.Tokens, r.asked)
+		return mismatch("%d tokens, only %d asked for", r.result.Tokens, r.asked)
 	}
 	want := r.whole[:r.prefixes[r.result.Tokens]]
 	if r.result.Text != want {
-		return fmt.Errorf("wrong text after %d tokens:\n got %q\nwant %q", r.result.Tokens, r.result.Text, want)
+		return mismatch("wrong text after %d tokens:\n got %q\nwant %q", r.result.Tokens, r.result.Text, want)
 	}
 	if r.result.Outcome == outcome.Complete && r.result.Tokens != r.asked {
-		return fmt.Errorf("complete after %d of %d tokens", r.result.Tokens, r.asked)
+		return mismatch("complete after %d of %d tokens", r.result.Tokens, r.asked)
 	}
 	return nil
 }
--- a/scenario/standin_condition_test.go
+++ b/scenario/lang/standin_condition.go
@@ -1,8 +1,6 @@
-package scenario
+package lang
 
 import (
-	"fmt"
-
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"mimosaarch.example/standin/control"
@@ -61,7 +59,7 @@
 	}
 	for _, r := range runs {
 		if r.Inexact > 0 {
-			return fmt.Errorf("%s: %d tokens with a layer skipped or repeated", r.Request, r.Inexact)
+			return mismatch("%s: %d tokens with a layer skipped or repeated", r.Request, r.Inexact)
 		}
 	}
 	return nil
@@ -94,7 +92,7 @@
 	}
 	for body, n := range times {
 		if n > 1 {
-			return fmt.Errorf("%q executed %d times", body, n)
+			return mismatch("%q executed %d times", body, n)
 		}
 	}
 	return bounded(len(times), args[0])
@@ -139,6 +137,6 @@
 				}
 			}
 		}
-		return fmt.Errorf("none of %v runs a request", args[1:])
+		return mismatch("none of %v runs a request", args[1:])
 	}))
 }
--- a/scenario/world_test.go
+++ b/scenario/lang/world.go
@@ -1,4 +1,4 @@
-package scenario
+package lang
 
 import (
 	"strings"
--- a/scenario/orders_test.go
+++ b/scenario/orders_test.go
@@ -16,6 +16,7 @@
 	"mimosaarch.example/core/platformapi"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/order"
+	"mimosaarch.example/scenario/lang"
 	"mimosaarch.example/standin/control"
 	"mimosaarch.example/standin/engine"
 )
@@ -132,16 +133,12 @@
 // startForOrders starts a process of the test and gives its address.
 func startForOrders(t *testing.T, args ...string) string {
 	t.Helper()
-	p, err := startProcess(args[0], t.TempDir(), args)
+	address, stop, err := lang.Start(t.TempDir(), args...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(p.kill)
-	<-p.started
-	if p.addr == "" {
-		t.Fatalf("%v ended:\n%s", args, p.log())
-	}
-	return p.addr
+	t.Cleanup(stop)
+	return address
 }
 
 // ordersSeen reads the orders that an engine was given.
