Rejoins no longer use up the attempts of a request

A draft that shared two engines with the request that crashes them ended unknown, attempts_exhausted: each crash cost it two of its four attempts, the one that was lost and a rejoin of the dead engine. Ruled out: the quarantine, which had not blamed it.

--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -100,6 +100,11 @@
 	return false
 }
 
+// starts counts the attempts that tried to start the request: neither those
+// that met an upstream without room nor those that only rejoined its stream,
+// which have a bound of their own.
+func (q *request) starts() int { return int(q.attempt) - q.busy - q.rejoins }
+
 // remaining is the time until the deadline; never negative.
 func (q *request) remaining(now time.Time) time.Duration {
 	return max(0, q.deadline.Sub(now))
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -409,3 +409,32 @@
 		t.Error("a changed link was passed over")
 	}
 }
+
+// TestRejoinsDoNotUseUpAttempts starts a request as often as its attempts allow,
+// though each lost connection costs a rejoin that fails as well.
+func TestRejoinsDoNotUseUpAttempts(t *testing.T) {
+	s := newScript()
+	s.step(arrive("r", nil))
+	starts := 0
+	for range 200 {
+		req := s.router.requests["r"]
+		if req == nil {
+			break
+		}
+		if req.state != sending {
+			s.load("head-1", 0, 3)
+			s.load("head-2", 0, 3)
+			s.tick(judgePace)
+			continue
+		}
+		if s.sent[len(s.sent)-1].Resume != nil {
+			s.ended(outcome.MaybeSent, outcome.UpstreamRefused)
+			continue
+		}
+		starts++
+		s.ended(outcome.Started, outcome.UpstreamLost)
+	}
+	if most := s.router.services["drafts"].profile.Retry.Attempts; starts != most {
+		t.Errorf("%d starts of %d allowed: %q", starts, most, s.text)
+	}
+}
