--- a/decide/retry/decide.go
+++ b/decide/retry/decide.go
@@ -58,7 +58,8 @@
 	// Keyed tells that a claim is held for the request.
 	Keyed bool
 
-	// Attempts counts those made, rejoins included; MaxAttempts bounds them.
+	// Attempts counts the starts tried; MaxAttempts bounds them. Rejoins start
+	// nothing: the caller bounds them by StreamLost.
 	Attempts, MaxAttempts int
 	// Remaining is the time left until the deadline.
 	Remaining time.Duration
