One rule for settings that are not set

The same few lines stood in ten packages: a count or a time that is not above zero takes its default, as orDefault, or, setDefault and chains of ifs. core/defaults.Positive serves them all; where zero alone means unset, the standard library's cmp.Or does.

--- a/adapter/caller/options.go
+++ b/adapter/caller/options.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/adapter/call"
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/router"
@@ -84,20 +85,20 @@
 
 // withDefaults fills the zero fields.
 func (o Options) withDefaults() Options {
-	o.MaxBody = orDefault(o.MaxBody, DefaultMaxBody)
-	o.MaxHead = orDefault(o.MaxHead, DefaultMaxHead)
-	o.MaxTokens = orDefault(o.MaxTokens, DefaultMaxTokens)
-	o.DefaultTokens = min(orDefault(o.DefaultTokens, DefaultTokens), o.MaxTokens)
+	o.MaxBody = defaults.Positive(o.MaxBody, DefaultMaxBody)
+	o.MaxHead = defaults.Positive(o.MaxHead, DefaultMaxHead)
+	o.MaxTokens = defaults.Positive(o.MaxTokens, DefaultMaxTokens)
+	o.DefaultTokens = min(defaults.Positive(o.DefaultTokens, DefaultTokens), o.MaxTokens)
 	if o.Ready == nil {
 		o.Ready = func() bool { return true }
 	}
-	o.MaxPriority = orDefault(o.MaxPriority, DefaultMaxPriority)
-	o.MaxConnections = orDefault(o.MaxConnections, DefaultMaxConnections)
-	o.ReadTimeout = orDefault(o.ReadTimeout, DefaultReadTimeout)
-	o.WriteTimeout = orDefault(o.WriteTimeout, DefaultWriteTimeout)
-	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultIdleTimeout)
-	o.MaxTimeout = orDefault(o.MaxTimeout, DefaultMaxTimeout)
-	o.ProbeEvery = orDefault(o.ProbeEvery, DefaultProbeEvery)
+	o.MaxPriority = defaults.Positive(o.MaxPriority, DefaultMaxPriority)
+	o.MaxConnections = defaults.Positive(o.MaxConnections, DefaultMaxConnections)
+	o.ReadTimeout = defaults.Positive(o.ReadTimeout, DefaultReadTimeout)
+	o.WriteTimeout = defaults.Positive(o.WriteTimeout, DefaultWriteTimeout)
+	o.IdleTimeout = defaults.Positive(o.IdleTimeout, DefaultIdleTimeout)
+	o.MaxTimeout = defaults.Positive(o.MaxTimeout, DefaultMaxTimeout)
+	o.ProbeEvery = defaults.Positive(o.ProbeEvery, DefaultProbeEvery)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -106,11 +107,3 @@
 	}
 	return o
 }
-
-// orDefault gives v, or def when v is not positive.
-func orDefault[T int | time.Duration](v, def T) T {
-	if v <= 0 {
-		return def
-	}
-	return v
-}
--- a/adapter/claims/settings.go
+++ b/adapter/claims/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/decide/claim"
 )
 
@@ -49,12 +50,12 @@
 
 // withDefaults fills in unset fields.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Deadline, defaultDeadline)
-	setDefault(&s.CallTimeout, defaultCallTimeout)
-	setDefault(&s.StopTimeout, defaultStopTimeout)
-	setDefault(&s.Ring, defaultRing)
-	setDefault(&s.Parallel, defaultParallel)
-	setDefault(&s.ParallelForwards, defaultForwards)
+	s.Deadline = defaults.Positive(s.Deadline, defaultDeadline)
+	s.CallTimeout = defaults.Positive(s.CallTimeout, defaultCallTimeout)
+	s.StopTimeout = defaults.Positive(s.StopTimeout, defaultStopTimeout)
+	s.Ring = defaults.Positive(s.Ring, defaultRing)
+	s.Parallel = defaults.Positive(s.Parallel, defaultParallel)
+	s.ParallelForwards = defaults.Positive(s.ParallelForwards, defaultForwards)
 	if s.OnCount == nil {
 		s.OnCount = func(string, int64) {}
 	}
@@ -63,10 +64,3 @@
 	}
 	return s
 }
-
-// setDefault sets a field that isn't above zero.
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/adapter/configfeed/settings.go
+++ b/adapter/configfeed/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/decide/configorder"
 )
 
@@ -47,27 +48,17 @@
 
 // withDefaults fills in unset fields.
 func (s Settings) withDefaults() Settings {
-	s.WatchWait = or(s.WatchWait, defaultWatchWait)
-	s.BackoffMin = or(s.BackoffMin, defaultBackoffMin)
-	s.BackoffMax = or(s.BackoffMax, defaultBackoffMax)
-	s.FollowEvery = or(s.FollowEvery, defaultFollowEvery)
+	s.WatchWait = defaults.Positive(s.WatchWait, defaultWatchWait)
+	s.BackoffMin = defaults.Positive(s.BackoffMin, defaultBackoffMin)
+	s.BackoffMax = defaults.Positive(s.BackoffMax, defaultBackoffMax)
+	s.FollowEvery = defaults.Positive(s.FollowEvery, defaultFollowEvery)
 	if s.Leads == nil {
 		s.Leads = func() bool { return true }
 	}
-	s.RelistEvery = or(s.RelistEvery, defaultRelistEvery)
-	if s.Ring <= 0 {
-		s.Ring = defaultRing
-	}
+	s.RelistEvery = defaults.Positive(s.RelistEvery, defaultRelistEvery)
+	s.Ring = defaults.Positive(s.Ring, defaultRing)
 	if s.OnProblem == nil {
 		s.OnProblem = func(error) {}
 	}
 	return s
 }
-
-// or gives value, or a default where it isn't set.
-func or(value, otherwise time.Duration) time.Duration {
-	if value <= 0 {
-		return otherwise
-	}
-	return value
-}
--- a/adapter/platform/client.go
+++ b/adapter/platform/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/platformapi"
 )
 
@@ -73,18 +74,10 @@
 
 // withDefaults fills in unset fields.
 func (s Settings) withDefaults() Settings {
-	if s.ConnectTimeout <= 0 {
-		s.ConnectTimeout = defaultConnectTimeout
-	}
-	if s.CallTimeout <= 0 {
-		s.CallTimeout = defaultCallTimeout
-	}
-	if s.MaxConnections <= 0 {
-		s.MaxConnections = defaultMaxConnections
-	}
-	if s.MaxAnswer <= 0 {
-		s.MaxAnswer = defaultMaxAnswer
-	}
+	s.ConnectTimeout = defaults.Positive(s.ConnectTimeout, defaultConnectTimeout)
+	s.CallTimeout = defaults.Positive(s.CallTimeout, defaultCallTimeout)
+	s.MaxConnections = defaults.Positive(s.MaxConnections, defaultMaxConnections)
+	s.MaxAnswer = defaults.Positive(s.MaxAnswer, defaultMaxAnswer)
 	if s.OnCall == nil {
 		s.OnCall = func(Kind, error) {}
 	}
--- a/adapter/upstream/attempt.go
+++ b/adapter/upstream/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/adapter/call"
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/router"
@@ -35,8 +36,8 @@
 // stream it asks for was sent before. A nil c means that the call is over;
 // nothing is sent for it.
 func (r *Runner) Run(ctx context.Context, send router.Send, c *call.Call, sink Sink) {
-	send.ConnectTimeout = orDefault(send.ConnectTimeout, DefaultConnectTimeout)
-	send.StallAfter = orDefault(send.StallAfter, DefaultStallAfter)
+	send.ConnectTimeout = defaults.Positive(send.ConnectTimeout, DefaultConnectTimeout)
+	send.StallAfter = defaults.Positive(send.StallAfter, DefaultStallAfter)
 	a := &attempt{runner: r, send: send, call: c, sink: sink}
 	if send.Resume != nil {
 		a.phase = outcome.MaybeSent
--- a/adapter/upstream/options.go
+++ b/adapter/upstream/options.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"mimosaarch.example/core/defaults"
 )
 
 // Defaults of Options.
@@ -51,11 +53,11 @@
 
 // withDefaults fills the zero fields.
 func (o Options) withDefaults() Options {
-	o.MaxHead = orDefault(o.MaxHead, DefaultMaxHead)
-	o.MaxEvent = orDefault(o.MaxEvent, DefaultMaxEvent)
-	o.MaxBody = orDefault(o.MaxBody, DefaultMaxBody)
-	o.Reorder = orDefault(o.Reorder, DefaultReorder)
-	o.CancelTimeout = orDefault(o.CancelTimeout, DefaultCancelTimeout)
+	o.MaxHead = defaults.Positive(o.MaxHead, DefaultMaxHead)
+	o.MaxEvent = defaults.Positive(o.MaxEvent, DefaultMaxEvent)
+	o.MaxBody = defaults.Positive(o.MaxBody, DefaultMaxBody)
+	o.Reorder = defaults.Positive(o.Reorder, DefaultReorder)
+	o.CancelTimeout = defaults.Positive(o.CancelTimeout, DefaultCancelTimeout)
 	if o.Epochs == nil {
 		o.Epochs = NewEpochs(DefaultEpochs)
 	}
@@ -64,11 +66,3 @@
 	}
 	return o
 }
-
-// orDefault gives v, or def when v is not positive.
-func orDefault[T int | time.Duration](v, def T) T {
-	if v <= 0 {
-		return def
-	}
-	return v
-}
--- a/core/fleet/defaults.go
+++ b/core/fleet/defaults.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of a Profile.
 const (
@@ -113,8 +116,5 @@
 
 // setDefault sets a field that has its zero value.
 func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	*field = cmp.Or(*field, value)
 }
--- a/decide/claim/settings.go
+++ b/decide/claim/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/platformapi"
 )
 
@@ -69,26 +70,19 @@
 
 // withDefaults fills in unset fields.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Shards, defaultShards)
-	setDefault(&s.Window, defaultWindow)
-	setDefault(&s.SettleWindow, defaultSettleWindow)
-	setDefault(&s.MaxQueue, defaultQueue)
-	setDefault(&s.MaxBatch, defaultBatch)
-	setDefault(&s.MaxBackground, defaultBackground)
-	setDefault(&s.Retention, defaultRetention)
-	setDefault(&s.MaxBytes, platformapi.MaxValue)
-	setDefault(&s.CacheBytes, defaultCacheBytes)
-	setDefault(&s.BackoffMin, defaultBackoffMin)
-	setDefault(&s.BackoffMax, defaultBackoffMax)
-	setDefault(&s.MaxForwards, defaultForwards)
-	setDefault(&s.ForwardTime, defaultForwardTime)
+	s.Shards = defaults.Positive(s.Shards, defaultShards)
+	s.Window = defaults.Positive(s.Window, defaultWindow)
+	s.SettleWindow = defaults.Positive(s.SettleWindow, defaultSettleWindow)
+	s.MaxQueue = defaults.Positive(s.MaxQueue, defaultQueue)
+	s.MaxBatch = defaults.Positive(s.MaxBatch, defaultBatch)
+	s.MaxBackground = defaults.Positive(s.MaxBackground, defaultBackground)
+	s.Retention = defaults.Positive(s.Retention, defaultRetention)
+	s.MaxBytes = defaults.Positive(s.MaxBytes, platformapi.MaxValue)
+	s.CacheBytes = defaults.Positive(s.CacheBytes, defaultCacheBytes)
+	s.BackoffMin = defaults.Positive(s.BackoffMin, defaultBackoffMin)
+	s.BackoffMax = defaults.Positive(s.BackoffMax, defaultBackoffMax)
+	s.MaxForwards = defaults.Positive(s.MaxForwards, defaultForwards)
+	s.ForwardTime = defaults.Positive(s.ForwardTime, defaultForwardTime)
 	s.MaxBytes = min(s.MaxBytes, platformapi.MaxValue)
 	return s
 }
-
-// setDefault sets a field that isn't above zero.
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/fleet"
 	"mimosaarch.example/core/ids"
 )
@@ -132,15 +133,9 @@
 
 // New makes a Tracker without members.
 func New(opts Options) *Tracker {
-	if opts.MaxPeers <= 0 {
-		opts.MaxPeers = DefaultMaxPeers
-	}
-	if opts.MaxLinks <= 0 {
-		opts.MaxLinks = DefaultMaxLinks
-	}
-	if opts.RampFor <= 0 {
-		opts.RampFor = DefaultRampFor
-	}
+	opts.MaxPeers = defaults.Positive(opts.MaxPeers, DefaultMaxPeers)
+	opts.MaxLinks = defaults.Positive(opts.MaxLinks, DefaultMaxLinks)
+	opts.RampFor = defaults.Positive(opts.RampFor, DefaultRampFor)
 	return &Tracker{
 		opts:     opts,
 		services: make(map[ids.Service]*service),
--- a/decide/health/members.go
+++ b/decide/health/members.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/fleet"
 	"mimosaarch.example/core/ids"
 )
@@ -73,14 +74,10 @@
 
 // withDefaults fills in unset fields of a policy.
 func withDefaults(p fleet.HealthPolicy) fleet.HealthPolicy {
-	if p.Failures <= 0 {
-		p.Failures = DefaultFailures
-	}
+	p.Failures = defaults.Positive(p.Failures, DefaultFailures)
 	if p.EjectFor <= 0 {
 		p.EjectFor = fleet.Duration(DefaultEjectFor)
 	}
-	if p.FloorPercent <= 0 {
-		p.FloorPercent = DefaultFloorPercent
-	}
+	p.FloorPercent = defaults.Positive(p.FloorPercent, DefaultFloorPercent)
 	return p
 }
--- a/decide/limit/options.go
+++ b/decide/limit/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/fleet"
 )
 
@@ -35,24 +36,12 @@
 
 // withDefaults fills in unset options.
 func withDefaults(o Options) Options {
-	orInt := func(v, otherwise int) int {
-		if v <= 0 {
-			return otherwise
-		}
-		return v
-	}
-	orTime := func(v, otherwise time.Duration) time.Duration {
-		if v <= 0 {
-			return otherwise
-		}
-		return v
-	}
-	o.MaxAccounts = orInt(o.MaxAccounts, DefaultMaxAccounts)
-	o.MaxPeers = orInt(o.MaxPeers, DefaultMaxPeers)
-	o.TopK = orInt(o.TopK, DefaultTopK)
-	o.Hold = orTime(o.Hold, DefaultHold)
-	o.RetryMin = orTime(o.RetryMin, DefaultRetryMin)
-	o.RetryMax = orTime(o.RetryMax, DefaultRetryMax)
+	o.MaxAccounts = defaults.Positive(o.MaxAccounts, DefaultMaxAccounts)
+	o.MaxPeers = defaults.Positive(o.MaxPeers, DefaultMaxPeers)
+	o.TopK = defaults.Positive(o.TopK, DefaultTopK)
+	o.Hold = defaults.Positive(o.Hold, DefaultHold)
+	o.RetryMin = defaults.Positive(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = defaults.Positive(o.RetryMax, DefaultRetryMax)
 	return o
 }
 
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -31,6 +31,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/ids"
 )
 
@@ -235,24 +236,14 @@
 
 // withDefaults fills in unset options.
 func withDefaults(o Options) Options {
-	if o.After <= 0 {
-		o.After = DefaultAfter
-	}
-	if o.For <= 0 {
-		o.For = DefaultFor
-	}
+	o.After = defaults.Positive(o.After, DefaultAfter)
+	o.For = defaults.Positive(o.For, DefaultFor)
 	if o.Settle == 0 {
 		o.Settle = DefaultSettle
 	}
 	o.Settle = max(o.Settle, 0)
-	if o.MaxDeaths <= 0 {
-		o.MaxDeaths = DefaultMaxDeaths
-	}
-	if o.MaxInFlight <= 0 {
-		o.MaxInFlight = DefaultMaxInFlight
-	}
-	if o.MaxEvents <= 0 {
-		o.MaxEvents = DefaultMaxEvents
-	}
+	o.MaxDeaths = defaults.Positive(o.MaxDeaths, DefaultMaxDeaths)
+	o.MaxInFlight = defaults.Positive(o.MaxInFlight, DefaultMaxInFlight)
+	o.MaxEvents = defaults.Positive(o.MaxEvents, DefaultMaxEvents)
 	return o
 }
--- a/decide/queue/options.go
+++ b/decide/queue/options.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"time"
+
+	"mimosaarch.example/core/defaults"
+)
 
 // Defaults of Options.
 const (
@@ -25,20 +29,10 @@
 
 // withDefaults fills in unset options.
 func withDefaults(o Options) Options {
-	if o.Length <= 0 {
-		o.Length = DefaultLength
-	}
-	if o.PerAccount <= 0 {
-		o.PerAccount = DefaultPerAccount
-	}
-	if o.AgeStep <= 0 {
-		o.AgeStep = DefaultAgeStep
-	}
-	if o.RetryMin <= 0 {
-		o.RetryMin = DefaultRetryMin
-	}
-	if o.RetryMax <= 0 {
-		o.RetryMax = DefaultRetryMax
-	}
+	o.Length = defaults.Positive(o.Length, DefaultLength)
+	o.PerAccount = defaults.Positive(o.PerAccount, DefaultPerAccount)
+	o.AgeStep = defaults.Positive(o.AgeStep, DefaultAgeStep)
+	o.RetryMin = defaults.Positive(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = defaults.Positive(o.RetryMax, DefaultRetryMax)
 	return o
 }
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -2,7 +2,10 @@
 // What operators change while nodes run stands in profiles, not here.
 package settings
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings of a node. Addresses are IP address and port.
 type Settings struct {
@@ -75,21 +78,12 @@
 
 // WithDefaults fills the zero fields.
 func (s Settings) WithDefaults() Settings {
-	s.MaxRequests = orDefault(s.MaxRequests, DefaultMaxRequests)
-	s.MaxBody = orDefault(s.MaxBody, DefaultMaxBody)
-	s.PollInterval = orDefault(s.PollInterval, DefaultPollInterval)
-	s.VMListInterval = orDefault(s.VMListInterval, DefaultVMListInterval)
-	s.DrainTimeout = orDefault(s.DrainTimeout, DefaultDrainTimeout)
-	s.Records = orDefault(s.Records, DefaultRecords)
-	s.LogLevel = orDefault(s.LogLevel, DefaultLogLevel)
+	s.MaxRequests = cmp.Or(s.MaxRequests, DefaultMaxRequests)
+	s.MaxBody = cmp.Or(s.MaxBody, DefaultMaxBody)
+	s.PollInterval = cmp.Or(s.PollInterval, DefaultPollInterval)
+	s.VMListInterval = cmp.Or(s.VMListInterval, DefaultVMListInterval)
+	s.DrainTimeout = cmp.Or(s.DrainTimeout, DefaultDrainTimeout)
+	s.Records = cmp.Or(s.Records, DefaultRecords)
+	s.LogLevel = cmp.Or(s.LogLevel, DefaultLogLevel)
 	return s
 }
-
-// orDefault gives v, or def when v is the zero value.
-func orDefault[T comparable](v, def T) T {
-	var zero T
-	if v == zero {
-		return def
-	}
-	return v
-}
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 )
@@ -97,26 +98,17 @@
 
 // withDefaults fills in the zero fields.
 func (c Config) withDefaults() Config {
-	c.ID = or(c.ID, defaultID)
-	c.Layers = or(c.Layers, c.Last+1)
-	c.Rate = or(c.Rate, defaultRate)
-	c.Slots = or(c.Slots, defaultSlots)
-	c.PromptChunk = or(c.PromptChunk, defaultPromptChunk)
-	c.LagMs = or(c.LagMs, defaultLagMs)
-	c.LingerMs = or(c.LingerMs, defaultLingerMs)
-	c.KeepMs = or(c.KeepMs, defaultKeepMs)
-	c.KeepTokens = or(c.KeepTokens, defaultKeepTokens)
-	c.KeepStreams = or(c.KeepStreams, defaultKeepStreams)
-	c.KeepRuns = or(c.KeepRuns, defaultKeepRuns)
-	c.StageTimeoutMs = or(c.StageTimeoutMs, defaultStageTimeout)
+	c.ID = cmp.Or(c.ID, defaultID)
+	c.Layers = cmp.Or(c.Layers, c.Last+1)
+	c.Rate = cmp.Or(c.Rate, defaultRate)
+	c.Slots = cmp.Or(c.Slots, defaultSlots)
+	c.PromptChunk = cmp.Or(c.PromptChunk, defaultPromptChunk)
+	c.LagMs = cmp.Or(c.LagMs, defaultLagMs)
+	c.LingerMs = cmp.Or(c.LingerMs, defaultLingerMs)
+	c.KeepMs = cmp.Or(c.KeepMs, defaultKeepMs)
+	c.KeepTokens = cmp.Or(c.KeepTokens, defaultKeepTokens)
+	c.KeepStreams = cmp.Or(c.KeepStreams, defaultKeepStreams)
+	c.KeepRuns = cmp.Or(c.KeepRuns, defaultKeepRuns)
+	c.StageTimeoutMs = cmp.Or(c.StageTimeoutMs, defaultStageTimeout)
 	return c
 }
-
-// or gives value, or fallback when value is zero.
-func or[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"sync"
 
 	"mimosaarch.example/core/engineapi"
@@ -79,7 +80,7 @@
 	if c.FailStageAfter != nil {
 		f.failArmed = *c.FailStageAfter >= 0
 		f.failAfter = *c.FailStageAfter
-		f.failing = or(c.FailStageCount, 1)
+		f.failing = cmp.Or(c.FailStageCount, 1)
 	}
 	if c.Refuse != nil {
 		f.refuse = *c.Refuse
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 
@@ -60,13 +61,13 @@
 
 // describe lists the members of a set, none started.
 func describe(cfg Config) []*member {
-	modelService := or(cfg.ModelService, ModelService)
-	plainService := or(cfg.PlainService, PlainService)
+	modelService := cmp.Or(cfg.ModelService, ModelService)
+	plainService := cmp.Or(cfg.PlainService, PlainService)
 	out := make([]*member, 0, len(cfg.Engines)+len(cfg.Plains))
 	for i, spec := range cfg.Engines {
 		e := spec.Engine
-		e.ID = or(e.ID, fmt.Sprintf("engine-%d", i))
-		e.Model = or(e.Model, or(cfg.Model, modelService))
+		e.ID = cmp.Or(e.ID, fmt.Sprintf("engine-%d", i))
+		e.Model = cmp.Or(e.Model, cmp.Or(cfg.Model, modelService))
 		if e.Layers == 0 {
 			e.Layers = cfg.Layers
 		}
@@ -77,7 +78,7 @@
 	}
 	for i, spec := range cfg.Plains {
 		s := spec.Plain
-		s.ID = or(s.ID, fmt.Sprintf("plain-%d", i))
+		s.ID = cmp.Or(s.ID, fmt.Sprintf("plain-%d", i))
 		out = append(out, &member{
 			vm:        newVM(s.ID, spec.Zone, platformapi.RolePlain, plainService),
 			plainSpec: s,
@@ -86,14 +87,6 @@
 	return out
 }
 
-// or gives value, or fallback when value is empty.
-func or(value, fallback string) string {
-	if value == "" {
-		return fallback
-	}
-	return value
-}
-
 // newVM makes the entry of a live VM, still without its address.
 func newVM(id, zone, role, service string) platformapi.VM {
 	return platformapi.VM{ID: id, Zone: zone, Role: role, State: platformapi.StateLive, Service: service}
