--- /dev/null
+++ b/adapter/forward/options.go
@@ -0,0 +1,108 @@
+// Package forward carries callers' HTTP requests to upstreams and the answers
+// back, unchanged, over connections kept on both sides. Plain requests go to a
+// replica of a service; streaming ones through a chain of engines, and on to
+// another chain when one breaks, without a caller seeing an event twice.
+//
+// The decisions are those of decide/routing, decide/replica, decide/chain,
+// decide/condition and decide/retry; this package brings them together and does
+// the effects. Names of headers come from the protocol of the deployment, so
+// the package serves any protocol of that shape.
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/retry"
+	"mimosaarch.example/decide/routing"
+)
+
+// Headers name what a protocol carries in headers. All are required.
+type Headers struct {
+	// RequestID names a caller's attempt; upstreams echo it.
+	RequestID string
+	// DeadlineMs is how long the caller waits from now, in ms.
+	DeadlineMs string
+	// Key is the caller's key. Upstreams get Account in its place.
+	Key, Account string
+	// ExpectUpstream makes any other upstream refuse a request.
+	ExpectUpstream string
+	// NotRun marks an upstream's answer as the refusal of a request that it
+	// did not run and never will.
+	NotRun string
+	// FaultyStage names the address of the engine for which a chain refused.
+	FaultyStage string
+	// Stages names the chain of a request.
+	Stages string
+	// Priority ranks a request at an engine, 0 first, 9 last.
+	Priority string
+	// TokenCounts are the prompt's tokens and the most tokens of the answer,
+	// joined by a comma. LengthHint is the caller's guess of the latter.
+	TokenCounts, LengthHint string
+	// LastEventID is the last event of a stream that the caller has.
+	LastEventID string
+	// Model names the model of a request.
+	Model string
+}
+
+// Prober asks an engine for its report. An error means that it did not answer.
+type Prober interface {
+	Probe(ctx context.Context, u *directory.Upstream) (layered.Report, error)
+}
+
+// Options set up a Server. All are required but those that say otherwise.
+type Options struct {
+	Headers Headers
+	// Zone is the node's own.
+	Zone ids.Zone
+	// Table gives the configuration in force, nil before the first.
+	Table func() *routing.Table
+	// View gives the directory of upstreams.
+	View func() *directory.View
+	// Prober asks engines that stall.
+	Prober Prober
+	// Budget bounds retries; it is given the nodes that share it.
+	Budget Budget
+	// Now is the clock of deadlines; it also counts while the VM is frozen.
+	Now func() time.Time
+	// Log takes a line for each decision.
+	Log zerolog.Logger
+	// Metrics counts.
+	Metrics Metrics
+	// Seed starts the random draws among equals.
+	Seed uint64
+}
+
+// Budget is the allowance of sends beyond the first of each request, for each
+// service and for all nodes together.
+type Budget struct {
+	// Ratio is how many such sends are allowed for each request.
+	Ratio float64
+	// Slack is how many are allowed in a window beside that.
+	Slack float64
+	// Window is the time over which they are counted.
+	Window time.Duration
+}
+
+// slackPart is the part of its slack that a node uses in steady state: the
+// budget fades exponentially, and a burst after a quiet time can spend the
+// whole allowance and a fading part of it again within one window, together
+// 1 + (1 - 1/e) times as much.
+const slackPart = 0.6
+
+// share gives a node's part of the budget among so many.
+func (b Budget) share(nodes int) (ratio, perSecond float64) {
+	perSecond = b.Slack * slackPart / float64(max(nodes, 1)) / retry.BudgetWindow.Seconds()
+	return b.Ratio * slackPart, perSecond
+}
+
+// Metrics counts events and durations by name.
+type Metrics interface {
+	Add(name string, n int64)
+	Took(name string, d time.Duration)
+}
--- /dev/null
+++ b/adapter/forward/picker.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"mimosaarch.example/core/fleet"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/condition"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/replica"
+	"mimosaarch.example/decide/retry"
+)
+
+// picker holds the decisions that requests share, behind one lock.
+type picker struct {
+	opts Options
+
+	mu         sync.Mutex
+	nodes      int
+	conditions *condition.Table
+	chains     *chain.Book
+	replicas   *replica.Book
+	budgets    map[ids.Service]*retry.Budget
+}
+
+// newPicker makes a picker for a node that stands alone.
+func newPicker(o Options) *picker {
+	conditions := condition.New()
+	return &picker{
+		opts:       o,
+		nodes:      1,
+		conditions: conditions,
+		chains:     chain.New(conditions),
+		replicas:   replica.New(conditions),
+		budgets:    make(map[ids.Service]*retry.Budget),
+	}
+}
+
+// setNodes tells how many nodes share upstreams and budget.
+func (p *picker) setNodes(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nodes = max(n, 1)
+	p.chains.SetFleet(n)
+	p.replicas.SetFleet(n)
+	for _, b := range p.budgets {
+		b.SetPolicy(p.policy())
+	}
+}
+
+// policy is the node's part of the retry budget.
+func (p *picker) policy() fleet.RetryPolicy {
+	ratio, perSecond := p.opts.Budget.share(p.nodes)
+	return fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond}
+}
+
+// budget gives the budget of a service.
+func (p *picker) budget(service ids.Service) *retry.Budget {
+	b := p.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(p.policy())
+		p.budgets[service] = b
+	}
+	return b
+}
+
+// first counts the first send of a request.
+func (p *picker) first(service ids.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(service).First(p.opts.Now())
+}
+
+// again takes one further send from the budget.
+func (p *picker) again(service ids.Service, reason outcome.Reason) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(service).Allow(p.opts.Now(), reason)
+}
+
+// chain chooses the chain of a request and counts it there.
+func (p *picker) chain(m *layered.Model, view *directory.View, r chain.Request) (chain.Chain, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, err := p.chains.Choose(p.opts.Now(), m, view, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := chain.Check(c, m.Layers); err != nil {
+		return nil, err
+	}
+	p.chains.Began(c, r)
+	return c, nil
+}
+
+// hasChain reports whether a chain for a request is there. It counts nothing.
+func (p *picker) hasChain(m *layered.Model, view *directory.View, r chain.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, err := p.chains.Choose(p.opts.Now(), m, view, r)
+	return err == nil
+}
+
+// chainEnded takes a request off its chain.
+func (p *picker) chainEnded(c chain.Chain, r chain.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chains.Ended(c, r)
+}
+
+// replica chooses the upstream of a plain request and counts it there; nil if
+// none may take it.
+func (p *picker) replica(list []*directory.Upstream, avoid map[ids.Upstream]bool, draw float64) *directory.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.replicas.Choose(p.opts.Now(), list, p.opts.Zone, avoid, draw)
+	if u != nil {
+		p.replicas.Began(u.ID)
+	}
+	return u
+}
+
+// replicaEnded takes a request off its upstream.
+func (p *picker) replicaEnded(id ids.Upstream, took time.Duration, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replicas.Ended(p.opts.Now(), id, took, failed)
+}
+
+// failed tells that an upstream did not answer.
+func (p *picker) failed(u *directory.Upstream, reason outcome.Reason) {
+	p.mu.Lock()
+	news := p.conditions.Failed(p.opts.Now(), u.ID)
+	p.mu.Unlock()
+	if news {
+		p.opts.Metrics.Add("upstream.suspected", 1)
+		p.opts.Log.Info().Str("event", "upstream_suspected").Str("upstream", string(u.ID)).
+			Str("address", u.Address).Str("reason", string(reason)).Send()
+	}
+}
+
+// answered tells that an upstream answered.
+func (p *picker) answered(u *directory.Upstream) {
+	p.mu.Lock()
+	news := p.conditions.Answered(p.opts.Now(), u.ID)
+	p.mu.Unlock()
+	if news {
+		p.opts.Log.Info().Str("event", "upstream_back").Str("upstream", string(u.ID)).Str("address", u.Address).Send()
+	}
+}
+
+// paced takes an upstream's word about its pace.
+func (p *picker) paced(u *directory.Upstream, pace float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conditions.Paced(p.opts.Now(), u.ID, pace)
+}
+
+// suspected reports whether an upstream should get nothing now.
+func (p *picker) suspected(id ids.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conditions.Suspected(p.opts.Now(), id)
+}
+
+// forget drops what is known of an upstream that is gone.
+func (p *picker) forget(id ids.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conditions.Forget(id)
+	p.chains.Forget(id)
+	p.replicas.Forget(id)
+}
--- /dev/null
+++ b/adapter/forward/probe.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/directory"
+)
+
+// Bounds of probes.
+const (
+	// probeTimeout is the longest wait for an engine's report. Engines give it
+	// without a slot, within some ms; the rest is for a busy node.
+	probeTimeout = 120 * time.Millisecond
+	// probeFresh is how long a probe's outcome answers for the next: a stage
+	// that dies stalls many streams at once, and one probe tells all of them.
+	probeFresh = 250 * time.Millisecond
+	// slowPace is the pace from which on an engine is as good as stalled.
+	slowPace = 3.0
+)
+
+// prober asks the engines of chains that stalled.
+type prober struct {
+	opts  Options
+	picks *picker
+
+	mu     sync.Mutex
+	latest map[ids.Upstream]*probe
+}
+
+// probe is one question to an engine.
+type probe struct {
+	at   time.Time
+	done chan struct{}
+	// dead and pace are set once done is closed.
+	dead bool
+	pace float64
+}
+
+// newProber makes a prober.
+func newProber(o Options, picks *picker) *prober {
+	return &prober{opts: o, picks: picks, latest: make(map[ids.Upstream]*probe)}
+}
+
+// ask probes the engines of a chain that were not probed just now, and gives
+// those that did not answer or are so slow that the chain is as good as
+// stalled.
+func (p *prober) ask(ctx context.Context, c chain.Chain) (bad []*directory.Upstream) {
+	probes := make([]*probe, len(c))
+	for i, h := range c {
+		probes[i] = p.one(ctx, h.Engine)
+	}
+	for i, h := range c {
+		<-probes[i].done
+		if probes[i].dead || probes[i].pace >= slowPace {
+			bad = append(bad, h.Engine)
+		}
+	}
+	return bad
+}
+
+// one gives the latest probe of an engine, begun now if there is no fresh one.
+func (p *prober) one(ctx context.Context, u *directory.Upstream) *probe {
+	now := p.opts.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if latest := p.latest[u.ID]; latest != nil && now.Sub(latest.at) < probeFresh {
+		return latest
+	}
+	fresh := &probe{at: now, done: make(chan struct{})}
+	p.latest[u.ID] = fresh
+	// The probe is for all that wait for it, whoever asked first.
+	go p.run(context.WithoutCancel(ctx), u, fresh)
+	return fresh
+}
+
+// run asks one engine and notes what it says.
+func (p *prober) run(ctx context.Context, u *directory.Upstream, out *probe) {
+	defer close(out.done)
+	limit, done := context.WithTimeout(ctx, probeTimeout)
+	defer done()
+	p.opts.Metrics.Add("upstream.probes", 1)
+	report, err := p.opts.Prober.Probe(limit, u)
+	if err != nil {
+		out.dead = true
+		p.picks.failed(u, outcome.UpstreamLost)
+		return
+	}
+	out.pace = report.Pace
+	p.picks.answered(u)
+	p.picks.paced(u, report.Pace)
+	if report.Pace >= slowPace {
+		p.opts.Log.Info().Str("event", "upstream_slow").Str("upstream", string(u.ID)).Float64("pace", report.Pace).Send()
+	}
+}
--- /dev/null
+++ b/adapter/forward/stream.go
@@ -0,0 +1,335 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"mimosaarch.example/adapter/upconn"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// Waits of streams, after which the engines of the chain are asked whether they
+// live. They are parts of the route's own objectives, so that a chain is left
+// before its caller notices.
+const (
+	// firstPart of the objective is waited for the first event.
+	firstPart = 0.4
+	// pausePart of the longest pause is waited for the next.
+	pausePart = 0.4
+	// leastWait keeps short objectives from asking for usual pauses.
+	leastWait = 60 * time.Millisecond
+	// patienceFactor of these waits ends an attempt even if all engines live:
+	// the connection itself may have gone silent.
+	patienceFactor = 12
+	// defaultObjective and defaultPause stand for objectives that are not set.
+	defaultObjective = time.Second
+	defaultPause     = 500 * time.Millisecond
+)
+
+// stream is what a streaming request is at, over all its attempts.
+type stream struct {
+	x     *exchange
+	model *layered.Model
+	req   chain.Request
+	seq   sequence
+	// firstAt is when the first event was passed on.
+	firstAt time.Time
+	refused int
+}
+
+// stream serves a request that is answered by events.
+func (x *exchange) stream(ctx context.Context, table *routing.Table) {
+	s := &stream{x: x}
+	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Upstream]bool)}
+	if service := table.Service(x.service); service != nil {
+		s.model = service.Model
+	}
+	s.size()
+	if id, err := strconv.ParseInt(string(x.req.Header.Peek(x.server.opts.Headers.LastEventID)), 10, 64); err == nil {
+		s.seq = sequence{last: id, begun: true}
+	}
+	for {
+		failed := s.attempt(ctx)
+		if failed == nil || x.ended(ctx) || !s.next(failed) {
+			return
+		}
+	}
+}
+
+// size finds what the request needs, by its headers or else by the mean.
+func (s *stream) size() {
+	s.req.Prompt, s.req.Answer = s.x.parseTokens()
+	if s.model == nil {
+		return
+	}
+	if s.req.Prompt == 0 {
+		s.req.Prompt = s.model.Prompt
+	}
+	if s.req.Answer == 0 {
+		s.req.Answer = s.model.Answer
+	}
+}
+
+// next decides what follows a failed attempt; if nothing, it answers.
+func (s *stream) next(failed *failure) bool {
+	x := s.x
+	var none *chain.NoChainError
+	if errors.As(failed.cause, &none) {
+		x.giveUp(outcome.NoUpstream, none.Error(), noUpstreamAfter)
+		return false
+	}
+	if failed.phase.ProvesNotRun() {
+		if s.refused++; s.refused >= maxRefusals {
+			x.giveUp(failed.reason, failed.Error(), busyAfter)
+			return false
+		}
+	}
+	return x.again(failed)
+}
+
+// attempt sends the request through one chain and passes its events on. It
+// gives nil once the caller was answered.
+func (s *stream) attempt(ctx context.Context) *failure {
+	x := s.x
+	c, failed := s.choose()
+	if failed != nil {
+		return failed
+	}
+	req := s.req
+	defer x.server.picks.chainEnded(c, req)
+	first := c[0].Engine
+	x.log("chain").Str("chain", c.String()).Str("upstream", string(first.ID)).Str("route", x.route.Name).
+		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
+	w := &streamWait{s: s, ctx: ctx, chain: c}
+	a, failed := x.begin(ctx, first, x.compose(first, s.headers(c)), w.wait)
+	if failed == nil {
+		failed = s.relay(a, w)
+	}
+	if failed != nil {
+		s.blame(c, failed)
+	}
+	return failed
+}
+
+// choose picks the chain: of engines that hold layers, or of one upstream where
+// the service has no model of layers.
+func (s *stream) choose() (chain.Chain, *failure) {
+	x := s.x
+	if s.model == nil {
+		u := x.server.picks.replica(x.server.opts.View().Of(x.service), s.req.Avoid, x.draw())
+		if u == nil {
+			return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: &chain.NoChainError{Service: x.service}}
+		}
+		return chain.Chain{{Engine: u}}, nil
+	}
+	c, err := x.server.picks.chain(s.model, x.server.opts.View(), s.req)
+	if err != nil {
+		return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: err}
+	}
+	return c, nil
+}
+
+// headers gives the headers of a send through a chain.
+func (s *stream) headers(c chain.Chain) func([]byte) []byte {
+	h := &s.x.server.opts.Headers
+	return func(out []byte) []byte {
+		if s.model != nil {
+			out = appendHeader(out, h.Stages, c.String())
+		}
+		if s.seq.begun {
+			out = appendHeader(out, h.LastEventID, strconv.FormatInt(s.seq.last, 10))
+		}
+		return appendHeader(out, h.Priority, strconv.Itoa(level(s.x.route.PriorityOf(s.x.account))))
+	}
+}
+
+// relay reads the answer of one attempt and passes its events on.
+func (s *stream) relay(a *attempt, w *streamWait) *failure {
+	x := s.x
+	if failed := a.head(); failed != nil {
+		return failed
+	}
+	if status := a.answer.Head.StatusCode(); status != 200 {
+		return s.other(a)
+	}
+	in := &events{r: bufio.NewReaderSize(a.answer, eventBuffer)}
+	for {
+		ev, err := in.next()
+		if errors.Is(err, io.EOF) {
+			return s.finish(a)
+		}
+		if err != nil {
+			return a.lost(err)
+		}
+		pass, err := s.seq.take(ev)
+		if err != nil {
+			a.abandon()
+			return &failure{phase: outcome.Started, reason: outcome.LedgerViolation, cause: err}
+		}
+		w.progress()
+		if !pass {
+			continue
+		}
+		if err := s.pass(a, ev); err != nil {
+			a.abandon()
+			x.gone()
+			return nil
+		}
+	}
+}
+
+// eventBuffer holds usual events whole, in bytes.
+const eventBuffer = 1 << 10
+
+// other passes on an answer that is no stream: an engine's own failure.
+func (s *stream) other(a *attempt) *failure {
+	body, err := a.answer.Body()
+	if err != nil {
+		return a.lost(err)
+	}
+	a.keep()
+	if s.x.written {
+		return &failure{phase: outcome.Started, reason: outcome.UpstreamInvalid, cause: &StatusError{a.answer.Head.StatusCode()}}
+	}
+	s.x.answerPlain(a.u, a.answer, body)
+	return nil
+}
+
+// pass writes one event to the caller, with the head before the first.
+func (s *stream) pass(a *attempt, ev event) error {
+	c := s.x.client
+	if s.x.written {
+		c.out = c.out[:0]
+	} else {
+		c.copyHead(&a.answer.Head)
+		c.addHeader("Transfer-Encoding", "chunked")
+		c.endHead()
+		s.x.written = true
+		s.firstAt = s.x.server.opts.Now()
+		s.x.server.opts.Metrics.Took("stream.first_event", s.firstAt.Sub(s.x.arrived))
+	}
+	c.out = strconv.AppendInt(c.out, int64(len(ev.bytes)), 16)
+	c.out = append(c.out, "\r\n"...)
+	c.out = append(c.out, ev.bytes...)
+	c.out = append(c.out, "\r\n"...)
+	return c.write(c.out)
+}
+
+// finish ends the answer after the stream's last event.
+func (s *stream) finish(a *attempt) *failure {
+	x := s.x
+	a.keep()
+	c := x.client
+	if !x.written {
+		c.copyHead(&a.answer.Head)
+		c.addHeader("Transfer-Encoding", "chunked")
+		c.endHead()
+		x.written = true
+	} else {
+		c.out = c.out[:0]
+	}
+	c.out = append(c.out, "0\r\n\r\n"...)
+	if err := c.write(c.out); err != nil {
+		x.gone()
+		return nil
+	}
+	x.done(a.answer.Head.StatusCode(), a.u)
+	return nil
+}
+
+// blame notes what a failed attempt says about the engines of its chain.
+func (s *stream) blame(c chain.Chain, failed *failure) {
+	x := s.x
+	if !failed.phase.ProvesNotRun() {
+		x.mayHaveRun = true
+		x.ran = append(x.ran, c[0].Engine)
+	}
+	if failed.reason == outcome.ConnectFailed {
+		s.req.Avoid[c[0].Engine.ID] = true
+	}
+	for _, h := range c {
+		if h.Engine.Address == failed.culprit {
+			s.req.Avoid[h.Engine.ID] = true
+			x.server.picks.failed(h.Engine, failed.reason)
+		}
+	}
+}
+
+// streamWait decides how long a stream waits for its next bytes.
+type streamWait struct {
+	s     *stream
+	ctx   context.Context
+	chain chain.Chain
+	begun bool
+}
+
+// progress tells that an event came.
+func (w *streamWait) progress() { w.begun = true }
+
+// patience gives the usual wait.
+func (w *streamWait) patience() time.Duration {
+	route := w.s.x.route
+	if !w.begun {
+		objective := route.Objective
+		if objective <= 0 {
+			objective = defaultObjective
+		}
+		return max(time.Duration(float64(objective)*firstPart), leastWait)
+	}
+	pause := route.PauseObjective
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	return max(time.Duration(float64(pause)*pausePart), leastWait)
+}
+
+// wait is the upconn.Watch of a stream: once the usual wait is over, the
+// engines of the chain are asked. The attempt ends if one is dead and the
+// request may go on elsewhere.
+func (w *streamWait) wait(waited time.Duration) (time.Duration, error) {
+	patience := w.patience()
+	if waited == 0 || !w.s.x.route.MayRepeat() || w.s.model == nil {
+		return patience, nil
+	}
+	bad := w.s.x.server.probe.ask(w.ctx, w.chain)
+	if len(bad) == 0 && waited < patienceFactor*patience {
+		return patience, nil
+	}
+	if !w.mayLeave(bad) {
+		return patience, nil
+	}
+	for _, u := range bad {
+		w.s.req.Avoid[u.ID] = true
+	}
+	return 0, &upconn.SilentError{For: waited}
+}
+
+// mayLeave reports whether the request may run once more and a chain without
+// the bad engines is there.
+func (w *streamWait) mayLeave(bad []*directory.Upstream) bool {
+	x := w.s.x
+	runs := x.runs()
+	if !slices.Contains(bad, w.chain[0].Engine) {
+		runs++
+	}
+	if runs >= x.route.Attempts() {
+		return false
+	}
+	req := w.s.req
+	req.Avoid = maps.Clone(req.Avoid)
+	for _, u := range bad {
+		req.Avoid[u.ID] = true
+	}
+	return x.server.picks.hasChain(w.s.model, x.server.opts.View(), req)
+}
--- /dev/null
+++ b/adapter/leader/leader.go
@@ -0,0 +1,118 @@
+// Package leader keeps a lease by calls to a store, for a duty that one node of
+// the fleet does at a time. decide/lease makes the decisions.
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/decide/lease"
+)
+
+// Store makes the calls of a lease. Every failure is an Answer too.
+type Store interface {
+	Call(ctx context.Context, c lease.Command) lease.Answer
+}
+
+// Options set up a Keeper.
+type Options struct {
+	Lease lease.Options
+	Store Store
+	// Now is the clock of the lease; it also counts while the VM is frozen.
+	Now func() time.Time
+	// Log takes a line when the lease is gained or lost.
+	Log zerolog.Logger
+}
+
+const (
+	// tickPart is the part of the lease's duration between two looks at it.
+	tickPart = 40
+	// callPart is the part of the lease's duration that one call may take.
+	callPart = 4
+)
+
+// Keeper seeks and keeps the lease. Make it with New, and let Run run. Any
+// goroutine may call the other methods.
+type Keeper struct {
+	opts Options
+
+	mu    sync.Mutex
+	lease *lease.Lease
+}
+
+// New makes a Keeper; it calls nothing before Run.
+func New(o Options) *Keeper {
+	return &Keeper{opts: o, lease: lease.New(o.Lease)}
+}
+
+// Run keeps the lease until ctx ends. The lease lapses by itself afterwards.
+func (k *Keeper) Run(ctx context.Context) {
+	duration := k.opts.Lease.Duration
+	ticker := time.NewTicker(duration / tickPart)
+	defer ticker.Stop()
+	held := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.turn(ctx, duration/callPart)
+			held = k.tell(held)
+		}
+	}
+}
+
+// turn makes the call that is due.
+func (k *Keeper) turn(ctx context.Context, within time.Duration) {
+	k.mu.Lock()
+	// The clock is read with the lock held: a write's lease counts from here.
+	command := k.lease.Tick(k.opts.Now())
+	k.mu.Unlock()
+	if command == nil {
+		return
+	}
+	limit, done := context.WithTimeout(ctx, within)
+	defer done()
+	answer := k.opts.Store.Call(limit, command)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease.Answered(k.opts.Now(), answer)
+}
+
+// tell logs a change.
+func (k *Keeper) tell(before bool) bool {
+	s := k.Status()
+	if s.Held == before {
+		return before
+	}
+	event := "lease_lost"
+	if s.Held {
+		event = "lease_gained"
+	}
+	k.opts.Log.Info().Str("event", event).Int64("fence", s.Fence).Dur("left_ms", s.Left).Send()
+	return s.Held
+}
+
+// Status tells whether this node holds the lease now.
+func (k *Keeper) Status() lease.Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.State(k.opts.Now())
+}
+
+// StepDown ends the own term, as somebody with a later one was heard of.
+func (k *Keeper) StepDown() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease.StepDown()
+}
+
+// Leave gives the lease back with the next call.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease.GiveUp()
+}
--- /dev/null
+++ b/adapter/listwatch/listwatch.go
@@ -0,0 +1,197 @@
+// Package listwatch follows a collection of objects in a store that is listed
+// once and then watched for changes.
+//
+// The follower lists again when the store has forgotten the history in between
+// and after any failure.
+// Waits are bounded, so that a connection which went silent
+// is noticed within one wait.
+package listwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// HistoryError tells that the store no longer has the changes since a revision.
+type HistoryError struct{ Since int64 }
+
+// Error implements error.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("the store has forgotten the changes since revision %d", e.Since)
+}
+
+// List is a whole collection as of Revision.
+type List[T any] struct {
+	Items    []T
+	Revision int64
+}
+
+// Removal tells that the object of a name was removed at Revision.
+type Removal struct {
+	Name     string
+	Revision int64
+}
+
+// Event is one change: Put is set, or else Removed is.
+type Event[T any] struct {
+	Put     *T
+	Removed Removal
+}
+
+// Changes are the changes up to Revision, in order.
+type Changes[T any] struct {
+	Events   []Event[T]
+	Revision int64
+}
+
+// Source is one collection of a store.
+type Source[T any] interface {
+	// List reads the collection.
+	List(ctx context.Context) (List[T], error)
+	// Watch waits, for at most the given time, until something changed after a
+	// revision. A *HistoryError means that a list is needed.
+	Watch(ctx context.Context, since int64, wait time.Duration) (Changes[T], error)
+}
+
+// Sink takes what the store says. One goroutine calls it.
+type Sink[T any] interface {
+	Listed(list List[T])
+	Changed(changes Changes[T])
+	// Lost tells that the store does not answer; it is called after each
+	// failed call. Returned tells that it answers again, before its list.
+	Lost(err error)
+	Returned()
+}
+
+// Options set up a Follower. Zero values stand for the defaults.
+type Options struct {
+	// Name is the collection's, for logs.
+	Name string
+	// Wait is how long one watch waits. Default 2s: a silent connection must
+	// be noticed before what it hides is needed.
+	Wait time.Duration
+	// Pause is the least time between two watches, so that many changes come
+	// in one answer. Default 50ms.
+	Pause time.Duration
+	// Backoff is the wait after a first failure; it doubles up to MaxBackoff.
+	// Defaults 100ms and 800ms.
+	Backoff, MaxBackoff time.Duration
+	// Log takes a line when the store is lost and when it is back.
+	Log zerolog.Logger
+	// Seed starts the random source that spreads calls.
+	Seed uint64
+}
+
+// Defaults of Options.
+const (
+	defaultWait       = 2 * time.Second
+	defaultPause      = 50 * time.Millisecond
+	defaultBackoff    = 100 * time.Millisecond
+	defaultMaxBackoff = 800 * time.Millisecond
+)
+
+// Follower follows one collection. Make it with New, and let Run run.
+type Follower[T any] struct {
+	source Source[T]
+	sink   Sink[T]
+	opts   Options
+	rand   *rand.Rand
+	lost   bool
+	fails  int
+}
+
+// New makes a Follower.
+func New[T any](source Source[T], sink Sink[T], o Options) *Follower[T] {
+	setDefault(&o.Wait, defaultWait)
+	setDefault(&o.Pause, defaultPause)
+	setDefault(&o.Backoff, defaultBackoff)
+	setDefault(&o.MaxBackoff, defaultMaxBackoff)
+	return &Follower[T]{source: source, sink: sink, opts: o, rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
+}
+
+// seedStream is the second half of the random source's seed.
+const seedStream = 0x6c697374
+
+// setDefault fills in an unset duration.
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := f.source.List(ctx)
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered()
+		f.sink.Listed(list)
+		f.follow(ctx, list.Revision)
+	}
+}
+
+// follow watches on from a revision until a list is needed.
+func (f *Follower[T]) follow(ctx context.Context, revision int64) {
+	for ctx.Err() == nil {
+		changes, err := f.source.Watch(ctx, revision, f.opts.Wait)
+		var history *HistoryError
+		if errors.As(err, &history) {
+			f.opts.Log.Info().Str("event", "history_lost").Str("kind", f.opts.Name).Int64("revision", revision).Send()
+			return
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			return
+		}
+		f.answered()
+		if len(changes.Events) > 0 {
+			f.sink.Changed(changes)
+			pause(ctx, f.opts.Pause)
+		}
+		revision = max(revision, changes.Revision)
+	}
+}
+
+// failed notes a failure and waits.
+func (f *Follower[T]) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !f.lost {
+		f.opts.Log.Warn().Str("event", "store_lost").Str("kind", f.opts.Name).Err(err).Send()
+	}
+	f.lost = true
+	f.sink.Lost(err)
+	wait := min(f.opts.Backoff<<min(f.fails, 10), f.opts.MaxBackoff)
+	f.fails++
+	pause(ctx, wait/2+time.Duration(f.rand.Int64N(int64(wait))))
+}
+
+// answered notes that the store answers.
+func (f *Follower[T]) answered() {
+	f.fails = 0
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.opts.Log.Info().Str("event", "store_back").Str("kind", f.opts.Name).Send()
+	f.sink.Returned()
+}
+
+// pause waits unless ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/adapter/relay/relay.go
@@ -0,0 +1,121 @@
+// Package relay hands the newest configuration and directory from node to node,
+// for nodes that the platform's store turns away while it serves others.
+//
+// A node that lost the store asks its peers in turn; one that has it asks
+// nobody. Both documents carry versions and only go forward, so a peer that is
+// itself behind does no harm. Calls are JSON-RPC over TCP.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"mimosaarch.example/adapter/upconn"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// methodNews asks a node for what is newer than the asker's.
+const methodNews = "news"
+
+// Bounds of calls.
+const (
+	// callTimeout bounds a whole call, the connection included.
+	callTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the connection, so that one dead peer costs little.
+	dialTimeout = 150 * time.Millisecond
+)
+
+// Have tells what the asker has.
+type Have struct {
+	// ConfigVersion is the version of its configuration, 0 for none.
+	ConfigVersion int64 `json:"config_version"`
+	// Revision is that of its directory.
+	Revision int64 `json:"revision"`
+}
+
+// News is what a node has that is newer.
+type News struct {
+	// Config is nil where the asker's is as new.
+	Config *routing.Config `json:"config,omitempty"`
+	// Upstreams is the whole directory as of Revision; not set where the
+	// asker's is as new.
+	Upstreams []directory.Upstream `json:"upstreams,omitempty"`
+	Revision  int64                `json:"revision,omitempty"`
+}
+
+// Source answers peers. Any goroutine may call it.
+type Source interface {
+	News(have Have) News
+}
+
+// Serve answers peers until l is closed, whose error it gives.
+func Serve(ctx context.Context, l net.Listener, source Source) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+			_ = conn.Close() // it carried nothing
+			continue
+		}
+		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(answer(source)))
+	}
+}
+
+// answer handles one call.
+func answer(source Source) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		if r.Method != methodNews || r.Params == nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
+		}
+		var have Have
+		if err := json.Unmarshal(*r.Params, &have); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return source.News(have), nil
+	}
+}
+
+// CallError tells that a peer did not answer.
+type CallError struct {
+	Peer  string
+	Cause error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return "peer " + e.Peer + ": " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// Ask asks the peer at an address for its news. The error is a *CallError.
+func Ask(ctx context.Context, peer string, have Have) (News, error) {
+	limit, done := context.WithTimeout(ctx, callTimeout)
+	defer done()
+	dialer := net.Dialer{Timeout: dialTimeout, Control: upconn.GuardSilence}
+	conn, err := dialer.DialContext(limit, "tcp", peer)
+	if err != nil {
+		return News{}, &CallError{peer, err}
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(limit, stream, jsonrpc2.HandlerWithError(answer(nothing{})))
+	defer rpc.Close()
+	var news News
+	if err := rpc.Call(limit, methodNews, have, &news); err != nil {
+		return News{}, &CallError{peer, err}
+	}
+	return news, nil
+}
+
+// nothing answers a peer that asks back, which none does.
+type nothing struct{}
+
+// News implements Source.
+func (nothing) News(Have) News { return News{} }
--- /dev/null
+++ b/adapter/upconn/conn.go
@@ -0,0 +1,135 @@
+// Package upconn keeps connections to upstreams and does one HTTP exchange at a
+// time on each. Nothing is sent twice by itself: what became of a request that
+// met a broken connection is the caller's to judge.
+//
+// A connection is reused only after a whole answer, framed by its length or by
+// chunks, and only while nothing came on it since. Reads are bounded by a watch
+// that the user sets, so that a connection which went silent is noticed.
+package upconn
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"mimosaarch.example/core/ids"
+)
+
+// Target names the upstream that a connection leads to.
+type Target struct {
+	ID      ids.Upstream
+	Address string
+}
+
+// DialError tells that no connection could be made; nothing was sent.
+type DialError struct {
+	Target Target
+	// Refused: the VM answered that nothing listens there.
+	Refused bool
+	Cause   error
+}
+
+// Error implements error.
+func (e *DialError) Error() string {
+	return fmt.Sprintf("connect to %s: %v", e.Target.Address, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// SilentError tells that nothing came for longer than the watch allows.
+type SilentError struct{ For time.Duration }
+
+// Error implements error.
+func (e *SilentError) Error() string { return fmt.Sprintf("nothing came for %v", e.For) }
+
+// Watch bounds a wait for bytes. It is asked each time that nothing came for
+// the duration it gave before; waited is the whole time so far. It gives how
+// long to wait on, or an error that ends the wait.
+type Watch func(waited time.Duration) (time.Duration, error)
+
+// Conn is one connection. One goroutine uses it at a time; Abort may be called
+// by any.
+type Conn struct {
+	net    net.Conn
+	raw    syscall.RawConn
+	r      *bufio.Reader
+	target Target
+	// usedAt is when its last exchange ended; idleFor how long it may be kept.
+	usedAt  time.Time
+	idleFor time.Duration
+	reused  bool
+	watch   Watch
+}
+
+// Target tells where the connection leads.
+func (c *Conn) Target() Target { return c.target }
+
+// Reused reports whether an exchange was done on it before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// Reader gives what comes from the upstream.
+func (c *Conn) Reader() *bufio.Reader { return c.r }
+
+// Guard sets the watch for the reads that follow.
+func (c *Conn) Guard(w Watch) { c.watch = w }
+
+// Read implements io.Reader for the connection's own buffer.
+func (c *Conn) Read(p []byte) (int, error) {
+	var waited time.Duration
+	for {
+		wait, err := c.watch(waited)
+		if err != nil {
+			return 0, err
+		}
+		if err := c.net.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+		n, err := c.net.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		waited += wait
+	}
+}
+
+// Write sends bytes, within the given time.
+func (c *Conn) Write(p []byte, within time.Duration) error {
+	if err := c.net.SetWriteDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	_, err := c.net.Write(p)
+	return err
+}
+
+// Abort makes a read or write under way end, and asks its watch again.
+func (c *Conn) Abort() {
+	// A connection that is closed already needs no deadline.
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	// The peer learns of it either way; there is nobody to tell a failure.
+	_ = c.net.Close()
+}
+
+// clean reports whether nothing came since the last exchange: no bytes that
+// belong to no request, and no end.
+func (c *Conn) clean() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var next [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/adapter/upconn/pool.go
@@ -0,0 +1,143 @@
+package upconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mimosaarch.example/core/ids"
+)
+
+// Bounds of connections.
+const (
+	// connectTimeout is the longest wait for a new connection. Zones are a few
+	// ms apart, so one lost packet (sent again after a second) ends it.
+	connectTimeout = 250 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged (TCP).
+	userTimeout = 2 * time.Second
+	// readBuffer holds the head of an answer, in bytes.
+	readBuffer = 4 << 10
+	// maxIdle is the most idle connections kept for one upstream.
+	maxIdle = 64
+	// defaultIdle is how long a connection is kept where the upstream does not
+	// say; idlePart is the part of the time it says, as both clocks run on.
+	defaultIdle = 4 * time.Second
+	idlePart    = 0.7
+)
+
+// Pool keeps idle connections by upstream. Any goroutine may call its methods.
+type Pool struct {
+	now func() time.Time
+	// Opened is told of each new connection; may be nil.
+	opened func(Target)
+
+	mu   sync.Mutex
+	idle map[Target][]*Conn
+}
+
+// NewPool makes an empty pool with a clock. opened may be nil.
+func NewPool(now func() time.Time, opened func(Target)) *Pool {
+	return &Pool{now: now, opened: opened, idle: make(map[Target][]*Conn)}
+}
+
+// Get gives a connection for one exchange: an idle one that is still sound, or
+// a new one. The error is a *DialError.
+func (p *Pool) Get(ctx context.Context, t Target) (*Conn, error) {
+	for {
+		c := p.take(t)
+		if c == nil {
+			return p.Dial(ctx, t)
+		}
+		if p.now().Sub(c.usedAt) < c.idleFor && c.clean() {
+			c.reused = true
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// take removes the idle connection that was used last.
+func (p *Pool) take(t Target) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[t]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[t] = list[:len(list)-1]
+	return c
+}
+
+// Dial makes a new connection. The error is a *DialError.
+func (p *Pool) Dial(ctx context.Context, t Target) (*Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, Control: guardSilence, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, &DialError{Target: t, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
+	}
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = conn.Close() // it never carried anything
+		return nil, &DialError{Target: t, Cause: err}
+	}
+	if p.opened != nil {
+		p.opened(t)
+	}
+	c := &Conn{net: conn, raw: raw, target: t, idleFor: defaultIdle}
+	c.r = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
+}
+
+// guardSilence makes the kernel give up on a peer that acknowledges nothing.
+func guardSilence(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
+// GuardSilence is for net.ListenConfig and net.Dialer: connections end when
+// sent bytes stay unacknowledged for two seconds.
+func GuardSilence(network, address string, raw syscall.RawConn) error {
+	return guardSilence(network, address, raw)
+}
+
+// Put keeps a connection after a whole answer. idle is the time after which the
+// upstream closes it by its own word; 0 where it said nothing.
+func (p *Pool) Put(c *Conn, idle time.Duration) {
+	c.usedAt = p.now()
+	if idle > 0 {
+		c.idleFor = time.Duration(float64(idle) * idlePart)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.target]
+	if len(list) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.target] = append(list, c)
+}
+
+// Forget closes the idle connections of an upstream.
+func (p *Pool) Forget(id ids.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for t, list := range p.idle {
+		if t.ID != id {
+			continue
+		}
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, t)
+	}
+}
--- /dev/null
+++ b/core/layered/layered.go
@@ -0,0 +1,114 @@
+// Package layered describes models whose layers are spread over several
+// accelerators: the shape of a model, the kinds of accelerators, and the ranges
+// of layers that engines hold.
+package layered
+
+import "fmt"
+
+// Range is the layers From up to, not including, To. The zero Range is empty.
+type Range struct {
+	From, To int
+}
+
+// Len gives the number of layers.
+func (r Range) Len() int { return max(r.To-r.From, 0) }
+
+// Empty reports whether the range has no layers.
+func (r Range) Empty() bool { return r.To <= r.From }
+
+// Covers reports whether every layer of o is in r.
+func (r Range) Covers(o Range) bool { return r.From <= o.From && o.To <= r.To }
+
+// String implements fmt.Stringer.
+func (r Range) String() string { return fmt.Sprintf("%d-%d", r.From, r.To) }
+
+// Card is a kind of accelerator.
+type Card struct {
+	// MemoryMB holds weights and the KV cache of requests.
+	MemoryMB float64
+	// StepFactor multiplies the time of a decoding step.
+	StepFactor float64
+	// ReadFactor multiplies the time of reading a prompt.
+	ReadFactor float64
+}
+
+// Model is a model and the pace of its engines. Times are for all layers on a
+// card of factor 1; a pass over a part of the layers takes that part of them.
+type Model struct {
+	// Layers is the number of layers of the model.
+	Layers int
+	// LayerMB is the weight of one layer, in MB.
+	LayerMB float64
+	// KVTokenBytes is the KV cache of one token in all layers, in bytes.
+	KVTokenBytes float64
+	// StepMs is the time of one decoding step, in ms.
+	StepMs float64
+	// PerSequenceMs is added to a step for each request that is writing.
+	PerSequenceMs float64
+	// PerContextMs is added to a step for each 1,000 tokens of context.
+	PerContextMs float64
+	// ReadPerMs is how many prompt tokens are read in a ms.
+	ReadPerMs float64
+	// Stride is how many steps one pass makes.
+	Stride int
+	// Slots is how many requests an engine works on at once.
+	Slots int
+	// LoadSeconds is the time to load all layers, in s.
+	LoadSeconds float64
+	// Prompt and Answer are the mean sizes of requests, in tokens.
+	Prompt, Answer float64
+	// Cards are the kinds of accelerators by name.
+	Cards map[string]Card
+}
+
+// mb is the number of bytes in a MB, as the platform counts them.
+const mb = 1e6
+
+// Fits reports whether a card can hold so many layers.
+func (m *Model) Fits(card Card, layers int) bool {
+	return float64(layers)*m.LayerMB <= card.MemoryMB
+}
+
+// Room gives the tokens of KV cache that fit beside so many layers of weights.
+func (m *Model) Room(card Card, layers int) float64 {
+	if layers <= 0 || m.Layers <= 0 || m.KVTokenBytes <= 0 {
+		return 0
+	}
+	free := (card.MemoryMB - float64(layers)*m.LayerMB) * mb
+	perToken := m.KVTokenBytes / float64(m.Layers) * float64(layers)
+	return max(free, 0) / perToken
+}
+
+// share is the part of the model's layers.
+func (m *Model) share(layers int) float64 { return float64(layers) / float64(max(m.Layers, 1)) }
+
+// PassMs is the time of one decoding pass over so many layers, in ms, with so
+// many requests writing, each with context tokens behind it.
+func (m *Model) PassMs(card Card, layers int, writers, context float64) float64 {
+	step := m.StepMs + writers*(m.PerSequenceMs+m.PerContextMs*context/1000)
+	return float64(max(m.Stride, 1)) * step * card.StepFactor * m.share(layers)
+}
+
+// ReadMs is the time to read a prompt through so many layers, in ms.
+func (m *Model) ReadMs(card Card, layers int, tokens float64) float64 {
+	if m.ReadPerMs <= 0 {
+		return 0
+	}
+	return tokens / m.ReadPerMs * card.ReadFactor * m.share(layers)
+}
+
+// Report is an engine's word about itself, some hundred ms old.
+type Report struct {
+	// Pace over 1 means that it takes so many times as long as usual.
+	Pace float64
+	// Active and Queued count its requests.
+	Active, Queued int
+	// Busy tells that it carries out an order; Orders counts those it began
+	// since its start.
+	Busy   bool
+	Orders int64
+	// Layers is what it holds, empty for nothing.
+	Layers Range
+	// KVUsed and KVTotal are its KV cache, in tokens times layers.
+	KVUsed, KVTotal float64
+}
--- /dev/null
+++ b/decide/chain/chain.go
@@ -0,0 +1,335 @@
+// Package chain decides which engines a streaming request passes through: an
+// ordered chain whose parts run every layer of the model exactly once.
+//
+// A Book knows what this node has running on each engine, which engines did
+// not answer lately, and how slow others said to be. Choose finds, in each
+// availability zone, the chain that finishes a request of the given size
+// soonest by the model of its engines (a shortest path over the layers), and
+// takes the best zone. Chains across zones are a last resort: activations of
+// every token would cross the link between them.
+//
+// A Book is used by one goroutine at a time and reads no clock.
+package chain
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/condition"
+	"mimosaarch.example/decide/directory"
+)
+
+// Hop is one stage of a chain: an engine and the layers it runs.
+type Hop struct {
+	Engine *directory.Upstream
+	Layers layered.Range
+}
+
+// Chain is the stages of a request in order.
+type Chain []Hop
+
+// String implements fmt.Stringer.
+func (c Chain) String() string {
+	s := ""
+	for i, h := range c {
+		if i > 0 {
+			s += ","
+		}
+		s += fmt.Sprintf("%s=%s", h.Engine.Address, h.Layers)
+	}
+	return s
+}
+
+// Has reports whether an engine is part of the chain.
+func (c Chain) Has(id ids.Upstream) bool {
+	return slices.ContainsFunc(c, func(h Hop) bool { return h.Engine.ID == id })
+}
+
+// NoChainError tells that no chain of usable engines holds the whole model.
+type NoChainError struct {
+	Service ids.Service
+	// Engines are those of the service; Usable those that may take work.
+	Engines, Usable int
+}
+
+// Error implements error.
+func (e *NoChainError) Error() string {
+	return fmt.Sprintf("no chain for %s: %d of %d engines usable", e.Service, e.Usable, e.Engines)
+}
+
+// TilingError tells that a chain does not run every layer once and in order.
+type TilingError struct {
+	Chain  string
+	Layers int
+}
+
+// Error implements error.
+func (e *TilingError) Error() string {
+	return fmt.Sprintf("chain %s does not tile %d layers", e.Chain, e.Layers)
+}
+
+// Check reports with a *TilingError a chain that leaves a layer out, runs one
+// twice, goes through an engine twice, or asks for layers an engine does not
+// hold. Engines check neither gaps nor order, so no chain leaves unchecked.
+func Check(c Chain, layers int) error {
+	at := 0
+	for i, h := range c {
+		twice := Chain(c[:i]).Has(h.Engine.ID)
+		if h.Layers.From != at || h.Layers.Empty() || twice || !h.Engine.Layers.Covers(h.Layers) {
+			return &TilingError{Chain: c.String(), Layers: layers}
+		}
+		at = h.Layers.To
+	}
+	if at != layers || len(c) == 0 {
+		return &TilingError{Chain: c.String(), Layers: layers}
+	}
+	return nil
+}
+
+// Request is what a chain is chosen for.
+type Request struct {
+	Service ids.Service
+	// Zone is preferred among equals.
+	Zone ids.Zone
+	// Prompt and Answer are the expected sizes, in tokens.
+	Prompt, Answer float64
+	// Avoid are engines that the request already failed on.
+	Avoid map[ids.Upstream]bool
+}
+
+// tokens is the KV cache that a request needs on each stage.
+func (r Request) tokens() float64 { return r.Prompt + r.Answer }
+
+// Costs that the model of the engines does not give.
+const (
+	// hopMs is charged for each stage of a pass, in ms: the transfer of
+	// activations, and a bias to chains of few engines, which fail less often.
+	hopMs = 0.3
+	// zoneHopMs is charged for a stage in another zone than the one before, in
+	// ms. It is above any difference within a zone, so such chains are chosen
+	// only where no zone has a whole chain.
+	zoneHopMs = 1000.0
+	// awayMs is charged for a chain in another zone than the request's, in ms:
+	// the way there and back, twice over.
+	awayMs = 5.0
+	// fullAt is the part of an engine's KV room from which on it costs more;
+	// at full it costs fullFactor times as much. Engines that run out of room
+	// throw out running requests.
+	fullAt     = 0.75
+	fullFactor = 8.0
+)
+
+// Book is this node's knowledge of the engines. Make it with New.
+type Book struct {
+	conditions *condition.Table
+	engines    map[ids.Upstream]*state
+	// fleet is by how much the own load is multiplied to guess everybody's.
+	fleet float64
+}
+
+// state is what is known of one engine beside the directory.
+type state struct {
+	// streams run through it from this node, with tokens of KV cache in each
+	// layer they pass.
+	streams     float64
+	tokenLayers float64
+}
+
+// New makes a Book that shares beliefs with others.
+func New(conditions *condition.Table) *Book {
+	return &Book{conditions: conditions, engines: make(map[ids.Upstream]*state), fleet: 1}
+}
+
+// SetFleet tells how many nodes share the engines.
+func (b *Book) SetFleet(nodes int) { b.fleet = float64(max(nodes, 1)) }
+
+// Forget drops what is known of an engine that is gone.
+func (b *Book) Forget(id ids.Upstream) {
+	if s := b.engines[id]; s != nil && s.streams <= 0 {
+		delete(b.engines, id)
+	}
+}
+
+// of gives the state of an engine.
+func (b *Book) of(id ids.Upstream) *state {
+	s := b.engines[id]
+	if s == nil {
+		s = &state{}
+		b.engines[id] = s
+	}
+	return s
+}
+
+// Began counts a request on its chain.
+func (b *Book) Began(c Chain, r Request) { b.count(c, r, 1) }
+
+// Ended takes a request off its chain; r must be what Began was told.
+func (b *Book) Ended(c Chain, r Request) { b.count(c, r, -1) }
+
+// count adds a request to, or takes it off, each engine of a chain.
+func (b *Book) count(c Chain, r Request, sign float64) {
+	for _, h := range c {
+		s := b.of(h.Engine.ID)
+		s.streams += sign
+		s.tokenLayers += sign * r.tokens() * float64(h.Layers.Len())
+	}
+}
+
+// Choose gives the chain for a request; the error is a *NoChainError.
+func (b *Book) Choose(now time.Time, m *layered.Model, view *directory.View, r Request) (Chain, error) {
+	all := view.Of(r.Service)
+	usable := make([]*directory.Upstream, 0, len(all))
+	for _, e := range all {
+		if !e.Leaving && !e.Layers.Empty() && !r.Avoid[e.ID] && !b.conditions.Suspected(now, e.ID) {
+			usable = append(usable, e)
+		}
+	}
+	best, bestCost := Chain(nil), math.Inf(1)
+	for _, zone := range zonesOf(usable) {
+		c, cost := b.shortest(now, m, usable, r, zone)
+		if zone != r.Zone {
+			cost += awayMs
+		}
+		if c != nil && cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if best == nil {
+		best, _ = b.shortest(now, m, usable, r, "")
+	}
+	if best == nil {
+		return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
+	}
+	return best, nil
+}
+
+// zonesOf gives the zones of engines in order.
+func zonesOf(engines []*directory.Upstream) []ids.Zone {
+	var zones []ids.Zone
+	for _, e := range engines {
+		if !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// step is the cheapest known way to a layer.
+type step struct {
+	cost float64
+	hop  Hop
+	// before is the index of the boundary where the hop begins.
+	before int
+}
+
+// shortest finds the cheapest chain among the engines of a zone, or of all
+// zones where it is empty; nil if there is none.
+func (b *Book) shortest(now time.Time, m *layered.Model, engines []*directory.Upstream, r Request, zone ids.Zone) (Chain, float64) {
+	var inside []*directory.Upstream
+	for _, e := range engines {
+		if zone == "" || e.Zone == zone {
+			inside = append(inside, e)
+		}
+	}
+	cuts := boundaries(inside, m.Layers)
+	if len(cuts) < 2 || cuts[0] != 0 || cuts[len(cuts)-1] != m.Layers {
+		return nil, math.Inf(1)
+	}
+	ways := make([]step, len(cuts))
+	for i := range ways {
+		ways[i].cost = math.Inf(1)
+	}
+	ways[0].cost = 0
+	for i := range cuts[:len(cuts)-1] {
+		if math.IsInf(ways[i].cost, 1) {
+			continue
+		}
+		for _, e := range inside {
+			b.extend(now, m, r, cuts, ways, i, e)
+		}
+	}
+	last := len(cuts) - 1
+	if math.IsInf(ways[last].cost, 1) {
+		return nil, math.Inf(1)
+	}
+	return trace(ways, last), ways[last].cost
+}
+
+// boundaries gives the layers at which some engine begins or ends, ascending.
+func boundaries(engines []*directory.Upstream, layers int) []int {
+	var cuts []int
+	for _, e := range engines {
+		cuts = append(cuts, min(e.Layers.From, layers), min(e.Layers.To, layers))
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
+
+// extend improves the ways that lead on from boundary i through engine e.
+func (b *Book) extend(now time.Time, m *layered.Model, r Request, cuts []int, ways []step, i int, e *directory.Upstream) {
+	from := cuts[i]
+	if e.Layers.From > from || e.Layers.To <= from {
+		return
+	}
+	perLayer := b.layerCost(now, m, r, e)
+	fixed := hopMs * r.passes(m)
+	if prev := ways[i].hop.Engine; prev != nil && prev.Zone != e.Zone {
+		fixed += zoneHopMs
+	}
+	for j := i + 1; j < len(cuts) && cuts[j] <= e.Layers.To; j++ {
+		cost := ways[i].cost + fixed + perLayer*float64(cuts[j]-from)
+		if cost < ways[j].cost {
+			ways[j] = step{cost: cost, hop: Hop{e, layered.Range{From: from, To: cuts[j]}}, before: i}
+		}
+	}
+}
+
+// passes is how many decoding passes a request takes.
+func (r Request) passes(m *layered.Model) float64 { return r.Answer / float64(max(m.Stride, 1)) }
+
+// layerCost is the time that a request takes in one layer of an engine, in ms.
+func (b *Book) layerCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
+	card, known := m.Cards[e.Card]
+	if !known {
+		card = layered.Card{StepFactor: 1, ReadFactor: 1}
+	}
+	writers, occupied := 1.0, 0.0
+	if s := b.engines[e.ID]; s != nil {
+		writers += s.streams * b.fleet
+		if room := m.Room(card, e.Layers.Len()) * float64(e.Layers.Len()); room > 0 {
+			occupied = s.tokenLayers * b.fleet / room
+		}
+	}
+	cost := m.ReadMs(card, 1, r.Prompt) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())
+	crowd := 1 + max(occupied-fullAt, 0)/(1-fullAt)*(fullFactor-1)
+	return cost * b.conditions.Pace(now, e.ID) * crowd
+}
+
+// trace follows the ways back from the last boundary. Where an engine comes
+// twice, it runs all layers between as well, which it holds in one piece.
+func trace(ways []step, last int) Chain {
+	var c Chain
+	for i := last; i > 0; i = ways[i].before {
+		c = append(c, ways[i].hop)
+	}
+	slices.Reverse(c)
+	return merge(c)
+}
+
+// merge joins the hops of one engine into one.
+func merge(c Chain) Chain {
+	for i := range c {
+		for j := len(c) - 1; j > i; j-- {
+			if c[j].Engine.ID == c[i].Engine.ID {
+				c[i].Layers.To = c[j].Layers.To
+				return merge(append(c[:i+1:i+1], c[j+1:]...))
+			}
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/decide/directory/directory.go
@@ -0,0 +1,228 @@
+// Package directory keeps what is known of upstreams: who is there, who is
+// leaving, and what each engine holds. It is fed by lists and changes of a
+// registry that forgets entries when it loses touch with them, so absence is
+// believed at once only while the registry is well.
+//
+// A Directory is used by one goroutine and reads no clock. The Views it gives
+// never change, so any goroutine may read them.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+)
+
+// Upstream is one process of a service, from its start to its end. A process
+// that starts again is another Upstream.
+type Upstream struct {
+	ID      ids.Upstream
+	Service ids.Service
+	// Address is IP and port. It may go to another upstream later.
+	Address string
+	Zone    ids.Zone
+	// Version is the version of the upstream's software.
+	Version string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Card is the kind of accelerator of an engine.
+	Card string
+	// Layers is what an engine holds; empty for none. Weights is the version
+	// of these weights.
+	Layers  layered.Range
+	Weights int64
+	// Busy engines carry out an order.
+	Busy bool
+	// Revision is that of the registry's entry.
+	Revision int64
+}
+
+// ReturnGrace is how long after an outage of the registry an entry that is
+// missing is still believed: living upstreams are entered again within about
+// two seconds of its return, and one that left in truth must get nothing new
+// two seconds after its absence was seen. This stays below both.
+const ReturnGrace = 1500 * time.Millisecond
+
+// View is the directory at one moment, for readers.
+type View struct {
+	// Revision is the registry's revision that the view stands for.
+	Revision int64
+	services map[ids.Service][]*Upstream
+	byID     map[ids.Upstream]*Upstream
+}
+
+// Of gives the upstreams of a service in the order of their names, with those
+// that are leaving; the slice must not be changed.
+func (v *View) Of(service ids.Service) []*Upstream {
+	if v == nil {
+		return nil
+	}
+	return v.services[service]
+}
+
+// Get gives an upstream; nil if it is not there.
+func (v *View) Get(id ids.Upstream) *Upstream {
+	if v == nil {
+		return nil
+	}
+	return v.byID[id]
+}
+
+// All gives every upstream in the order of their names.
+func (v *View) All() []*Upstream {
+	if v == nil {
+		return nil
+	}
+	all := make([]*Upstream, 0, len(v.byID))
+	for _, u := range v.byID {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// ChangeKind is what happened to an upstream.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	Seen    ChangeKind = "seen"
+	Changed ChangeKind = "changed"
+	Left    ChangeKind = "left"
+	Gone    ChangeKind = "gone"
+)
+
+// Change is one belief that changed, for the log.
+type Change struct {
+	Kind     ChangeKind
+	Upstream *Upstream
+}
+
+// Directory is the writer's side. Make it with New.
+type Directory struct {
+	revision int64
+	byID     map[ids.Upstream]*Upstream
+	// missing holds, for entries not found after an outage, until when they
+	// are believed.
+	missing map[ids.Upstream]time.Time
+	// graceUntil is until when removals count as an outage's effect.
+	graceUntil time.Time
+}
+
+// New makes an empty Directory.
+func New() *Directory {
+	return &Directory{byID: make(map[ids.Upstream]*Upstream), missing: make(map[ids.Upstream]time.Time)}
+}
+
+// Returned tells that the registry answers again after an outage.
+func (d *Directory) Returned(now time.Time) { d.graceUntil = now.Add(ReturnGrace) }
+
+// Revision gives the newest revision seen.
+func (d *Directory) Revision() int64 { return d.revision }
+
+// Replace takes a whole list as of revision. An older one is ignored.
+func (d *Directory) Replace(now time.Time, list []Upstream, revision int64) []Change {
+	if revision < d.revision {
+		return nil
+	}
+	d.revision = revision
+	var changes []Change
+	listed := make(map[ids.Upstream]bool, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+		changes = d.put(changes, &list[i])
+	}
+	for id, u := range d.byID {
+		if !listed[id] {
+			changes = d.remove(changes, now, u)
+		}
+	}
+	return changes
+}
+
+// Put takes one entry that was added or changed.
+func (d *Directory) Put(u Upstream) []Change {
+	d.revision = max(d.revision, u.Revision)
+	return d.put(nil, &u)
+}
+
+// Remove takes the removal of an entry at a revision.
+func (d *Directory) Remove(now time.Time, id ids.Upstream, revision int64) []Change {
+	d.revision = max(d.revision, revision)
+	u := d.byID[id]
+	if u == nil || u.Revision > revision {
+		return nil
+	}
+	return d.remove(nil, now, u)
+}
+
+// Expire removes the missing entries whose grace is over.
+func (d *Directory) Expire(now time.Time) []Change {
+	var changes []Change
+	for id, until := range d.missing {
+		if !now.Before(until) {
+			changes = d.drop(changes, d.byID[id])
+		}
+	}
+	return changes
+}
+
+// put adds or changes an entry. A leaving upstream stays leaving.
+func (d *Directory) put(changes []Change, u *Upstream) []Change {
+	delete(d.missing, u.ID)
+	old := d.byID[u.ID]
+	if old != nil && old.Revision >= u.Revision {
+		return changes
+	}
+	if old != nil && old.Leaving {
+		u.Leaving = true
+	}
+	d.byID[u.ID] = u
+	switch {
+	case old == nil:
+		return append(changes, Change{Seen, u})
+	case u.Leaving && !old.Leaving:
+		return append(changes, Change{Left, u})
+	}
+	return append(changes, Change{Changed, u})
+}
+
+// remove takes an entry out, or lets it stand for a while after an outage.
+func (d *Directory) remove(changes []Change, now time.Time, u *Upstream) []Change {
+	if now.Before(d.graceUntil) && !u.Leaving {
+		if _, waiting := d.missing[u.ID]; !waiting {
+			d.missing[u.ID] = now.Add(ReturnGrace)
+		}
+		return changes
+	}
+	return d.drop(changes, u)
+}
+
+// drop takes an entry out.
+func (d *Directory) drop(changes []Change, u *Upstream) []Change {
+	delete(d.byID, u.ID)
+	delete(d.missing, u.ID)
+	return append(changes, Change{Gone, u})
+}
+
+// View gives the directory as it is now.
+func (d *Directory) View() *View {
+	v := &View{
+		Revision: d.revision,
+		services: make(map[ids.Service][]*Upstream),
+		byID:     make(map[ids.Upstream]*Upstream, len(d.byID)),
+	}
+	for id, u := range d.byID {
+		v.byID[id] = u
+		v.services[u.Service] = append(v.services[u.Service], u)
+	}
+	for _, list := range v.services {
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return v
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,245 @@
+// Package entry runs a node that forwards callers' exchanges on an entry VM: it
+// follows the configuration and the directory of upstreams in the platform's
+// store, serves callers, has engines load layers while it holds the lease for
+// that, and hands news to peers that the store turns away.
+//
+// The package knows no wire format; Ports bring those of a deployment.
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/adapter/forward"
+	"mimosaarch.example/adapter/leader"
+	"mimosaarch.example/adapter/listwatch"
+	"mimosaarch.example/adapter/placer"
+	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/adapter/upconn"
+	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/lease"
+	"mimosaarch.example/decide/placement"
+	"mimosaarch.example/decide/routing"
+	"mimosaarch.example/node/telemetry"
+)
+
+// Member is a node of the fleet as the others see it.
+type Member struct {
+	Name ids.VM
+	// Peer is the address at which it answers peers.
+	Peer string
+}
+
+// Members is the list of the fleet's nodes in the platform's store.
+type Members interface {
+	// Join enters the own node, or replaces its entry.
+	Join(ctx context.Context, m Member) error
+	// List gives all entries, which may be some seconds old.
+	List(ctx context.Context) ([]Member, error)
+}
+
+// Ports are the deployment's protocols. All are required.
+type Ports struct {
+	Configs   listwatch.Source[routing.Config]
+	Upstreams listwatch.Source[directory.Upstream]
+	Members   Members
+	Lease     leader.Store
+	Engines   placer.Engines
+	Headers   forward.Headers
+}
+
+// Settings of a node. All are required but those that say otherwise.
+type Settings struct {
+	VM   ids.VM
+	Zone ids.Zone
+	// Callers, Ready, Peers and Metrics are addresses to listen on. Metrics
+	// may be empty.
+	Callers, Ready, Peers, Metrics string
+	// ReadyPath and MetricsPath are the paths that answer there.
+	ReadyPath, MetricsPath string
+	// Seeds are peers' addresses to begin with; may be empty.
+	Seeds []string
+	// Budget bounds the fleet's retries.
+	Budget forward.Budget
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	// Lease is the duration of the lease for orders to engines.
+	Lease time.Duration
+	// Plan sets up the placement of layers.
+	Plan placement.Options
+	// Seed starts the random sources.
+	Seed uint64
+}
+
+// Node is a running node. Make it with New, and let Run run.
+type Node struct {
+	settings Settings
+	ports    Ports
+	log      zerolog.Logger
+	metrics  *telemetry.Telemetry
+
+	configs   *configs
+	upstreams *upstreams
+	peers     *peers
+	server    *forward.Server
+	keeper    *leader.Keeper
+	placer    *placer.Placer
+
+	stopping atomic.Bool
+	duties   sync.WaitGroup
+}
+
+// New makes a Node; nothing happens before Run.
+func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
+	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New()}
+	n.configs = &configs{log: log}
+	n.upstreams = newUpstreams(log)
+	n.peers = newPeers(settings, ports.Members, n, log)
+	n.server = forward.New(forward.Options{
+		Headers: ports.Headers,
+		Zone:    settings.Zone,
+		Table:   n.configs.table.Load,
+		View:    n.upstreams.view.Load,
+		Prober:  ports.Engines,
+		Budget:  settings.Budget,
+		Now:     boottime.Now,
+		Log:     log,
+		Metrics: n.metrics,
+		Seed:    settings.Seed,
+	})
+	n.upstreams.gone = n.server.Gone
+	n.keeper = leader.New(leader.Options{
+		Lease: lease.Options{Holder: holder(settings), Duration: settings.Lease, Seed: settings.Seed},
+		Store: ports.Lease,
+		Now:   boottime.Now,
+		Log:   log,
+	})
+	n.placer = placer.New(placer.Options{
+		Table:   n.configs.table.Load,
+		View:    n.upstreams.view.Load,
+		Engines: ports.Engines,
+		Lease:   n.keeper,
+		Plan:    settings.Plan,
+		Now:     boottime.Now,
+		Log:     log,
+		Count:   n.metrics.Add,
+	})
+	return n
+}
+
+// Ready reports whether callers may be sent here.
+func (n *Node) Ready() bool {
+	view := n.upstreams.view.Load()
+	return !n.stopping.Load() && n.configs.table.Load() != nil && view != nil && view.Revision > 0
+}
+
+// News implements relay.Source.
+func (n *Node) News(have relay.Have) relay.News {
+	var news relay.News
+	if config := n.configs.newest.Load(); config != nil && config.Version > have.ConfigVersion {
+		news.Config = config
+	}
+	if view := n.upstreams.view.Load(); view != nil && view.Revision > have.Revision {
+		news.Revision = view.Revision
+		for _, u := range view.All() {
+			news.Upstreams = append(news.Upstreams, *u)
+		}
+	}
+	return news
+}
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+// listen opens all sockets, so that a node that cannot serve does not start.
+func (n *Node) listen(ctx context.Context) (*listeners, error) {
+	config := net.ListenConfig{Control: upconn.GuardSilence, KeepAlive: -1}
+	l := &listeners{}
+	for _, one := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&l.callers, n.settings.Callers},
+		{&l.ready, n.settings.Ready},
+		{&l.peers, n.settings.Peers},
+		{&l.metrics, n.settings.Metrics},
+	} {
+		if one.address == "" {
+			continue
+		}
+		var err error
+		if *one.to, err = config.Listen(ctx, "tcp", one.address); err != nil {
+			return nil, &ListenError{Address: one.address, Cause: err}
+		}
+	}
+	return l, nil
+}
+
+// ListenError tells that a socket could not be opened.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Run serves until ctx ends, and then stops as planned: callers' answers under
+// way are finished within the grace. The error is a *ListenError.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	n.log.Info().Str("event", "started").Str("vm", string(n.settings.VM)).Str("zone", string(n.settings.Zone)).
+		Str("callers", n.settings.Callers).Send()
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	n.start(work, l)
+	<-ctx.Done()
+	n.stop(work, l)
+	end()
+	n.duties.Wait()
+	return nil
+}
+
+// start begins all duties, a goroutine each.
+func (n *Node) start(ctx context.Context, l *listeners) {
+	n.serveReady(l.ready)
+	if l.metrics != nil {
+		n.serveMetrics(l.metrics)
+	}
+	// Ends when its listener is closed, at the stop.
+	go func() { _ = relay.Serve(ctx, l.peers, n) }()
+	go func() { _ = n.server.Serve(ctx, l.callers) }()
+	n.duties.Go(func() { n.follow(ctx) })
+	n.duties.Go(func() { n.followUpstreams(ctx) })
+	n.duties.Go(func() { n.upstreams.expire(ctx) })
+	n.duties.Go(func() { n.peers.run(ctx) })
+	n.duties.Go(func() { n.keeper.Run(ctx) })
+	n.duties.Go(func() { n.placer.Run(ctx) })
+}
+
+// follow follows the configuration.
+func (n *Node) follow(ctx context.Context) {
+	options := listwatch.Options{Name: "configuration", Log: n.log, Seed: n.settings.Seed}
+	listwatch.New[routing.Config](n.ports.Configs, n.configs, options).Run(ctx)
+}
+
+// followUpstreams follows the directory.
+func (n *Node) followUpstreams(ctx context.Context) {
+	options := listwatch.Options{Name: "upstreams", Log: n.log, Seed: n.settings.Seed + 1}
+	listwatch.New[directory.Upstream](n.ports.Upstreams, n.upstreams, options).Run(ctx)
+}
--- /dev/null
+++ b/node/entry/state.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/adapter/listwatch"
+	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// holder names this process for the lease: unique across restarts.
+func holder(s Settings) string { return fmt.Sprintf("%s-%x", s.VM, s.Seed) }
+
+// configs is the configuration in force. It only goes forward.
+type configs struct {
+	log    zerolog.Logger
+	table  atomic.Pointer[routing.Table]
+	newest atomic.Pointer[routing.Config]
+	lost   atomic.Bool
+	mu     sync.Mutex
+}
+
+// Listed implements listwatch.Sink.
+func (c *configs) Listed(list listwatch.List[routing.Config]) {
+	for i := range list.Items {
+		c.offer(&list.Items[i], "store")
+	}
+}
+
+// Changed implements listwatch.Sink.
+func (c *configs) Changed(changes listwatch.Changes[routing.Config]) {
+	for _, e := range changes.Events {
+		if e.Put != nil {
+			c.offer(e.Put, "store")
+		}
+	}
+}
+
+// Lost implements listwatch.Sink.
+func (c *configs) Lost(error) { c.lost.Store(true) }
+
+// Returned implements listwatch.Sink.
+func (c *configs) Returned() { c.lost.Store(false) }
+
+// offer puts a configuration in force if it is newer and valid.
+func (c *configs) offer(config *routing.Config, from string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.table.Load(); now != nil && now.Version() >= config.Version {
+		return
+	}
+	table, err := routing.Build(*config)
+	if err != nil {
+		c.log.Error().Str("event", "configuration_refused").Str("from", from).Int64("version", config.Version).Err(err).Send()
+		return
+	}
+	c.newest.Store(config)
+	c.table.Store(table)
+	c.log.Info().Str("event", "configuration").Str("from", from).Int64("version", config.Version).
+		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
+}
+
+// version gives the version in force, 0 for none.
+func (c *configs) version() int64 {
+	if table := c.table.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// upstreams is the directory. Its goroutines take turns by mu.
+type upstreams struct {
+	log  zerolog.Logger
+	gone func(*directory.Upstream)
+	view atomic.Pointer[directory.View]
+	lost atomic.Bool
+
+	mu        sync.Mutex
+	directory *directory.Directory
+}
+
+// newUpstreams makes an empty directory.
+func newUpstreams(log zerolog.Logger) *upstreams {
+	u := &upstreams{log: log, directory: directory.New()}
+	u.view.Store(u.directory.View())
+	return u
+}
+
+// Listed implements listwatch.Sink.
+func (u *upstreams) Listed(list listwatch.List[directory.Upstream]) {
+	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+		return d.Replace(now, list.Items, list.Revision)
+	})
+}
+
+// Changed implements listwatch.Sink.
+func (u *upstreams) Changed(changes listwatch.Changes[directory.Upstream]) {
+	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+		var all []directory.Change
+		for _, e := range changes.Events {
+			if e.Put != nil {
+				all = append(all, d.Put(*e.Put)...)
+			} else {
+				all = append(all, d.Remove(now, ids.Upstream(e.Removed.Name), e.Removed.Revision)...)
+			}
+		}
+		return all
+	})
+}
+
+// Lost implements listwatch.Sink.
+func (u *upstreams) Lost(error) { u.lost.Store(true) }
+
+// Returned implements listwatch.Sink.
+func (u *upstreams) Returned() {
+	u.lost.Store(false)
+	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+		d.Returned(now)
+		return nil
+	})
+}
+
+// expiry is the time between two looks at entries that are missing.
+const expiry = 100 * time.Millisecond
+
+// expire removes missing entries whose time is over, until ctx ends.
+func (u *upstreams) expire(ctx context.Context) {
+	ticker := time.NewTicker(expiry)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.change("expired", func(d *directory.Directory, now time.Time) []directory.Change { return d.Expire(now) })
+		}
+	}
+}
+
+// change changes the directory and publishes its new view.
+func (u *upstreams) change(from string, apply func(*directory.Directory, time.Time) []directory.Change) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	before := u.directory.Revision()
+	changes := apply(u.directory, boottime.Now())
+	if len(changes) == 0 && u.directory.Revision() == before {
+		return
+	}
+	u.view.Store(u.directory.View())
+	for _, c := range changes {
+		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", string(c.Upstream.ID)).
+			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
+			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
+		if c.Kind == directory.Gone {
+			u.gone(c.Upstream)
+		}
+	}
+}
--- /dev/null
+++ b/node/entry/stop.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Times of a planned stop.
+const (
+	// readinessLag is how long callers may still be sent here after the node
+	// says that it is not ready: two questions a second apart, and a slow one.
+	readinessLag = 2300 * time.Millisecond
+	// killSlack is left of the grace to cut what is still under way and exit.
+	killSlack = 600 * time.Millisecond
+	// lastPause lets answers that were just written leave the node.
+	lastPause = 50 * time.Millisecond
+)
+
+// stop ends the node as planned: not ready first, then every connection ends
+// with its answer, then idle ones are closed, and work under way is finished as
+// far as the grace allows.
+func (n *Node) stop(ctx context.Context, l *listeners) {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.server.Stopping()
+	n.keeper.Leave()
+	n.log.Info().Str("event", "stopping").Int64("active", n.server.Active()).Send()
+	limit, done := context.WithDeadline(ctx, began.Add(n.settings.Grace-killSlack))
+	defer done()
+	wait(limit, readinessLag)
+	whole := n.server.Drain(limit)
+	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+		if listener != nil {
+			_ = listener.Close() // the process ends next
+		}
+	}
+	n.log.Info().Str("event", "stopped").Bool("all_answered", whole).Int64("active", n.server.Active()).
+		Dur("took_ms", time.Since(began)).Send()
+	time.Sleep(lastPause)
+}
+
+// wait waits for d unless ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
