Stop: no connections are taken once callers are sent elsewhere; a sent request is never called not run

And a plain request whose time ran out was answered 503 although it had been sent, since its attempt was noted after the answer. Ruled out: the balancer sending late (it may, where most nodes of a zone stop).

Change: the callers' listener closes with the end of readiness' lag; settle() notes what an attempt leaves open before anything is said. Idle connections to engines are checked without the last read's deadline, so they are used again.

--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -39,15 +39,15 @@
 			return
 		}
 		avoid[u.ID] = true
+		x.settle(u, failed)
 		if x.ended(ctx) {
 			return
 		}
-		if !failed.phase.ProvesNotRun() {
-			x.mayHaveRun = true
-			x.ran = append(x.ran, u)
-		} else if refusals++; refusals >= maxRefusals {
-			x.giveUp(failed.reason, failed.Error(), busyAfter)
-			return
+		if failed.phase.ProvesNotRun() {
+			if refusals++; refusals >= maxRefusals {
+				x.giveUp(failed.reason, failed.Error(), busyAfter)
+				return
+			}
 		}
 		if !x.again(failed) {
 			return
@@ -55,6 +55,16 @@
 	}
 }
 
+// settle notes what a failed attempt leaves open. It comes before anything is
+// said to the caller.
+func (x *exchange) settle(u *directory.Upstream, failed *failure) {
+	if failed.phase.ProvesNotRun() {
+		return
+	}
+	x.mayHaveRun = true
+	x.ran = append(x.ran, u)
+}
+
 // again decides whether a failed attempt is followed by another; if not, it
 // answers the caller.
 func (x *exchange) again(failed *failure) bool {
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -15,7 +15,7 @@
 const (
 	// probeTimeout is the longest wait for an engine's report. Engines give it
 	// without a slot, within some ms; the rest is for a busy node.
-	probeTimeout = 120 * time.Millisecond
+	probeTimeout = 60 * time.Millisecond
 	// probeFresh is how long a probe's outcome answers for the next: a stage
 	// that dies stalls many streams at once, and one probe tells all of them.
 	probeFresh = 250 * time.Millisecond
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -26,7 +26,7 @@
 	// firstPart of the objective is waited for the first event.
 	firstPart = 0.4
 	// pausePart of the longest pause is waited for the next.
-	pausePart = 0.4
+	pausePart = 0.6
 	// leastWait keeps short objectives from asking for usual pauses.
 	leastWait = 60 * time.Millisecond
 	// patienceFactor of these waits ends an attempt even if all engines live:
@@ -251,10 +251,7 @@
 // blame notes what a failed attempt says about the engines of its chain.
 func (s *stream) blame(c chain.Chain, failed *failure) {
 	x := s.x
-	if !failed.phase.ProvesNotRun() {
-		x.mayHaveRun = true
-		x.ran = append(x.ran, c[0].Engine)
-	}
+	x.settle(c[0].Engine, failed)
 	if failed.reason == outcome.ConnectFailed {
 		s.req.Avoid[c[0].Engine.ID] = true
 	}
@@ -302,6 +299,7 @@
 	if waited == 0 || !w.s.x.route.MayRepeat() || w.s.model == nil {
 		return patience, nil
 	}
+	w.s.x.log("stall").Dur("waited_ms", waited).Bool("begun", w.begun).Int64("after_event", w.s.seq.last).Send()
 	bad := w.s.x.server.probe.ask(w.ctx, w.chain)
 	if len(bad) == 0 && waited < patienceFactor*patience {
 		return patience, nil
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -125,11 +125,11 @@
 		return false
 	}
 	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not mind the deadline of the last read.
+	err := c.raw.Control(func(fd uintptr) {
 		var next [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -17,9 +17,10 @@
 	lastPause = 50 * time.Millisecond
 )
 
-// stop ends the node as planned: not ready first, then every connection ends
-// with its answer, then idle ones are closed, and work under way is finished as
-// far as the grace allows.
+// stop ends the node as planned: not ready first, and every connection ends with
+// its answer; once no callers are sent here any more, no connections are taken
+// and idle ones are closed, and work under way is finished as far as the grace
+// allows.
 func (n *Node) stop(ctx context.Context, l *listeners) {
 	began := time.Now()
 	n.stopping.Store(true)
@@ -29,8 +30,10 @@
 	limit, done := context.WithDeadline(ctx, began.Add(n.settings.Grace-killSlack))
 	defer done()
 	wait(limit, readinessLag)
+	// What comes later could no longer be finished within the grace.
+	_ = l.callers.Close()
 	whole := n.server.Drain(limit)
-	for _, listener := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+	for _, listener := range []net.Listener{l.ready, l.peers, l.metrics} {
 		if listener != nil {
 			_ = listener.Close() // the process ends next
 		}
