--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -28,6 +28,8 @@
 	defaultIdle          = 15 * time.Second
 	// firstRequest is how long a new connection may stay without a request.
 	firstRequest = 3 * time.Second
+	// lastRequest is the same once idle connections are closed.
+	lastRequest = 200 * time.Millisecond
 	// lingerFor is how long the rest of a refused request is still taken, so
 	// that the answer isn't lost to a reset.
 	lingerFor = 500 * time.Millisecond
@@ -53,8 +55,8 @@
 	idle atomic.Bool
 	// closeAfter makes the answer under way the connection's last.
 	closeAfter bool
-	// served counts the requests that were read.
-	served int
+	// served tells that a request was read.
+	served atomic.Bool
 }
 
 // limits gives the bounds in force.
@@ -99,15 +101,19 @@
 		return true
 	}
 	idle := c.limits().IdleTimeout
-	if c.served == 0 {
+	closing := c.server.closing.Load()
+	if !c.served.Load() {
 		// The first request is on its way, also while the node stops.
 		idle = min(idle, firstRequest)
 		c.idle.Store(false)
+		if closing {
+			idle = lastRequest
+		}
 	}
 	if c.conn.SetReadDeadline(time.Now().Add(idle)) != nil {
 		return false
 	}
-	if c.served > 0 && c.server.closing.Load() {
+	if c.served.Load() && closing {
 		return false
 	}
 	_, err := c.r.Peek(1)
@@ -116,7 +122,7 @@
 
 // kick ends the wait for a request.
 func (c *client) kick() {
-	if c.idle.Load() {
+	if c.idle.Load() || !c.served.Load() {
 		// A connection that is closed already needs no deadline.
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -130,7 +136,7 @@
 		c.refuseUnread(status, err)
 		return false
 	}
-	c.served++
+	c.served.Store(true)
 	c.closeAfter = req.Header.ConnectionClose() || !req.Header.IsHTTP11()
 	x := newExchange(c, req)
 	x.serve(ctx)
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -52,8 +52,11 @@
 	sends      int
 	mayHaveRun bool
 	ran        []*directory.Upstream
-	// written tells that part of the answer is with the caller.
+	// written tells that part of the answer is with the caller; events counts
+	// those of a stream, the first of which came after first.
 	written bool
+	events  int
+	first   time.Duration
 }
 
 // newExchange takes a request that was read whole.
@@ -242,7 +245,8 @@
 	x.count("outcome.answered")
 	x.server.opts.Metrics.Took("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
-		Str("upstream", string(u.ID)).Int64("config", x.version).Int("sends", x.sends).Dur("took_ms", took).Send()
+		Str("upstream", string(u.ID)).Int64("config", x.version).Int("sends", x.sends).Int("events", x.events).
+		Dur("first_ms", x.first).Dur("took_ms", took).Send()
 }
 
 // kindNames are indexed by routing.Kind.
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -95,7 +95,7 @@
 	if err := chain.Check(c, m.Layers); err != nil {
 		return nil, err
 	}
-	p.chains.Began(c, r)
+	p.chains.Began(p.opts.Now(), c, r)
 	return c, nil
 }
 
@@ -136,8 +136,8 @@
 	if !dead && p.chains.Cost(at, m, r, other) >= leaveGain*p.chains.Cost(at, m, r, now) {
 		return nil
 	}
-	p.chains.Ended(now, r)
-	p.chains.Began(other, r)
+	p.chains.Ended(at, now, r)
+	p.chains.Began(at, other, r)
 	return other
 }
 
@@ -145,7 +145,7 @@
 func (p *picker) chainEnded(c chain.Chain, r chain.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.chains.Ended(c, r)
+	p.chains.Ended(p.opts.Now(), c, r)
 }
 
 // replica chooses the upstream of a plain request and counts it there; nil if
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -14,7 +14,9 @@
 const (
 	// probeTimeout is the longest wait for an engine's report. Engines give it
 	// without a slot, within some ms; the rest is for a busy node.
-	probeTimeout = 40 * time.Millisecond
+	probeTimeout = 30 * time.Millisecond
+	// probeSlack is by how much a probe may end late and still count.
+	probeSlack = 25 * time.Millisecond
 	// probeFresh is how long a probe's outcome answers for the next: a stage
 	// that dies stalls many streams at once, and one probe tells all of them.
 	probeFresh = 250 * time.Millisecond
@@ -87,6 +89,10 @@
 	defer done()
 	p.opts.Metrics.Add("upstream.probes", 1)
 	report, err := p.opts.Engines.Probe(limit, u)
+	if err != nil && p.opts.Now().Sub(out.at) > probeTimeout+probeSlack {
+		// The node itself stood still; that says nothing about the engine.
+		return
+	}
 	if err != nil {
 		out.dead = true
 		p.picks.notReached(u, err)
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -22,6 +22,10 @@
 	// pausePart of the longest pause is waited for the next. With 0.4 of 200 ms
 	// a calm day asked 2,182 times for 2,700 requests, with 0.6 some 800.
 	pausePart = 0.5
+	// gapFactor times a stream's own mean pause is waited where that is less.
+	gapFactor = 2.5
+	// gapWeight is the weight of a new pause in that mean.
+	gapWeight = 0.2
 	// leastWait keeps short objectives from asking for usual pauses.
 	leastWait = 60 * time.Millisecond
 	// patienceFactor of these waits ends an attempt even if all engines live:
@@ -62,6 +66,9 @@
 		x.log("long_pause").Dur("pause_ms", pause).Int("reroutes", w.reroutes).Int("sends", x.sends).
 			Str("chain", w.chain.String()).Int64("after_event", w.s.seq.last).Send()
 	}
+	if w.begun {
+		w.s.gap += time.Duration(gapWeight * float64(pause-w.s.gap))
+	}
 	w.begun = true
 	w.s.last = now
 	w.reroutes = 0
@@ -81,7 +88,8 @@
 	if pause <= 0 {
 		pause = defaultPause
 	}
-	return max(time.Duration(float64(pause)*pausePart), leastWait)
+	most := time.Duration(float64(pause) * pausePart)
+	return min(max(time.Duration(float64(w.s.gap)*gapFactor), leastWait), most)
 }
 
 // wait is the upconn.Watch of a stream: once the usual wait is over, the
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -22,13 +22,15 @@
 	req   chain.Request
 	seq   sequence
 	// last is when the latest event came.
-	last    time.Time
+	last time.Time
+	// gap is the mean pause between events.
+	gap     time.Duration
 	refused int
 }
 
 // stream serves a request that is answered by events.
 func (x *exchange) stream(ctx context.Context, table *routing.Table) {
-	s := &stream{x: x}
+	s := &stream{x: x, gap: x.route.PauseObjective}
 	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Upstream]bool)}
 	if service := table.Service(x.service); service != nil {
 		s.model = service.Model
@@ -188,6 +190,7 @@
 // pass writes one event to the caller, with the head before the first.
 func (s *stream) pass(a *attempt, ev event) error {
 	c := s.x.client
+	s.x.events++
 	if s.x.written {
 		c.out = c.out[:0]
 	} else {
@@ -195,7 +198,8 @@
 		c.addHeader("Transfer-Encoding", "chunked")
 		c.endHead()
 		s.x.written = true
-		s.x.server.opts.Metrics.Took("stream.first_event", s.last.Sub(s.x.arrived))
+		s.x.first = s.last.Sub(s.x.arrived)
+		s.x.server.opts.Metrics.Took("stream.first_event", s.x.first)
 		s.x.server.picks.answered(a.u)
 	}
 	c.out = strconv.AppendInt(c.out, int64(len(ev.bytes)), 16)
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -89,6 +89,10 @@
 	return n, err
 }
 
+// ownStall is by how much a wait may end late before it counts for nothing: the
+// process itself stood still, and what came meanwhile is not read yet.
+const ownStall = 25 * time.Millisecond
+
 // read reads as long as the watch allows.
 func (c *Conn) read(p []byte) (int, error) {
 	var waited time.Duration
@@ -97,14 +101,17 @@
 		if err != nil {
 			return 0, err
 		}
-		if err := c.net.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		began := time.Now()
+		if err := c.net.SetReadDeadline(began.Add(wait)); err != nil {
 			return 0, err
 		}
 		n, err := c.net.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		waited += wait
+		if time.Since(began) < wait+ownStall {
+			waited += wait
+		}
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,7 +98,6 @@
 	placer    *placer.Placer
 
 	stopping atomic.Bool
-	duties   sync.WaitGroup
 }
 
 // New makes a Node; nothing happens before Run.
@@ -203,7 +201,8 @@
 func (e *ListenError) Unwrap() error { return e.Cause }
 
 // Run serves until ctx ends, and then stops as planned: callers' answers under
-// way are finished within the grace. The error is a *ListenError.
+// way are finished within the grace. Calls of other duties may still be under
+// way then; the process is expected to exit. The error is a *ListenError.
 func (n *Node) Run(ctx context.Context) error {
 	l, err := n.listen(ctx)
 	if err != nil {
@@ -216,8 +215,6 @@
 	n.start(work, l)
 	<-ctx.Done()
 	n.stop(work, l)
-	end()
-	n.duties.Wait()
 	return nil
 }
 
@@ -230,12 +227,12 @@
 	// Ends when its listener is closed, at the stop.
 	go func() { _ = relay.Serve(ctx, l.peers, n) }()
 	go func() { _ = n.server.Serve(ctx, l.callers) }()
-	n.duties.Go(func() { n.follow(ctx) })
-	n.duties.Go(func() { n.followUpstreams(ctx) })
-	n.duties.Go(func() { n.upstreams.expire(ctx) })
-	n.duties.Go(func() { n.peers.run(ctx) })
-	n.duties.Go(func() { n.keeper.Run(ctx) })
-	n.duties.Go(func() { n.placer.Run(ctx) })
+	go n.follow(ctx)
+	go n.followUpstreams(ctx)
+	go n.upstreams.expire(ctx)
+	go n.peers.run(ctx)
+	go n.keeper.Run(ctx)
+	go n.placer.Run(ctx)
 }
 
 // follow follows the configuration.
