Chains count the wait at each stage

Cause: a stage waits for the pass under way, which a chain's cost left out, so chains of more and slower stages looked as good.

--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -114,9 +114,12 @@
 
 // Costs that the model of the engines does not give.
 const (
-	// hopMs is charged for each stage of a pass, in ms: the transfer of
-	// activations, and a bias to chains of few engines, which fail less often.
+	// hopMs is charged for each stage of a pass, in ms, for the transfer of
+	// activations.
 	hopMs = 0.3
+	// waitPart of a whole pass of an engine is waited at each stage for the
+	// pass that is under way.
+	waitPart = 0.5
 	// zoneHopMs is charged for a stage in another zone than the one before, in
 	// ms. It is above any difference within a zone, so such chains are chosen
 	// only where no zone has a whole chain.
@@ -261,7 +264,7 @@
 func (b *Book) Cost(now time.Time, m *layered.Model, r Request, c Chain) float64 {
 	cost := 0.0
 	for _, h := range c {
-		cost += hopMs*r.passes(m) + b.layerCost(now, m, r, h.Engine)*float64(h.Layers.Len())
+		cost += b.stageCost(now, m, r, h.Engine) + b.layerCost(now, m, r, h.Engine)*float64(h.Layers.Len())
 	}
 	return cost
 }
@@ -345,7 +348,7 @@
 		return
 	}
 	perLayer := b.layerCost(now, m, r, e)
-	fixed := hopMs * r.passes(m)
+	fixed := b.stageCost(now, m, r, e)
 	if prev := ways[i].hop.Engine; prev != nil && prev.Zone != e.Zone {
 		fixed += zoneHopMs
 	}
@@ -360,6 +363,17 @@
 // passes is how many decoding passes a request takes.
 func (r Request) passes(m *layered.Model) float64 { return r.Answer / float64(max(m.Stride, 1)) }
 
+// stageCost is the time that a request takes at an engine beside its passes, in
+// ms.
+func (b *Book) stageCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
+	writers := 1.0
+	if s := b.engines[e.ID]; s != nil {
+		writers += s.guess(now).streams * b.fleet
+	}
+	wait := waitPart * m.PassMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
+	return r.passes(m) * (hopMs + wait*b.conditions.Pace(now, e.ID))
+}
+
 // layerCost is the time that a request takes in one layer of an engine, in ms.
 func (b *Book) layerCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
 	card, known := m.Cards[e.Card]
