--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -220,6 +220,13 @@
 	p.conditions.Ended(u.ID)
 }
 
+// full tells that an upstream refused for want of room.
+func (p *picker) full(u *directory.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conditions.Full(p.opts.Now(), u.ID)
+}
+
 // hasEnded reports whether an upstream's process is certainly gone.
 func (p *picker) hasEnded(id ids.Upstream) bool {
 	p.mu.Lock()
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 )
@@ -67,6 +68,20 @@
 	return dead, slow
 }
 
+// judge finds out why an engine is at fault for a refusal. One that answers is
+// full, or no longer holds what the directory says.
+func (p *prober) judge(ctx context.Context, u *directory.Upstream, reason outcome.Reason) {
+	if reason != outcome.UpstreamBusy {
+		p.picks.failed(u, reason)
+		return
+	}
+	probe := p.one(ctx, u)
+	<-probe.done
+	if !probe.dead {
+		p.picks.full(u)
+	}
+}
+
 // one gives the latest probe of an engine, begun now if there is no fresh one.
 func (p *prober) one(ctx context.Context, u *directory.Upstream) *probe {
 	now := p.opts.Now()
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -23,7 +23,7 @@
 	// a calm day asked 2,182 times for 2,700 requests, with 0.6 some 800.
 	pausePart = 0.5
 	// gapFactor times a stream's own mean pause is waited where that is less.
-	gapFactor = 2.5
+	gapFactor = 3.0
 	// gapWeight is the weight of a new pause in that mean.
 	gapWeight = 0.2
 	// leastWait keeps short objectives from asking for usual pauses.
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -98,7 +98,7 @@
 		failed = s.relay(a, w)
 	}
 	if failed != nil {
-		s.blame(w.chain, failed)
+		s.blame(ctx, w.chain, failed)
 	}
 	return failed
 }
@@ -232,7 +232,7 @@
 }
 
 // blame notes what a failed attempt says about the engines of its chain.
-func (s *stream) blame(c chain.Chain, failed *failure) {
+func (s *stream) blame(ctx context.Context, c chain.Chain, failed *failure) {
 	x := s.x
 	x.settle(c[0].Engine, failed)
 	if failed.phase == outcome.NotSent {
@@ -241,7 +241,7 @@
 	for _, h := range c {
 		if h.Engine.Address == failed.culprit {
 			s.req.Avoid[h.Engine.ID] = true
-			x.server.picks.failed(h.Engine, failed.reason)
+			x.server.probe.judge(ctx, h.Engine, failed.reason)
 		}
 	}
 }
--- a/adapter/leader/leader.go
+++ b/adapter/leader/leader.go
@@ -103,6 +103,14 @@
 	return k.lease.State(k.opts.Now())
 }
 
+// Lapsed tells of the own term after its lease has run out, as long as nobody
+// else is known to have taken it over; see lease.Lease.
+func (k *Keeper) Lapsed() lease.Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.Lapsed()
+}
+
 // StepDown ends the own term, as somebody with a later one was heard of.
 func (k *Keeper) StepDown() {
 	k.mu.Lock()
--- a/adapter/listwatch/listwatch.go
+++ b/adapter/listwatch/listwatch.go
@@ -72,11 +72,11 @@
 type Options struct {
 	// Name is the collection's, for logs.
 	Name string
-	// Wait is how long one watch waits. Default 2s: a silent connection must
+	// Wait is how long one watch waits. Default 3s: a silent connection must
 	// be noticed before what it hides is needed.
 	Wait time.Duration
 	// Pause is the least time between two watches, so that many changes come
-	// in one answer. Default 50ms.
+	// in one answer. Default 100ms.
 	Pause time.Duration
 	// Backoff is the wait after a first failure; it doubles up to MaxBackoff.
 	// Defaults 100ms and 800ms.
@@ -89,8 +89,8 @@
 
 // Defaults of Options.
 const (
-	defaultWait       = 2 * time.Second
-	defaultPause      = 50 * time.Millisecond
+	defaultWait       = 3 * time.Second
+	defaultPause      = 100 * time.Millisecond
 	defaultBackoff    = 100 * time.Millisecond
 	defaultMaxBackoff = 800 * time.Millisecond
 )
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -56,6 +56,9 @@
 // Lease tells whether this node may give orders.
 type Lease interface {
 	Status() lease.Status
+	// Lapsed tells of a term whose lease has run out and that nobody is known
+	// to have followed.
+	Lapsed() lease.Status
 	StepDown()
 }
 
@@ -66,8 +69,12 @@
 	Engines Engines
 	Lease   Lease
 	Plan    placement.Options
-	Now     func() time.Time
-	Log     zerolog.Logger
+	// Fenced tells that engines refuse orders of an earlier term than one they
+	// have seen. Orders then go on while the store is away and the lease cannot
+	// be renewed.
+	Fenced bool
+	Now    func() time.Time
+	Log    zerolog.Logger
 	// Count adds to a counter.
 	Count func(name string, n int64)
 }
@@ -156,8 +163,7 @@
 func (p *Placer) place(ctx context.Context, m *layered.Model, engines []*directory.Upstream) {
 	now := p.opts.Now()
 	settled := p.settled(now, engines)
-	status := p.opts.Lease.Status()
-	if !status.Held || !settled {
+	if _, ok := p.term(); !ok || !settled {
 		return
 	}
 	for _, order := range placement.Plan(m, p.state(now, m, engines), p.opts.Plan) {
@@ -220,7 +226,7 @@
 		result, err := p.give(ctx, u, layers)
 		p.opts.Count("orders."+string(result), 1)
 		p.opts.Log.Info().Str("event", "order").Str("upstream", string(u.ID)).Str("address", u.Address).
-			Str("layers", layers.String()).Str("held", u.Layers.String()).Int64("fence", p.opts.Lease.Status().Fence).
+			Str("layers", layers.String()).Str("held", u.Layers.String()).
 			Int64("entry_revision", u.Revision).Str("result", string(result)).AnErr("error", err).Send()
 		wait := unfitPause
 		if result == Begun || result == Unknown {
@@ -241,12 +247,12 @@
 	p.under[id] = o
 }
 
-// LeaseError tells that an order was not sent since the lease had too little
-// time left.
-type LeaseError struct{ Left time.Duration }
+// LeaseError tells that an order was not sent since the lease had ended, or had
+// too little time left.
+type LeaseError struct{}
 
 // Error implements error.
-func (e *LeaseError) Error() string { return "the lease ends in " + e.Left.String() }
+func (*LeaseError) Error() string { return "the lease has ended or is about to" }
 
 // give asks the engine and sends it the order, if the lease allows it then.
 func (p *Placer) give(ctx context.Context, u *directory.Upstream, layers layered.Range) (Result, error) {
@@ -261,9 +267,22 @@
 	}
 	limit, done = context.WithTimeout(ctx, callTimeout)
 	defer done()
+	fence, ok := p.term()
+	if !ok {
+		return Unfit, &LeaseError{}
+	}
+	return p.opts.Engines.Place(limit, u, Order{Layers: layers, Fence: fence, After: report.Orders})
+}
+
+// term gives the number of the own term, if orders may be given in it now.
+func (p *Placer) term() (fence int64, ok bool) {
 	status := p.opts.Lease.Status()
-	if !status.Held || status.Left < leastLeft {
-		return Unfit, &LeaseError{Left: status.Left}
+	if status.Held && status.Left >= leastLeft {
+		return status.Fence, true
+	}
+	if !p.opts.Fenced {
+		return 0, false
 	}
-	return p.opts.Engines.Place(limit, u, Order{Layers: layers, Fence: status.Fence, After: report.Orders})
+	lapsed := p.opts.Lease.Lapsed()
+	return lapsed.Fence, lapsed.Held
 }
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -5,8 +5,8 @@
 // not answer lately, and how slow others said to be. Choose finds, in each
 // availability zone, the chain that finishes a request of the given size
 // soonest by the model of its engines (a shortest path over the layers), and
-// takes the best zone. Chains across zones are a last resort: activations of
-// every token would cross the link between them.
+// takes the best zone. Chains across zones cost more: activations of every
+// token cross the link between them.
 //
 // A Book is used by one goroutine at a time and reads no clock.
 package chain
@@ -121,8 +121,8 @@
 	// pass that is under way.
 	waitPart = 0.5
 	// zoneHopMs is charged for a stage in another zone than the one before, in
-	// ms. It is above any difference within a zone, so such chains are chosen
-	// only where no zone has a whole chain.
+	// ms: all such chains share one pipe, for the activations of every token.
+	// They are chosen where no zone has a whole chain, or those are full.
 	zoneHopMs = 1000.0
 	// awayFactor multiplies the cost of a chain in another zone than the
 	// request's. A cut between zones breaks every stream across it, while a
@@ -250,8 +250,10 @@
 			best, bestCost = c, cost
 		}
 	}
-	if best == nil {
-		best, _ = b.shortest(now, m, usable, r, "")
+	if best == nil || b.hasFull(now, best) {
+		if c, cost := b.shortest(now, m, usable, r, ""); c != nil && cost < bestCost {
+			best = c
+		}
 	}
 	if best == nil {
 		return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
@@ -269,6 +271,12 @@
 	return cost
 }
 
+// hasFull reports whether an engine of a chain refused for want of room just
+// now.
+func (b *Book) hasFull(now time.Time, c Chain) bool {
+	return slices.ContainsFunc(c, func(h Hop) bool { return b.conditions.IsFull(now, h.Engine.ID) })
+}
+
 // zonesOf gives the zones of engines in order.
 func zonesOf(engines []*directory.Upstream) []ids.Zone {
 	var zones []ids.Zone
@@ -390,6 +398,9 @@
 	}
 	cost := m.ReadMs(card, 1, r.Prompt) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())
 	crowd := 1 + max(occupied-fullAt, 0)/(1-fullAt)*(fullFactor-1)
+	if b.conditions.IsFull(now, e.ID) {
+		crowd = max(crowd, fullFactor)
+	}
 	return cost * b.conditions.Pace(now, e.ID) * crowd
 }
 
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -35,6 +35,8 @@
 	paceUntil time.Time
 	// ended: its process is gone, since nothing listens at its address.
 	ended bool
+	// fullUntil: it refused for want of room.
+	fullUntil time.Time
 }
 
 // New makes a Table that believes every upstream well.
@@ -53,6 +55,9 @@
 	// zoneSilent is how many upstreams of a zone must be out of reach, with none
 	// answering between them, for the zone to count as cut off.
 	zoneSilent = 2
+	// fullFor is how long an upstream that refused for want of room counts as
+	// full: requests end many times in that time.
+	fullFor = 300 * time.Millisecond
 	// paceFor is how long an upstream's word about its pace is believed.
 	paceFor = 2 * time.Second
 )
@@ -105,6 +110,15 @@
 	return z != nil && now.Before(z.suspectUntil)
 }
 
+// Full tells that an upstream refused for want of room.
+func (t *Table) Full(now time.Time, id ids.Upstream) { t.of(id).fullUntil = now.Add(fullFor) }
+
+// IsFull reports whether an upstream refused for want of room just now.
+func (t *Table) IsFull(now time.Time, id ids.Upstream) bool {
+	b := t.upstreams[id]
+	return b != nil && now.Before(b.fullUntil)
+}
+
 // Ended tells that an upstream's process is certainly gone.
 func (t *Table) Ended(id ids.Upstream) { t.of(id).ended = true }
 
--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -44,6 +44,9 @@
 	// RetryAfter is the wait after a call that failed. Default a twentieth
 	// of the Duration.
 	RetryAfter time.Duration
+	// StaleReads allows reads some seconds old while another holds the lease,
+	// for stores where these are cheaper. A takeover is no later by that.
+	StaleReads bool
 	// Seed starts the random source that spreads calls.
 	Seed uint64
 }
@@ -93,7 +96,11 @@
 }
 
 // Read asks for the object.
-type Read struct{}
+type Read struct {
+	// Stale tells that an answer some seconds old will do: it only spares
+	// needless writes, since each write is conditional.
+	Stale bool
+}
 
 // Write asks for a conditional update.
 type Write struct {
@@ -103,7 +110,12 @@
 }
 
 // String implements fmt.Stringer.
-func (Read) String() string { return "read" }
+func (r Read) String() string {
+	if r.Stale {
+		return "read stale"
+	}
+	return "read"
+}
 
 // String implements fmt.Stringer.
 func (w Write) String() string {
@@ -164,8 +176,9 @@
 	// seen is when this version was first seen.
 	seen time.Time
 
-	// busy tells that a command is under way.
-	busy bool
+	// busy tells that a command is under way; stale that it is a stale read.
+	busy  bool
+	stale bool
 	// next is when the next call may be made; unsettled writes are read
 	// back before another is made.
 	next    time.Time
@@ -209,3 +222,13 @@
 	}
 	return Status{Held: true, Left: left, Fence: l.fence, Since: l.since}
 }
+
+// Lapsed tells of the own term after its lease has run out, as long as nobody
+// else is known to have taken it over. Only duties whose every step is fenced
+// may go by it, while the store cannot be asked: Left is 0.
+func (l *Lease) Lapsed() Status {
+	if l.term == 0 || !l.wanted {
+		return Status{}
+	}
+	return Status{Held: true, Fence: l.fence, Since: l.since}
+}
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -312,3 +312,41 @@
 	}
 	t.Logf("held in %d steps, %d takeovers", held, takeovers)
 }
+
+func TestStaleReadsWaitNoLonger(t *testing.T) {
+	l := New(Options{Holder: "b", Duration: duration, ReadEvery: duration, StaleReads: true})
+	s := &script{l: l}
+	held := Answer{Kind: Found, Version: 5, Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}}
+	s.tick(0)
+	s.answer(0, held)
+	for tenths := 1; tenths < 110; tenths++ {
+		if c := s.l.Tick(at(float64(tenths) / 10)); c != nil {
+			if c != (Read{Stale: true}) {
+				t.Fatalf("%d: %s", tenths, c)
+			}
+			// A stale answer from before the object was made tells nothing.
+			s.answer(float64(tenths)/10, Answer{Kind: Absent})
+		}
+	}
+	w := s.tick(11)
+	s.answer(11.1, written(w, 9))
+	s.state(12)
+	s.want(t, `0: read
+11: write holder "b" term 4 change b-1 if 5
+12: held true for 9s fence 9`)
+}
+
+func TestLapsedTermHoldsUntilAnotherIsSeen(t *testing.T) {
+	s := &script{l: newLease("a")}
+	s.tick(0)
+	s.answer(0, Answer{Kind: Absent})
+	s.answer(1, written(s.tick(1), 5))
+	if got := s.l.Lapsed(); !got.Held || got.Fence != 5 || s.l.State(at(20)).Held {
+		t.Errorf("after the lease ran out: lapsed %+v, state %+v", got, s.l.State(at(20)))
+	}
+	s.tick(20)
+	s.answer(20, Answer{Kind: Found, Version: 9, Record: Record{Holder: "b", Term: 2, DurationNs: int64(duration)}})
+	if got := s.l.Lapsed(); got.Held {
+		t.Errorf("after another took over: lapsed %+v", got)
+	}
+}
--- a/decide/lease/step.go
+++ b/decide/lease/step.go
@@ -15,6 +15,8 @@
 	}
 	command := l.choose(now)
 	l.busy = command != nil
+	read, isRead := command.(Read)
+	l.stale = isRead && read.Stale
 	return command
 }
 
@@ -30,7 +32,7 @@
 	case l.record.Holder == "" || !now.Before(l.free()):
 		return l.write(now, l.opts.Holder, l.record.Term+1)
 	}
-	return Read{}
+	return Read{Stale: l.opts.StaleReads}
 }
 
 // free is when another holder's lease has certainly lapsed, unless the object
@@ -93,7 +95,10 @@
 		l.observe(now, answer.Version, Record{DurationNs: int64(l.opts.Duration), Holder: unreadableHolder})
 	case Absent:
 		l.settle = false
-		l.absent(now)
+		// A stale answer may be from before the object was made.
+		if !l.stale {
+			l.absent(now)
+		}
 	case Lost:
 		l.settle = true
 	}
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"mimosaarch.example/core/ids"
@@ -67,24 +68,82 @@
 	return orders
 }
 
-// planZone gives the orders for the engines of one zone.
+const (
+	// stretch is by how much a zone's part of memory for weights may be above
+	// the usual, if its first chain gets faster by that; stretchStep is the
+	// step of the search. 15 layers a card in place of 14 can save a chain its
+	// last stage.
+	stretch     = 0.08
+	stretchStep = 0.01
+	// stretchGain is the part of the usual chain's time that each step must
+	// save, since it costs room for requests.
+	stretchGain = 0.02
+	// waitPart of an engine's pass is waited at each stage.
+	waitPart = 0.5
+)
+
+// planZone gives the orders for the engines of one zone. Where they hold nothing
+// yet, the part of memory for weights is the one with the fastest first chain.
 func planZone(m *layered.Model, engines []Engine, o Options) []Order {
 	slices.SortFunc(engines, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(m.Cards[a.Card].StepFactor, m.Cards[b.Card].StepFactor), cmp.Compare(a.ID, b.ID))
 	})
+	best := fill(m, engines, o)
+	if slices.ContainsFunc(engines, func(e Engine) bool { return !e.Holds.Empty() }) {
+		return best
+	}
+	usual := firstChainMs(m, engines, best)
+	bestMs := usual
+	for step := 1; float64(step)*stretchStep <= stretch; step++ {
+		wider := o
+		wider.WeightPart += float64(step) * stretchStep
+		orders := fill(m, engines, wider)
+		ms := firstChainMs(m, engines, orders) + usual*stretchGain*float64(step)
+		if ms < bestMs {
+			best, bestMs = orders, ms
+		}
+	}
+	return best
+}
+
+// firstChainMs is the time of a pass through the first whole chain of a plan,
+// in ms: of the orders in their sequence, as far as they tile the model.
+func firstChainMs(m *layered.Model, engines []Engine, orders []Order) float64 {
+	cards := make(map[ids.Upstream]layered.Card, len(engines))
+	for _, e := range engines {
+		cards[e.ID] = m.Cards[e.Card]
+	}
+	at, ms := 0, 0.0
+	for _, order := range orders {
+		if order.Layers.From != at {
+			break
+		}
+		at = order.Layers.To
+		ms += (1 + waitPart) * m.PassMs(cards[order.Engine], order.Layers.Len(), 1, m.Prompt)
+	}
+	if at < m.Layers {
+		return math.Inf(1)
+	}
+	return ms
+}
+
+// fill gives the orders for the engines of one zone with a fixed part of memory
+// for weights.
+func fill(m *layered.Model, engines []Engine, o Options) []Order {
 	covered := coverage(m, engines)
 	var orders []Order
 	for _, e := range engines {
 		if e.Fixed || !e.Holds.Empty() {
 			continue
 		}
-		layers := pick(m, covered, capacity(m, e, o))
+		layers := pick(covered, capacity(m, e, o))
 		if layers.Empty() {
 			continue
 		}
 		add(covered, layers, 1)
 		orders = append(orders, Order{e.ID, layers})
 	}
+	orders = append(orders, widen(m, engines, covered)...)
 	return append(orders, moves(m, engines, covered, o)...)
 }
 
@@ -116,7 +175,7 @@
 
 // pick gives the range of at most size layers that begins where the model is
 // least covered, and goes on as far as it is no better covered.
-func pick(m *layered.Model, covered []int, size int) layered.Range {
+func pick(covered []int, size int) layered.Range {
 	if size <= 0 || len(covered) == 0 {
 		return layered.Range{}
 	}
@@ -129,6 +188,66 @@
 	return layered.Range{From: from, To: to}
 }
 
+// widestPart is the part of a card's memory that weights may take where an
+// engine fills a hole beside its own layers. It leaves less room for requests
+// than usual, but a zone with a hole serves none.
+const widestPart = 0.8
+
+// widen fills holes of a zone by engines that hold the layers next to them:
+// they load a few more, while what they hold goes on serving. It gives the
+// orders for the holes that can be filled whole.
+func widen(m *layered.Model, engines []Engine, covered []int) []Order {
+	var orders []Order
+	for _, hole := range holes(covered) {
+		left, leftMost := neighbour(m, engines, func(e Engine) bool { return e.Holds.To == hole.From })
+		right, rightMost := neighbour(m, engines, func(e Engine) bool { return e.Holds.From == hole.To })
+		if leftMost+rightMost < hole.Len() {
+			continue
+		}
+		fromLeft := min(leftMost, hole.Len())
+		if rightMost >= hole.Len() && rightMost > leftMost {
+			fromLeft = 0
+		}
+		if fromLeft > 0 {
+			orders = append(orders, Order{left.ID, layered.Range{From: left.Holds.From, To: hole.From + fromLeft}})
+		}
+		if fromLeft < hole.Len() {
+			orders = append(orders, Order{right.ID, layered.Range{From: hole.From + fromLeft, To: right.Holds.To}})
+		}
+		add(covered, hole, 1)
+	}
+	return orders
+}
+
+// holes gives the ranges that no engine holds.
+func holes(covered []int) []layered.Range {
+	var all []layered.Range
+	for i, n := range covered {
+		switch {
+		case n > 0:
+		case i > 0 && covered[i-1] == 0:
+			all[len(all)-1].To = i + 1
+		default:
+			all = append(all, layered.Range{From: i, To: i + 1})
+		}
+	}
+	return all
+}
+
+// neighbour gives the engine of those that fit which can hold the most further
+// layers, and how many.
+func neighbour(m *layered.Model, engines []Engine, fits func(Engine) bool) (best Engine, most int) {
+	for _, e := range engines {
+		if e.Fixed || e.Holds.Empty() || !fits(e) {
+			continue
+		}
+		if spare := capacity(m, e, Options{WeightPart: widestPart}) - e.Holds.Len(); spare > most {
+			best, most = e, spare
+		}
+	}
+	return best, most
+}
+
 // moves fills holes of a zone with engines whose own layers others hold too.
 // It does nothing while an engine without layers or under way may still fill
 // them.
@@ -141,7 +260,7 @@
 		if e.Fixed || e.Holds.Empty() || !spared(covered, e.Holds) {
 			continue
 		}
-		layers := pick(m, covered, capacity(m, e, o))
+		layers := pick(covered, capacity(m, e, o))
 		if layers.Empty() || covered[layers.From] > 0 {
 			break
 		}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -77,6 +77,8 @@
 	Grace time.Duration
 	// Lease is the duration of the lease for orders to engines.
 	Lease time.Duration
+	// Fenced tells that engines check the term of orders.
+	Fenced bool
 	// Plan sets up the placement of layers.
 	Plan placement.Options
 	// Seed starts the random sources.
@@ -120,7 +122,13 @@
 	})
 	n.upstreams.gone = n.server.Gone
 	n.keeper = leader.New(leader.Options{
-		Lease: lease.Options{Holder: holder(settings), Duration: settings.Lease, Seed: settings.Seed},
+		Lease: lease.Options{
+			Holder:     holder(settings),
+			Duration:   settings.Lease,
+			ReadEvery:  settings.Lease,
+			StaleReads: true,
+			Seed:       settings.Seed,
+		},
 		Store: ports.Lease,
 		Now:   boottime.Now,
 		Log:   log,
@@ -131,6 +139,7 @@
 		Engines: ports.Engines,
 		Lease:   n.keeper,
 		Plan:    settings.Plan,
+		Fenced:  settings.Fenced,
 		Now:     boottime.Now,
 		Log:     log,
 		Count:   n.metrics.Add,
