--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -77,11 +77,21 @@
 	p.budget(service).First(p.opts.Now())
 }
 
-// again takes one further send from the budget.
-func (p *picker) again(service ids.Service, reason outcome.Reason) bool {
+// newPart is the part of the retry budget that requests may use whose answer
+// has not begun. The rest is for streams that would break off midway.
+const newPart = 0.6
+
+// again takes one further send from the budget; begun tells that part of the
+// answer is with the caller.
+func (p *picker) again(service ids.Service, reason outcome.Reason, begun bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget(service).Allow(p.opts.Now(), reason)
+	now := p.opts.Now()
+	b := p.budget(service)
+	if !begun && !b.AvailableOf(now, newPart) {
+		return false
+	}
+	return b.Allow(now, reason)
 }
 
 // chain chooses the chain of a request and counts it there.
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -16,7 +16,7 @@
 const (
 	// maxRefusals is the most upstreams that may refuse one request before its
 	// caller is told to come back.
-	maxRefusals = 4
+	maxRefusals = 3
 	// hedgeObjectives is the wait for an idempotent answer, in objectives of
 	// its route, after which another upstream is asked instead.
 	hedgeObjectives = 1.0
@@ -74,7 +74,7 @@
 	case !x.mayRunAgain():
 		x.giveUp(failed.reason, detail, busyAfter)
 		return false
-	case x.sends > 0 && !x.server.picks.again(x.service, failed.reason):
+	case x.sends > 0 && !x.server.picks.again(x.service, failed.reason, x.written):
 		x.giveUp(outcome.RetryBudget, detail, busyAfter)
 		return false
 	}
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -22,8 +22,12 @@
 	// pausePart of the longest pause is waited for the next. With 0.4 of 200 ms
 	// a calm day asked 2,182 times for 2,700 requests, with 0.6 some 800.
 	pausePart = 0.5
-	// gapFactor times a stream's own mean pause is waited where that is less.
+	// gapFactor times a stream's own mean pause is waited where that is less. A
+	// factor of 2.5 asked a third more often on calm days.
 	gapFactor = 3.0
+	// slowFactor times it is waited at least, so that a stream which is slow
+	// throughout does not ask at each pause.
+	slowFactor = 1.5
 	// gapWeight is the weight of a new pause in that mean.
 	gapWeight = 0.2
 	// leastWait keeps short objectives from asking for usual pauses.
@@ -89,7 +93,8 @@
 		pause = defaultPause
 	}
 	most := time.Duration(float64(pause) * pausePart)
-	return min(max(time.Duration(float64(w.s.gap)*gapFactor), leastWait), most)
+	usual := min(max(time.Duration(float64(w.s.gap)*gapFactor), leastWait), most)
+	return max(usual, time.Duration(float64(w.s.gap)*slowFactor))
 }
 
 // wait is the upconn.Watch of a stream: once the usual wait is over, the
--- a/adapter/upconn/pool.go
+++ b/adapter/upconn/pool.go
@@ -37,8 +37,9 @@
 	// Opened is told of each new connection; may be nil.
 	opened func(Target)
 
-	mu   sync.Mutex
-	idle map[Target][]*Conn
+	mu      sync.Mutex
+	idle    map[Target][]*Conn
+	sweptAt time.Time
 }
 
 // NewPool makes an empty pool with a clock. opened may be nil.
@@ -49,14 +50,22 @@
 // Get gives a connection for one exchange: an idle one that is still sound, or
 // a new one. The error is a *DialError.
 func (p *Pool) Get(ctx context.Context, t Target) (*Conn, error) {
+	if c := p.Kept(t); c != nil {
+		return c, nil
+	}
+	return p.Dial(ctx, t)
+}
+
+// Kept gives an idle connection that is still sound, nil if there is none.
+func (p *Pool) Kept(t Target) *Conn {
 	for {
 		c := p.take(t)
 		if c == nil {
-			return p.Dial(ctx, t)
+			return nil
 		}
 		if p.now().Sub(c.usedAt) < c.idleFor && c.clean() {
 			c.reused = true
-			return c, nil
+			return c
 		}
 		c.Close()
 	}
@@ -125,6 +134,30 @@
 		return
 	}
 	p.idle[c.target] = append(list, c)
+	p.sweep(c.usedAt)
+}
+
+// sweepEvery is the time between two looks for connections kept too long.
+const sweepEvery = time.Second
+
+// sweep closes the connections that were idle for too long, so that those of
+// upstreams which are gone do not pile up.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepEvery {
+		return
+	}
+	p.sweptAt = now
+	for t, list := range p.idle {
+		// The oldest come first.
+		for len(list) > 0 && now.Sub(list[0].usedAt) >= list[0].idleFor {
+			list[0].Close()
+			list = list[1:]
+		}
+		p.idle[t] = list
+		if len(list) == 0 {
+			delete(p.idle, t)
+		}
+	}
 }
 
 // Forget closes the idle connections of an upstream.
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -54,10 +54,14 @@
 }
 
 // Available reports whether Allow would grant a retry now. It takes nothing.
-func (b *Budget) Available(now time.Time) bool {
+func (b *Budget) Available(now time.Time) bool { return b.AvailableOf(now, 1) }
+
+// AvailableOf is Available within a part of the allowance, 0 to 1, so that
+// retries which matter less leave the rest to those that matter more.
+func (b *Budget) AvailableOf(now time.Time, part float64) bool {
 	b.fade(now)
 	allowance := b.ratio*b.firsts + b.least*BudgetWindow.Seconds()
-	return b.retries+1 <= allowance
+	return b.retries+1 <= allowance*part
 }
 
 // Allow takes one retry from the budget and counts the answer under reason.
