--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -100,6 +100,9 @@
 	// loadFactor stretches that time, as loads that run at once share the
 	// weight store.
 	loadFactor = 2.0
+	// moveAfter is how long a zone must lack layers before engines that hold
+	// others are moved: most engines that crash are back, empty, in less.
+	moveAfter = 6 * time.Second
 	// unfitPause is the wait before an engine that refused is asked again.
 	unfitPause = 700 * time.Millisecond
 )
@@ -115,6 +118,14 @@
 	// known counts the engines seen; grownAt is when it last grew.
 	known   map[ids.Upstream]bool
 	grownAt time.Time
+	// holeSince tells since when zones lack layers. Run's alone.
+	holeSince map[zoneOf]time.Time
+}
+
+// zoneOf is a zone as far as one service is concerned.
+type zoneOf struct {
+	service ids.Service
+	zone    ids.Zone
 }
 
 // pending is an order under way.
@@ -127,7 +138,7 @@
 
 // New makes a Placer.
 func New(o Options) *Placer {
-	return &Placer{opts: o, under: make(map[ids.Upstream]pending), known: make(map[ids.Upstream]bool)}
+	return &Placer{opts: o, under: make(map[ids.Upstream]pending), known: make(map[ids.Upstream]bool), holeSince: make(map[zoneOf]time.Time)}
 }
 
 // Run does the duty until ctx ends, and waits for its calls.
@@ -154,19 +165,23 @@
 	for i := range table.Services() {
 		service := &table.Services()[i]
 		if service.Model != nil {
-			p.place(ctx, service.Model, view.Of(service.Name))
+			p.place(ctx, service, view.Of(service.Name))
 		}
 	}
 }
 
 // place gives the orders that one model's engines need.
-func (p *Placer) place(ctx context.Context, m *layered.Model, engines []*directory.Upstream) {
+func (p *Placer) place(ctx context.Context, service *routing.Service, engines []*directory.Upstream) {
 	now := p.opts.Now()
+	m := service.Model
 	settled := p.settled(now, engines)
 	if _, ok := p.term(); !ok || !settled {
 		return
 	}
-	for _, order := range placement.Plan(m, p.state(now, m, engines), p.opts.Plan) {
+	state := p.state(now, engines)
+	plan := p.opts.Plan
+	plan.Move = p.movable(now, service.Name, placement.Whole(m, state))
+	for _, order := range placement.Plan(m, state, plan) {
 		for _, u := range engines {
 			if u.ID == order.Engine {
 				p.send(ctx, m, u, order.Layers)
@@ -175,6 +190,24 @@
 	}
 }
 
+// movable gives the zones that have lacked layers for long.
+func (p *Placer) movable(now time.Time, service ids.Service, whole map[ids.Zone]bool) map[ids.Zone]bool {
+	move := make(map[ids.Zone]bool)
+	for zone, ok := range whole {
+		key := zoneOf{service, zone}
+		since, lacking := p.holeSince[key]
+		switch {
+		case ok:
+			delete(p.holeSince, key)
+		case !lacking:
+			p.holeSince[key] = now
+		default:
+			move[zone] = now.Sub(since) >= moveAfter
+		}
+	}
+	return move
+}
+
 // settled reports whether the list of engines has come to rest.
 func (p *Placer) settled(now time.Time, engines []*directory.Upstream) bool {
 	p.mu.Lock()
@@ -194,7 +227,7 @@
 
 // state gives the engines as the plan sees them: with what they were told to
 // hold, and without those that are leaving.
-func (p *Placer) state(now time.Time, m *layered.Model, engines []*directory.Upstream) []placement.Engine {
+func (p *Placer) state(now time.Time, engines []*directory.Upstream) []placement.Engine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var state []placement.Engine
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -41,6 +41,24 @@
 type Options struct {
 	// WeightPart is the part of a card's memory that weights may take, 0 to 1.
 	WeightPart float64
+	// Move names the zones in which engines that hold layers may be told to
+	// hold others, to fill holes. They serve nothing from then on until what
+	// passes through them has ended and the new layers are loaded, so an engine
+	// that comes back empty is the better filling.
+	Move map[ids.Zone]bool
+}
+
+// Whole reports for each zone whether its engines hold every layer.
+func Whole(m *layered.Model, engines []Engine) map[ids.Zone]bool {
+	byZone := make(map[ids.Zone][]Engine)
+	for _, e := range engines {
+		byZone[e.Zone] = append(byZone[e.Zone], e)
+	}
+	whole := make(map[ids.Zone]bool, len(byZone))
+	for zone, of := range byZone {
+		whole[zone] = len(holes(coverage(m, of))) == 0
+	}
+	return whole
 }
 
 // DefaultWeightPart leaves 0.4 of the memory to the KV cache. Of parts from 0.5
@@ -144,6 +162,9 @@
 		orders = append(orders, Order{e.ID, layers})
 	}
 	orders = append(orders, widen(m, engines, covered)...)
+	if len(engines) == 0 || !o.Move[engines[0].Zone] {
+		return orders
+	}
 	return append(orders, moves(m, engines, covered, o)...)
 }
 
