Tests of the new decisions; no engine gets two orders of one plan

Cause, found by the property test of plans: an engine next to two holes, or widened and then moved, got two orders at once. Change: an engine that got one is fixed for the rest of the plan.

--- /dev/null
+++ b/decide/chain/chain_test.go
@@ -0,0 +1,224 @@
+package chain
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/condition"
+	"mimosaarch.example/decide/directory"
+)
+
+var start = time.Unix(1000, 0)
+
+func model() *layered.Model {
+	return &layered.Model{
+		Layers: 80, LayerMB: 1750, KVTokenBytes: 918000, StepMs: 1, PerSequenceMs: 0.007, PerContextMs: 0.01,
+		ReadPerMs: 105, Stride: 3, Prompt: 774, Answer: 200,
+		Cards: map[string]layered.Card{
+			"fast": {MemoryMB: 72000, StepFactor: 2, ReadFactor: 2},
+			"slow": {MemoryMB: 72000, StepFactor: 10, ReadFactor: 10},
+		},
+	}
+}
+
+func engine(id, zone, card string, from, to int) directory.Upstream {
+	return directory.Upstream{
+		ID: ids.Upstream(id), Service: "s", Address: id, Zone: ids.Zone(zone), Card: card,
+		Layers: layered.Range{From: from, To: to}, Revision: 1,
+	}
+}
+
+func view(engines ...directory.Upstream) *directory.View {
+	d := directory.New()
+	for _, e := range engines {
+		d.Put(e)
+	}
+	return d.View()
+}
+
+var request = Request{Service: "s", Zone: "z1", Prompt: 800, Answer: 200}
+
+// choose fails the test unless a chain is found.
+func choose(t *testing.T, b *Book, v *directory.View, r Request) string {
+	t.Helper()
+	c, err := b.Choose(start, model(), v, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Check(c, 80); err != nil {
+		t.Fatal(err)
+	}
+	return c.String()
+}
+
+func TestCheckRefusesWhatDoesNotTile(t *testing.T) {
+	a, b, c := engine("a", "z", "fast", 0, 40), engine("b", "z", "fast", 30, 80), engine("c", "z", "fast", 40, 80)
+	r := func(from, to int) layered.Range { return layered.Range{From: from, To: to} }
+	for name, chain := range map[string]Chain{
+		"empty":           {},
+		"gap":             {{&a, r(0, 38)}, {&c, r(40, 80)}},
+		"overlap":         {{&a, r(0, 40)}, {&b, r(35, 80)}},
+		"short":           {{&a, r(0, 40)}, {&c, r(40, 79)}},
+		"not from 0":      {{&b, r(30, 80)}},
+		"not held":        {{&a, r(0, 41)}, {&c, r(41, 80)}},
+		"twice":           {{&a, r(0, 20)}, {&a, r(20, 40)}, {&c, r(40, 80)}},
+		"empty hop":       {{&a, r(0, 0)}, {&a, r(0, 40)}, {&c, r(40, 80)}},
+		"swapped":         {{&c, r(40, 80)}, {&a, r(0, 40)}},
+		"beyond the last": {{&a, r(0, 40)}, {&c, r(40, 81)}},
+	} {
+		var tiling *TilingError
+		if err := Check(chain, 80); !errors.As(err, &tiling) {
+			t.Errorf("%s: %v, want a *TilingError", name, err)
+		}
+	}
+	if err := Check(Chain{{&a, r(0, 35)}, {&b, r(35, 80)}}, 80); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestChosenChainsTile draws fleets of engines with any ranges, some leaving or
+// suspected, and requests with any first stage.
+func TestChosenChainsTile(t *testing.T) {
+	found := 0
+	for seed := range uint64(2000) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		conditions := condition.New()
+		b := New(conditions)
+		var engines []directory.Upstream
+		for i := range 1 + r.IntN(14) {
+			from := r.IntN(8) * 10
+			e := engine(fmt.Sprint(i), fmt.Sprintf("z%d", r.IntN(3)), []string{"fast", "slow", "unknown"}[r.IntN(3)],
+				from, min(80, from+10+r.IntN(50)))
+			e.Leaving = r.IntN(8) == 0
+			if r.IntN(8) == 0 {
+				conditions.Failed(start, e.ID)
+			}
+			engines = append(engines, e)
+		}
+		v := view(engines...)
+		c, err := b.Choose(start, model(), v, request)
+		if err != nil {
+			continue
+		}
+		found++
+		if err := Check(c, 80); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for _, h := range c {
+			if h.Engine.Leaving || conditions.Suspected(start, h.Engine.ID, h.Engine.Zone) {
+				t.Fatalf("seed %d: %s may take nothing", seed, h.Engine.ID)
+			}
+		}
+		again := request
+		again.First = &c[0]
+		again.Avoid = map[ids.Upstream]bool{c[len(c)-1].Engine.ID: true}
+		if other, err := b.Choose(start, model(), v, again); err == nil {
+			if err := Check(other, 80); err != nil {
+				t.Fatalf("seed %d, around %s: %v", seed, c, err)
+			}
+			if len(c) > 1 && (other[0] != c[0] || other.Has(c[len(c)-1].Engine.ID)) {
+				t.Fatalf("seed %d: around %s: %s", seed, c, other)
+			}
+		}
+	}
+	if found < 200 {
+		t.Errorf("only %d of the draws had a chain", found)
+	}
+}
+
+func TestOwnZoneGoesFirst(t *testing.T) {
+	v := view(engine("a", "z1", "fast", 0, 80), engine("b", "z2", "fast", 0, 80))
+	if got := choose(t, New(condition.New()), v, request); got != "a=0-80" {
+		t.Errorf("chain %s", got)
+	}
+	far := request
+	far.Zone = "z2"
+	if got := choose(t, New(condition.New()), v, far); got != "b=0-80" {
+		t.Errorf("chain %s", got)
+	}
+}
+
+func TestMuchFasterZoneIsWorthTheWay(t *testing.T) {
+	v := view(engine("a", "z1", "slow", 0, 80), engine("b", "z2", "fast", 0, 80))
+	if got := choose(t, New(condition.New()), v, request); got != "b=0-80" {
+		t.Errorf("chain %s", got)
+	}
+}
+
+func TestChainsCrossZonesOnlyWhereNoneIsWhole(t *testing.T) {
+	v := view(engine("a", "z1", "fast", 0, 40), engine("b", "z2", "fast", 40, 80))
+	if got := choose(t, New(condition.New()), v, request); got != "a=0-40,b=40-80" {
+		t.Errorf("chain %s", got)
+	}
+	v = view(engine("a", "z1", "fast", 0, 40), engine("b", "z2", "fast", 40, 80), engine("c", "z3", "slow", 0, 80))
+	if got := choose(t, New(condition.New()), v, request); got != "c=0-80" {
+		t.Errorf("chain %s", got)
+	}
+}
+
+func TestLoadSpreadsOverEqualStages(t *testing.T) {
+	b := New(condition.New())
+	v := view(engine("a", "z1", "fast", 0, 80), engine("b", "z1", "fast", 0, 80))
+	counts := make(map[string]int)
+	for range 40 {
+		c, err := b.Choose(start, model(), v, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Began(start, c, request)
+		counts[c.String()]++
+	}
+	if counts["a=0-80"] != 20 || counts["b=0-80"] != 20 {
+		t.Errorf("shares %v", counts)
+	}
+}
+
+func TestSlowAndFullEnginesAreAvoided(t *testing.T) {
+	conditions := condition.New()
+	b := New(conditions)
+	v := view(engine("a", "z1", "fast", 0, 80), engine("b", "z1", "fast", 0, 80))
+	conditions.Paced(start, "a", 5)
+	if got := choose(t, b, v, request); got != "b=0-80" {
+		t.Errorf("with a slow: %s", got)
+	}
+	conditions.Paced(start, "a", 1)
+	conditions.Full(start, "a")
+	if got := choose(t, b, v, request); got != "b=0-80" {
+		t.Errorf("with a full: %s", got)
+	}
+}
+
+func TestNoChainIsSaid(t *testing.T) {
+	v := view(engine("a", "z1", "fast", 0, 40), engine("b", "z1", "fast", 41, 80))
+	_, err := New(condition.New()).Choose(start, model(), v, request)
+	var none *NoChainError
+	if !errors.As(err, &none) || none.Engines != 2 || none.Usable != 2 {
+		t.Errorf("error %v", err)
+	}
+}
+
+// BenchmarkChoose tells what a choice costs with three zones of so many
+// engines in all.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{33, 90, 210} {
+		var engines []directory.Upstream
+		for i := range size {
+			from := i / 3 * 7 % 77
+			engines = append(engines, engine(fmt.Sprint(i), fmt.Sprintf("z%d", i%3), "fast", from, min(80, from+14)))
+		}
+		v := view(engines...)
+		book := New(condition.New())
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := book.Choose(start, model(), v, request); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/decide/condition/condition_test.go
@@ -0,0 +1,77 @@
+package condition
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestSuspicionEndsAndGrows(t *testing.T) {
+	table := New()
+	if !table.Failed(at(0), "a") || table.Failed(at(10), "a") {
+		t.Error("only the first failure is news")
+	}
+	if !table.Suspected(at(399), "a", "z") || table.Suspected(at(400), "a", "z") {
+		t.Error("the first suspicion lasts 400 ms")
+	}
+	table.Failed(at(500), "a")
+	if !table.Suspected(at(1299), "a", "z") || table.Suspected(at(1300), "a", "z") {
+		t.Error("the second lasts 800 ms")
+	}
+	table.Failed(at(2000), "a")
+	if !table.Answered("a", "z") || table.Suspected(at(2001), "a", "z") {
+		t.Error("an answer ends it")
+	}
+	table.Failed(at(3000), "a")
+	if table.Suspected(at(3400), "a", "z") {
+		t.Error("after an answer it starts anew")
+	}
+}
+
+func TestZoneIsCutOffWhenSeveralAreOutOfReach(t *testing.T) {
+	table := New()
+	if table.Unreachable(at(0), "a", "z") || table.Unreachable(at(1), "a", "z") {
+		t.Error("one upstream alone marks its zone")
+	}
+	if !table.Unreachable(at(2), "b", "z") {
+		t.Error("two do not mark it")
+	}
+	if !table.Suspected(at(3), "c", "z") || table.Suspected(at(3), "c", "y") {
+		t.Error("others of the zone are suspected, and only they")
+	}
+	table.Answered("c", "z")
+	if table.ZoneSuspected(at(4), "z") || table.Unreachable(at(5), "a", "z") {
+		t.Error("an answer from the zone ends it and the count")
+	}
+}
+
+func TestPaceIsBelievedForAWhile(t *testing.T) {
+	table := New()
+	table.Paced(at(0), "a", 12)
+	if table.Pace(at(1999), "a") != 12 || table.Pace(at(2000), "a") != 1 {
+		t.Error("pace is believed for 2 s")
+	}
+	table.Paced(at(0), "a", 0.5)
+	if table.Pace(at(1), "a") != 1 {
+		t.Error("pace is at least 1")
+	}
+}
+
+func TestEndedOnlyByProof(t *testing.T) {
+	table := New()
+	table.Failed(at(0), "a")
+	if table.HasEnded("a") {
+		t.Error("a failure is no proof of an end")
+	}
+	table.Ended("a")
+	if !table.HasEnded("a") {
+		t.Error("end not kept")
+	}
+	table.Forget("a")
+	if table.HasEnded("a") {
+		t.Error("forgotten upstreams are unknown")
+	}
+}
--- /dev/null
+++ b/decide/directory/directory_test.go
@@ -0,0 +1,128 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mimosaarch.example/core/ids"
+)
+
+var start = time.Unix(1000, 0)
+
+// at gives a time by ms from the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func upstream(id string, revision int64) Upstream {
+	return Upstream{ID: ids.Upstream(id), Service: "s", Address: id + ":1", Revision: revision}
+}
+
+// names gives the upstreams of the view, with those leaving marked.
+func names(d *Directory) []string {
+	var out []string
+	for _, u := range d.View().Of("s") {
+		name := string(u.ID)
+		if u.Leaving {
+			name += "!"
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// kinds gives the changes as text.
+func kinds(changes []Change) []string {
+	var out []string
+	for _, c := range changes {
+		out = append(out, string(c.Kind)+" "+string(c.Upstream.ID))
+	}
+	return out
+}
+
+func TestListIsTakenAsADifference(t *testing.T) {
+	d := New()
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2)}, 5)
+	b := upstream("b", 7)
+	b.Leaving = true
+	changes := d.Replace(start, []Upstream{b, upstream("c", 8)}, 9)
+	if diff := cmp.Diff([]string{"left b", "seen c", "gone a"}, kinds(changes)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"b!", "c"}, names(d)); diff != "" {
+		t.Error(diff)
+	}
+	if d.Replace(start, nil, 8) != nil || len(names(d)) != 2 {
+		t.Error("an older list took effect")
+	}
+}
+
+func TestLeavingIsFinal(t *testing.T) {
+	d := New()
+	u := upstream("a", 1)
+	u.Leaving = true
+	d.Put(u)
+	d.Put(upstream("a", 2))
+	if diff := cmp.Diff([]string{"a!"}, names(d)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOlderEntriesAndRemovalsAreIgnored(t *testing.T) {
+	d := New()
+	d.Put(upstream("a", 5))
+	if d.Put(upstream("a", 4)) != nil {
+		t.Error("an older entry took effect")
+	}
+	if d.Remove(start, "a", 4) != nil || len(names(d)) != 1 {
+		t.Error("a removal from before the entry took effect")
+	}
+	if got := kinds(d.Remove(start, "a", 6)); !cmp.Equal(got, []string{"gone a"}) {
+		t.Errorf("removal: %v", got)
+	}
+}
+
+func TestEntriesMissingAfterAnOutageStandForAWhile(t *testing.T) {
+	d := New()
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, 5)
+	d.Returned(at(10_000))
+	d.Replace(at(10_010), []Upstream{upstream("a", 1)}, 6)
+	if diff := cmp.Diff([]string{"a", "b", "c"}, names(d)); diff != "" {
+		t.Error("just after the outage:", diff)
+	}
+	d.Put(upstream("b", 7))
+	if changes := d.Expire(at(11_400)); changes != nil {
+		t.Errorf("expired early: %v", kinds(changes))
+	}
+	if got := kinds(d.Expire(at(11_520))); !cmp.Equal(got, []string{"gone c"}) {
+		t.Errorf("after the grace: %v, want c gone, as b came back", got)
+	}
+	if got := kinds(d.Remove(at(12_000), "b", 9)); !cmp.Equal(got, []string{"gone b"}) {
+		t.Errorf("a removal long after the outage: %v", got)
+	}
+}
+
+func TestOneThatWasLeavingIsGoneAtOnceAfterAnOutage(t *testing.T) {
+	d := New()
+	u := upstream("a", 1)
+	u.Leaving = true
+	d.Replace(start, []Upstream{u}, 5)
+	d.Returned(at(1000))
+	if got := kinds(d.Replace(at(1000), nil, 6)); !cmp.Equal(got, []string{"gone a"}) {
+		t.Errorf("changes %v", got)
+	}
+}
+
+func TestViewsDoNotChange(t *testing.T) {
+	d := New()
+	d.Put(upstream("a", 1))
+	before := d.View()
+	d.Remove(start, "a", 2)
+	if before.Get("a") == nil || len(before.All()) != 1 {
+		t.Error("a view changed after it was given")
+	}
+	var none *View
+	if none.Get("a") != nil || none.Of("s") != nil || none.All() != nil {
+		t.Error("no view knows upstreams")
+	}
+}
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -161,6 +161,7 @@
 		add(covered, layers, 1)
 		orders = append(orders, Order{e.ID, layers})
 	}
+	engines = slices.Clone(engines)
 	orders = append(orders, widen(m, engines, covered)...)
 	if len(engines) == 0 || !o.Move[engines[0].Zone] {
 		return orders
@@ -216,7 +217,8 @@
 
 // widen fills holes of a zone by engines that hold the layers next to them:
 // they load a few more, while what they hold goes on serving. It gives the
-// orders for the holes that can be filled whole.
+// orders for the holes that can be filled whole, and marks the engines as fixed,
+// so that none gets a second order.
 func widen(m *layered.Model, engines []Engine, covered []int) []Order {
 	var orders []Order
 	for _, hole := range holes(covered) {
@@ -231,9 +233,11 @@
 		}
 		if fromLeft > 0 {
 			orders = append(orders, Order{left.ID, layered.Range{From: left.Holds.From, To: hole.From + fromLeft}})
+			left.Fixed = true
 		}
 		if fromLeft < hole.Len() {
 			orders = append(orders, Order{right.ID, layered.Range{From: hole.From + fromLeft, To: right.Holds.To}})
+			right.Fixed = true
 		}
 		add(covered, hole, 1)
 	}
@@ -257,12 +261,13 @@
 
 // neighbour gives the engine of those that fit which can hold the most further
 // layers, and how many.
-func neighbour(m *layered.Model, engines []Engine, fits func(Engine) bool) (best Engine, most int) {
-	for _, e := range engines {
-		if e.Fixed || e.Holds.Empty() || !fits(e) {
+func neighbour(m *layered.Model, engines []Engine, fits func(Engine) bool) (best *Engine, most int) {
+	for i := range engines {
+		e := &engines[i]
+		if e.Fixed || e.Holds.Empty() || !fits(*e) {
 			continue
 		}
-		if spare := capacity(m, e, Options{WeightPart: widestPart}) - e.Holds.Len(); spare > most {
+		if spare := capacity(m, *e, Options{WeightPart: widestPart}) - e.Holds.Len(); spare > most {
 			best, most = e, spare
 		}
 	}
--- /dev/null
+++ b/decide/routing/routing_test.go
@@ -0,0 +1,106 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+
+	"mimosaarch.example/core/ids"
+)
+
+// route makes a route to one service.
+func route(name, host, prefix string) Route {
+	return Route{Name: name, Host: host, PathPrefix: prefix, Splits: []Split{{Service: ids.Service(name), Weight: 1}}}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table, err := Build(Config{Routes: []Route{
+		route("a", "one.example", "/x/"),
+		route("b", "one.example", "/x/y/"),
+		route("c", "two.example", "/"),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"one.example", "/x/1", "a"},
+		{"one.example", "/x/y/", "b"},
+		{"one.example", "/x/y/z/1", "b"},
+		{"One.Example:8080", "/x/y", "a"},
+		{"one.example", "/xy/1", ""},
+		{"one.example", "/", ""},
+		{"two.example", "/any", "c"},
+		{"three.example", "/x/1", ""},
+		{"one.example", "", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestMalformedRoutesAreRefused(t *testing.T) {
+	for name, routes := range map[string][]Route{
+		"prefix without slash": {route("a", "h", "/x")},
+		"relative prefix":      {route("a", "h", "x/")},
+		"no service":           {{Name: "a", Host: "h", PathPrefix: "/"}},
+		"twice":                {route("a", "h", "/"), route("b", "H", "/")},
+	} {
+		var invalid *ConfigError
+		if _, err := Build(Config{Version: 3, Routes: routes}); !errors.As(err, &invalid) || invalid.Version != 3 {
+			t.Errorf("%s: error %v, want a *ConfigError of version 3", name, err)
+		}
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Splits: []Split{{"a", 90}, {"b", 10}, {"c", 0}}}
+	counts := make(map[ids.Service]int)
+	for draw := range uint64(1000) {
+		counts[r.Pick(draw)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 || counts["c"] != 0 {
+		t.Errorf("shares %v", counts)
+	}
+}
+
+func TestAccountsAndPriorities(t *testing.T) {
+	first := 0
+	table, err := Build(Config{Accounts: []Account{
+		{Name: "x", Keys: []string{"k1", "k2"}, Priority: &first},
+		{Name: "y", Keys: []string{"k3"}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a := table.Account("k2"); a == nil || a.Name != "x" {
+		t.Errorf("account of k2: %v", a)
+	}
+	if table.Account("k4") != nil || table.Account("") != nil {
+		t.Error("an unknown key names an account")
+	}
+	r := Route{Priority: 2}
+	if r.PriorityOf(table.Account("k1")) != 0 || r.PriorityOf(table.Account("k3")) != 2 || r.PriorityOf(nil) != 2 {
+		t.Error("an account's priority goes before the route's, where it is set")
+	}
+}
+
+func TestOnlyIdempotentRequestsMayRepeat(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: NonIdempotent}, false},
+		{Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Idempotent}, true},
+		{Route{Kind: Streaming}, false},
+		{Route{Kind: Streaming, Resumable: true}, true},
+	} {
+		if got := c.route.MayRepeat(); got != c.want {
+			t.Errorf("%+v: may repeat %v", c.route, got)
+		}
+	}
+}
