Tests of forwarding; a stream that breaks off is taken elsewhere, and its sends are bounded

Cause, found by the tests: an engine that closed a stream was chosen again for the same request at once, without end, as going on there is no further run by the route's count. Change: the engines of the chain are asked; without a dead one, the first is shunned for this request; five sends at most.

--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -17,6 +17,10 @@
 	// maxRefusals is the most upstreams that may refuse one request before its
 	// caller is told to come back.
 	maxRefusals = 3
+	// maxSends bounds the sends of one request altogether. Going on at the same
+	// upstream is no further run by the route's count, so that count alone would
+	// let a stream that breaks off there at once be sent without end.
+	maxSends = 5
 	// hedgeObjectives is the wait for an idempotent answer, in objectives of
 	// its route, after which another upstream is asked instead.
 	hedgeObjectives = 1.0
@@ -71,7 +75,7 @@
 func (x *exchange) again(failed *failure) bool {
 	detail := failed.Error()
 	switch {
-	case !x.mayRunAgain():
+	case x.sends >= maxSends || !x.mayRunAgain():
 		x.giveUp(failed.reason, detail, busyAfter)
 		return false
 	case x.sends > 0 && !x.server.picks.again(x.service, failed.reason, x.written):
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	model *layered.Model
 	req   chain.Request
 	seq   sequence
+	// shunned are engines that broke off though they live; they are taken
+	// again only if no chain is left without them.
+	shunned map[ids.Upstream]bool
 	// last is when the latest event came.
 	last time.Time
 	// gap is the mean pause between events.
@@ -30,7 +34,7 @@
 
 // stream serves a request that is answered by events.
 func (x *exchange) stream(ctx context.Context, table *routing.Table) {
-	s := &stream{x: x, gap: x.route.PauseObjective / 4}
+	s := &stream{x: x, gap: x.route.PauseObjective / 4, shunned: make(map[ids.Upstream]bool)}
 	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Upstream]bool)}
 	if service := table.Service(x.service); service != nil {
 		s.model = service.Model
@@ -114,7 +118,14 @@
 		}
 		return chain.Chain{{Engine: u}}, nil
 	}
-	c, err := x.server.picks.chain(s.model, x.server.opts.View(), s.req)
+	view := x.server.opts.View()
+	careful := s.req
+	careful.Avoid = maps.Clone(s.req.Avoid)
+	maps.Copy(careful.Avoid, s.shunned)
+	c, err := x.server.picks.chain(s.model, view, careful)
+	if err != nil && len(s.shunned) > 0 {
+		c, err = x.server.picks.chain(s.model, view, s.req)
+	}
 	if err != nil {
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: err}
 	}
@@ -231,12 +242,27 @@
 	return nil
 }
 
+// lookFor finds out which engine of a chain ended a stream: those that do not
+// answer, or else the first, which broke the connection off.
+func (s *stream) lookFor(ctx context.Context, c chain.Chain) {
+	dead, _ := s.x.server.probe.ask(ctx, c)
+	for _, u := range dead {
+		s.req.Avoid[u.ID] = true
+	}
+	if len(dead) == 0 {
+		s.shunned[c[0].Engine.ID] = true
+	}
+}
+
 // blame notes what a failed attempt says about the engines of its chain.
 func (s *stream) blame(ctx context.Context, c chain.Chain, failed *failure) {
 	x := s.x
 	x.settle(c[0].Engine, failed)
-	if failed.phase == outcome.NotSent {
+	switch {
+	case failed.phase == outcome.NotSent:
 		s.req.Avoid[c[0].Engine.ID] = true
+	case failed.reason == outcome.UpstreamLost || failed.reason == outcome.UpstreamInvalid:
+		s.lookFor(ctx, c)
 	}
 	for _, h := range c {
 		if h.Engine.Address == failed.culprit {
--- /dev/null
+++ b/adapter/forward/stream_test.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/core/layered"
+)
+
+// stageFake starts an engine that holds layers.
+func stageFake(t *testing.T, id string, from, to int, answer script) *fake {
+	f := newFake(t, id, "model", answer)
+	f.Card = "card"
+	f.Layers = layered.Range{From: from, To: to}
+	return f
+}
+
+// wantEvents fails the test unless a body is the events from one id to another.
+func wantEvents(t *testing.T, body []byte, from, to int) {
+	t.Helper()
+	want := ""
+	for id := from; id <= to; id++ {
+		want += fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
+	}
+	if string(body) != want {
+		t.Errorf("events %q, want %d to %d", body, from, to)
+	}
+}
+
+// whole streams events from where the request wants them.
+func whole(to int) script {
+	return func(conn net.Conn, req *fasthttp.Request) bool { return eventsFrom(conn, req, after(req), to, true) }
+}
+
+func TestStreamNamesAChainThatTiles(t *testing.T) {
+	first := stageFake(t, "a", 0, 6, whole(5))
+	second := stageFake(t, "b", 4, 10, whole(5))
+	r := newRig(t, first, second)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p", "Q-Tokens: 100,20")
+	if !complete || resp.StatusCode() != 200 {
+		t.Fatalf("answer %d", resp.StatusCode())
+	}
+	wantEvents(t, resp.Body(), 1, 5)
+	got := string(first.requests()[0].Header.Peek("Q-Stages"))
+	forms := []string{
+		first.Address + "=0-6," + second.Address + "=6-10",
+		first.Address + "=0-4," + second.Address + "=4-10",
+	}
+	if got != forms[0] && got != forms[1] {
+		t.Errorf("chain %q", got)
+	}
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	broken := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return eventsFrom(conn, req, after(req), 3, false)
+	})
+	other := stageFake(t, "b", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		// One event that the caller has comes again.
+		return eventsFrom(conn, req, after(req)-1, 6, true)
+	})
+	other.Zone = "far"
+	r := newRig(t, broken, other)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete {
+		t.Error("the answer does not end whole")
+	}
+	wantEvents(t, resp.Body(), 1, 6)
+	if got := string(other.requests()[0].Header.Peek("Q-Last")); got != "3" {
+		t.Errorf("resumed after %q, want 3", got)
+	}
+}
+
+func TestStreamWithAGapNeverLooksWhole(t *testing.T) {
+	gap := func(conn net.Conn, req *fasthttp.Request) bool {
+		out := "HTTP/1.1 200 OK\r\nQ-Id: " + string(req.Header.Peek("Q-Id")) + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for _, id := range []int{1, 2, 4} {
+			event := fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
+			out += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = conn.Write([]byte(out + "0\r\n\r\n"))
+		return false
+	}
+	r := newRig(t, stageFake(t, "a", 0, 10, gap))
+	resp, complete := r.ask(t, "POST", "/once/x", "r1", "p")
+	if complete {
+		t.Error("a stream with a gap ended as whole")
+	}
+	if strings.Contains(string(resp.Body()), "e4") {
+		t.Error("an event after the gap was passed on")
+	}
+}
+
+func TestStreamThatMayRunOnceIsNotSentAgain(t *testing.T) {
+	broken := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return eventsFrom(conn, req, 1, 3, false)
+	})
+	other := stageFake(t, "b", 0, 10, whole(6))
+	other.Zone = "far"
+	r := newRig(t, broken, other)
+	if _, complete := r.ask(t, "POST", "/once/x", "r1", "p"); complete || len(other.requests()) > 0 {
+		t.Errorf("complete %v, %d sends to another", complete, len(other.requests()))
+	}
+	silent := stageFake(t, "c", 0, 10, func(net.Conn, *fasthttp.Request) bool { return false })
+	r = newRig(t, silent)
+	if resp, _ := r.ask(t, "POST", "/once/x", "r2", "p"); resp.StatusCode() != 502 {
+		t.Errorf("broken before the first event: %d, want 502", resp.StatusCode())
+	}
+}
+
+func TestRunsAreBoundedByTheRoute(t *testing.T) {
+	broken := func(conn net.Conn, req *fasthttp.Request) bool {
+		from := after(req)
+		return eventsFrom(conn, req, from, from, false)
+	}
+	a, b, c := stageFake(t, "a", 0, 10, broken), stageFake(t, "b", 0, 10, broken), stageFake(t, "c", 0, 10, broken)
+	r := newRig(t, a, b, c)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if complete || resp.StatusCode() != 200 {
+		t.Errorf("status %d, complete %v", resp.StatusCode(), complete)
+	}
+	ran := make(map[string]bool)
+	for id, f := range map[string]*fake{"a": a, "b": b, "c": c} {
+		if len(f.requests()) > 0 {
+			ran[id] = true
+		}
+	}
+	if len(ran) > 2 {
+		t.Errorf("ran on %v, the route allows two", ran)
+	}
+}
+
+func TestSendsToOneUpstreamAreBounded(t *testing.T) {
+	f := stageFake(t, "a", 0, 10, func(net.Conn, *fasthttp.Request) bool { return false })
+	r := newRig(t, f)
+	if resp, _ := r.ask(t, "POST", "/stream/x", "r1", "p"); resp.StatusCode() != 502 {
+		t.Errorf("answer %d", resp.StatusCode())
+	}
+	if n := len(f.requests()); n > maxSends {
+		t.Errorf("%d sends", n)
+	}
+}
+
+func TestRefusalNamesTheStageToLeaveOut(t *testing.T) {
+	var second *fake
+	first := stageFake(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		if strings.Contains(string(req.Header.Peek("Q-Stages")), second.Address) {
+			return reply(conn, req, 503, "", "Q-Not-Run: 1", "Q-Fault: "+second.Address)
+		}
+		return eventsFrom(conn, req, 1, 2, true)
+	})
+	second = stageFake(t, "b", 5, 10, whole(2))
+	twin := stageFake(t, "c", 5, 10, whole(2))
+	twin.Card = "unknown to the model"
+	r := newRig(t, first, second, twin)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete || resp.StatusCode() != 200 {
+		t.Fatalf("answer %d", resp.StatusCode())
+	}
+	wantEvents(t, resp.Body(), 1, 2)
+}
+
+func TestStalledStreamIsLedAroundADeadStage(t *testing.T) {
+	go1 := make(chan struct{})
+	var released atomic.Bool
+	first := stageFake(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		eventsFrom(conn, req, 1, 2, false)
+		<-go1
+		last := "id: 3\ndata: e3\n\n"
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(last), last)
+		return false
+	})
+	second := stageFake(t, "b", 5, 10, whole(2))
+	twin := stageFake(t, "c", 5, 10, whole(2))
+	twin.Zone = "far"
+	r := newRig(t, first, second, twin)
+	r.calls.dead["b"] = true
+	r.calls.onRoute = func() {
+		if !released.Swap(true) {
+			close(go1)
+		}
+	}
+	c := r.dial(t)
+	c.send("POST", "/stream/x", "r1", "p")
+	resp, complete := c.answer()
+	if !complete || !released.Load() {
+		t.Fatalf("answer %q, whole %v, rerouted %v", resp.Body(), complete, released.Load())
+	}
+	wantEvents(t, resp.Body(), 1, 3)
+	want := "r1 " + first.Address + "=0-5," + twin.Address + "=5-10"
+	if r.calls.rerouted[0] != want {
+		t.Errorf("rerouted %q, want %q", r.calls.rerouted[0], want)
+	}
+	if len(first.requests()) != 1 {
+		t.Errorf("%d sends, want none beside the first", len(first.requests()))
+	}
+}
+
+func TestStreamWhoseFirstStageDiesGoesOnElsewhere(t *testing.T) {
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	dead := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		eventsFrom(conn, req, 1, 2, false)
+		<-hold
+		return false
+	})
+	other := stageFake(t, "b", 0, 10, whole(4))
+	other.Zone = "far"
+	r := newRig(t, dead, other)
+	r.calls.dead["a"] = true
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete {
+		t.Error("not whole")
+	}
+	wantEvents(t, resp.Body(), 1, 4)
+}
+
+func TestSlowButAloneIsNotLeft(t *testing.T) {
+	hold := make(chan struct{})
+	slow := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		<-hold
+		return eventsFrom(conn, req, 1, 2, true)
+	})
+	r := newRig(t, slow)
+	r.calls.dead["a"] = true
+	c := r.dial(t)
+	c.send("POST", "/stream/x", "r1", "p")
+	eventually(t, "the engine is asked", func() bool { return r.counts.get("upstream.probes") > 1 })
+	close(hold)
+	resp, complete := c.answer()
+	if !complete || resp.StatusCode() != 200 || len(slow.requests()) != 1 {
+		t.Errorf("answer %d, %d sends", resp.StatusCode(), len(slow.requests()))
+	}
+}
+
+func TestEventsAreReadWhole(t *testing.T) {
+	var s sequence
+	for _, c := range []struct {
+		id   int64
+		pass bool
+		gap  bool
+	}{{3, true, false}, {3, false, false}, {4, true, false}, {2, false, false}, {6, false, true}} {
+		pass, err := s.take(event{id: c.id, hasID: true})
+		if pass != c.pass || (err != nil) != c.gap {
+			t.Errorf("event %d: pass %v, error %v", c.id, pass, err)
+		}
+	}
+}
