--- /dev/null
+++ b/adapter/placer/placer_test.go
@@ -0,0 +1,219 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/lease"
+	"mimosaarch.example/decide/routing"
+)
+
+// fleet stands for the engines, the directory and the lease.
+type fleet struct {
+	mu     sync.Mutex
+	dir    *directory.Directory
+	rev    int64
+	orders []string
+	busy   map[ids.Upstream]bool
+	result Result
+	status lease.Status
+	lapsed lease.Status
+	downs  int
+	// hangs makes reports fail.
+	hangs bool
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		dir: directory.New(), busy: make(map[ids.Upstream]bool), result: Begun,
+		status: lease.Status{Held: true, Left: time.Hour, Fence: 9},
+	}
+}
+
+// engine adds an engine or changes what it holds.
+func (f *fleet) engine(id string, from, to int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	f.dir.Put(directory.Upstream{
+		ID: ids.Upstream(id), Service: "s", Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+	})
+}
+
+func (f *fleet) Probe(context.Context, *directory.Upstream) (layered.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hangs {
+		return layered.Report{}, &LeaseError{}
+	}
+	return layered.Report{Orders: 4}, nil
+}
+
+func (f *fleet) Place(_ context.Context, u *directory.Upstream, o Order) (Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, fmt.Sprintf("%s %s fence %d after %d", u.ID, o.Layers, o.Fence, o.After))
+	slices.Sort(f.orders)
+	return f.result, nil
+}
+
+func (f *fleet) Status() lease.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status
+}
+
+func (f *fleet) Lapsed() lease.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lapsed
+}
+
+func (f *fleet) StepDown() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.downs++
+	f.status = lease.Status{}
+}
+
+// given takes the orders given so far.
+func (f *fleet) given() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.orders
+	f.orders = nil
+	return out
+}
+
+// play runs the duty over a fleet, in a bubble of its own clock.
+func play(t *testing.T, f *fleet, fenced bool, story func()) {
+	t.Helper()
+	table, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "s", Model: &layered.Model{
+		Layers: 10, LayerMB: 10, KVTokenBytes: 10, StepMs: 1, Stride: 1, LoadSeconds: 10,
+		Cards: map[string]layered.Card{"card": {MemoryMB: 100, StepFactor: 1, ReadFactor: 1}},
+	}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := New(Options{
+			Table: func() *routing.Table { return table },
+			View: func() *directory.View {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.dir.View()
+			},
+			Engines: f, Lease: f, Fenced: fenced, Now: time.Now, Log: zerolog.Nop(),
+			Count: func(string, int64) {},
+		})
+		go p.Run(ctx)
+		story()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWaitsForTheFleetThenPlaces(t *testing.T) {
+	f := newFleet()
+	play(t, f, true, func() {
+		f.engine("a", 0, 0)
+		time.Sleep(time.Second)
+		f.engine("b", 0, 0)
+		time.Sleep(time.Second)
+		if got := f.given(); len(got) > 0 {
+			t.Errorf("orders before the list has settled: %v", got)
+		}
+		time.Sleep(time.Second)
+		want := []string{"a 0-6 fence 9 after 4", "b 6-10 fence 9 after 4"}
+		if diff := cmp.Diff(want, f.given()); diff != "" {
+			t.Error(diff)
+		}
+		f.engine("a", 0, 6)
+		f.engine("b", 6, 10)
+		time.Sleep(time.Minute)
+		if got := f.given(); len(got) > 0 {
+			t.Errorf("orders to a fleet that is whole: %v", got)
+		}
+	})
+}
+
+func TestNoOrderWithoutTheLease(t *testing.T) {
+	for name, status := range map[string]lease.Status{"none": {}, "about to end": {Held: true, Left: leastLeft / 2, Fence: 9}} {
+		f := newFleet()
+		f.status = status
+		play(t, f, false, func() {
+			f.engine("a", 0, 0)
+			time.Sleep(time.Minute)
+		})
+		if got := f.given(); len(got) > 0 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+func TestLapsedTermGoesOnOnlyWhereOrdersAreFenced(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		f := newFleet()
+		f.status = lease.Status{}
+		f.lapsed = lease.Status{Held: true, Fence: 8}
+		play(t, f, fenced, func() {
+			f.engine("a", 0, 0)
+			time.Sleep(5 * time.Second)
+		})
+		if got := f.given(); (len(got) > 0) != fenced {
+			t.Errorf("fenced %v: orders %v", fenced, got)
+		}
+	}
+}
+
+func TestFencedOrderEndsTheTerm(t *testing.T) {
+	f := newFleet()
+	f.result = Fenced
+	play(t, f, true, func() {
+		f.engine("a", 0, 0)
+		time.Sleep(time.Minute)
+	})
+	if got := f.given(); len(got) != 1 || f.downs != 1 {
+		t.Errorf("orders %v, stepped down %d times", got, f.downs)
+	}
+}
+
+func TestOrderWithoutEffectComesAgain(t *testing.T) {
+	f := newFleet()
+	f.result = Unknown
+	play(t, f, true, func() {
+		f.engine("a", 0, 0)
+		time.Sleep(4 * time.Second)
+		if got := f.given(); len(got) != 1 {
+			t.Errorf("orders %v, want one while it may still take effect", got)
+		}
+		time.Sleep(time.Minute)
+		if got := f.given(); len(got) == 0 {
+			t.Error("an order that never took effect is not given again")
+		}
+	})
+}
+
+func TestEngineThatDoesNotReportGetsNoOrder(t *testing.T) {
+	f := newFleet()
+	f.hangs = true
+	play(t, f, true, func() {
+		f.engine("a", 0, 0)
+		time.Sleep(10 * time.Second)
+	})
+	if got := f.given(); len(got) > 0 {
+		t.Errorf("orders %v", got)
+	}
+}
--- /dev/null
+++ b/adapter/relay/relay_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// shelf is a Source with one of each.
+type shelf struct {
+	config routing.Config
+	list   []directory.Upstream
+}
+
+func (s *shelf) News(have Have) News {
+	var n News
+	if s.config.Version > have.ConfigVersion {
+		n.Config = &s.config
+	}
+	if have.Revision < 30 {
+		n.Upstreams, n.Revision = s.list, 30
+	}
+	return n
+}
+
+func serve(t *testing.T, s Source) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = Serve(t.Context(), l, s) }()
+	return l.Addr().String()
+}
+
+func TestNewsGoOverWhole(t *testing.T) {
+	rank := 2
+	s := &shelf{
+		config: routing.Config{
+			Version:  12,
+			Routes:   []routing.Route{{Name: "r", Host: "h", PathPrefix: "/", Splits: []routing.Split{{Service: "s", Weight: 1}}}},
+			Services: []routing.Service{{Name: "s", Model: &layered.Model{Layers: 8, Cards: map[string]layered.Card{"c": {MemoryMB: 5}}}}},
+			Accounts: []routing.Account{{Name: "a", Keys: []string{"k"}, Priority: &rank}},
+		},
+		list: []directory.Upstream{{ID: "u", Service: "s", Address: "1.2.3.4:5", Layers: layered.Range{From: 1, To: 3}, Revision: 7, Leaving: true}},
+	}
+	address := serve(t, s)
+	news, err := Ask(t.Context(), address, Have{ConfigVersion: 11, Revision: 29})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(News{Config: &s.config, Upstreams: s.list, Revision: 30}, news); diff != "" {
+		t.Error(diff)
+	}
+	news, err = Ask(t.Context(), address, Have{ConfigVersion: 12, Revision: 30})
+	if err != nil || news.Config != nil || news.Revision != 0 {
+		t.Errorf("to one that has all: %+v, %v", news, err)
+	}
+}
+
+func TestSilentPeerIsATypedError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	_, err = Ask(t.Context(), l.Addr().String(), Have{})
+	var call *CallError
+	if !errors.As(err, &call) {
+		t.Errorf("error %v", err)
+	}
+}
--- /dev/null
+++ b/adapter/upconn/upconn_test.go
@@ -0,0 +1,201 @@
+package upconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// serve answers the connections of a listener, one after the other, with bytes.
+func serve(t *testing.T, answers ...func(net.Conn)) Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for _, answer := range answers {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			answer(conn)
+		}
+	}()
+	return Target{ID: "u", Address: l.Addr().String()}
+}
+
+// text writes bytes and closes the connection.
+func text(s string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, s)
+		_ = c.Close()
+	}
+}
+
+// forever waits without end.
+func forever(time.Duration) (time.Duration, error) { return 10 * time.Second, nil }
+
+// connect opens a connection with a watch.
+func connect(t *testing.T, p *Pool, target Target, w Watch) *Conn {
+	t.Helper()
+	c, err := p.Get(t.Context(), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	c.Guard(w)
+	return c
+}
+
+func TestBodiesAreWholeOrAnError(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes    string
+		body     string
+		whole    bool
+		reusable bool
+	}{
+		"length":            {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc", true, true},
+		"length, cut":       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", "", false, false},
+		"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "abc", true, true},
+		"chunks, trailer":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n", "abc", true, true},
+		"chunks, no end":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "", false, false},
+		"chunks, cut end":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", "", false, false},
+		"until close":       {"HTTP/1.1 200 OK\r\n\r\nabc", "abc", true, false},
+		"asked to close":    {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", "abc", true, false},
+		"surplus":           {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200", "abc", true, false},
+		"no body":           {"HTTP/1.1 204 No Content\r\n\r\n", "", true, true},
+		"continue is first": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz", "z", true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := connect(t, NewPool(time.Now, nil), serve(t, text(c.bytes)), forever)
+			a, err := conn.ReadAnswer("GET")
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := a.Body()
+			if (err == nil) != c.whole || c.whole && string(body) != c.body {
+				t.Errorf("body %q, error %v", body, err)
+			}
+			if reusable, _ := a.Reusable(); reusable != c.reusable {
+				t.Errorf("reusable %v", reusable)
+			}
+		})
+	}
+}
+
+func TestSilenceIsNoticedAndNamed(t *testing.T) {
+	hold := make(chan struct{})
+	target := serve(t, func(net.Conn) { <-hold })
+	defer close(hold)
+	asked := 0
+	conn := connect(t, NewPool(time.Now, nil), target, func(waited time.Duration) (time.Duration, error) {
+		asked++
+		if waited >= 20*time.Millisecond {
+			return 0, &SilentError{For: waited}
+		}
+		return 10 * time.Millisecond, nil
+	})
+	_, err := conn.ReadAnswer("GET")
+	var silent *SilentError
+	if !errors.As(err, &silent) || asked < 3 {
+		t.Errorf("error %v after %d questions, want a *SilentError", err, asked)
+	}
+}
+
+func TestAbortEndsARead(t *testing.T) {
+	hold := make(chan struct{})
+	target := serve(t, func(net.Conn) { <-hold })
+	defer close(hold)
+	ctx, cancel := context.WithCancel(t.Context())
+	conn := connect(t, NewPool(time.Now, nil), target, func(time.Duration) (time.Duration, error) {
+		return time.Hour, ctx.Err()
+	})
+	stop := context.AfterFunc(ctx, conn.Abort)
+	defer stop()
+	time.AfterFunc(5*time.Millisecond, cancel)
+	if _, err := conn.ReadAnswer("GET"); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestRefusedConnectionsAreToldFromSilentOnes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = NewPool(time.Now, nil).Get(t.Context(), Target{ID: "u", Address: address})
+	var dialed *DialError
+	if !errors.As(err, &dialed) || !dialed.Refused {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestOnlySoundConnectionsAreKept(t *testing.T) {
+	now := time.Unix(0, 0)
+	opened := 0
+	p := NewPool(func() time.Time { return now }, func(Target) { opened++ })
+	open := make(chan net.Conn, 8)
+	target := serve(t, func(c net.Conn) { open <- c }, func(c net.Conn) { open <- c }, func(c net.Conn) { open <- c })
+	first := connect(t, p, target, forever)
+	server := <-open
+	p.Put(first, 10*time.Second)
+	if c := p.Kept(target); c != first || !c.Reused() {
+		t.Fatal("a sound connection is not given again")
+	}
+	p.Put(first, 10*time.Second)
+	now = now.Add(8 * time.Second)
+	if c := p.Kept(target); c != nil {
+		t.Error("one that its upstream will close soon is given")
+	}
+	second := connect(t, p, target, forever)
+	server = <-open
+	p.Put(second, 0)
+	if _, err := server.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for c := second; c != nil; c = p.Kept(target) {
+		// The byte may need a moment to arrive; then the connection is closed.
+		p.Put(c, 0)
+		time.Sleep(time.Millisecond)
+	}
+	third := connect(t, p, target, forever)
+	p.Put(third, 0)
+	p.Forget("u")
+	if c := p.Kept(target); c != nil {
+		t.Error("a forgotten upstream's connection is given")
+	}
+	if opened != 3 {
+		t.Errorf("%d connections opened", opened)
+	}
+}
+
+func TestIdleConnectionsOfOthersAreSwept(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := NewPool(func() time.Time { return now }, nil)
+	hold := func(net.Conn) {}
+	a, b := serve(t, hold), serve(t, hold)
+	a.ID, b.ID = "a", "b"
+	p.Put(connect(t, p, a, forever), 0)
+	now = now.Add(defaultIdle + time.Second)
+	p.Put(connect(t, p, b, forever), 0)
+	if len(p.idle[a]) != 0 || len(p.idle[b]) != 1 {
+		t.Errorf("kept %d and %d", len(p.idle[a]), len(p.idle[b]))
+	}
+}
+
+func TestKeepAliveHeader(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=5": 5 * time.Second, "max=3, timeout=7": 7 * time.Second, "timeout=x": 0, "": 0, "timeout=-1": 0,
+	} {
+		if got := keepAlive(value); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
