Watching the store is shared in each zone; no retry slack before the fleet is known

Change: two nodes of a zone watch, the others wait at one of these and turn to the store when it fails, is silent for 0.9 s or is itself behind.

--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -237,6 +237,7 @@
 			return r.dir.View()
 		},
 	})
+	r.SetNodes(1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -115,8 +115,12 @@
 // 1 + (1 - 1/e) times as much.
 const slackPart = 0.6
 
-// share gives a node's part of the budget among so many.
+// share gives a node's part of the budget among so many; 0 for a number that is
+// not known yet, which leaves only what the own requests allow.
 func (b Budget) share(nodes int) (ratio, perSecond float64) {
+	if nodes <= 0 {
+		return b.Ratio * slackPart, 0
+	}
 	perSecond = b.Slack * slackPart / float64(max(nodes, 1)) / retry.BudgetWindow.Seconds()
 	return b.Ratio * slackPart, perSecond
 }
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -29,12 +29,11 @@
 	budgets    map[ids.Service]*retry.Budget
 }
 
-// newPicker makes a picker for a node that stands alone.
+// newPicker makes a picker for a node that does not know the fleet yet.
 func newPicker(o Options) *picker {
 	conditions := condition.New()
 	return &picker{
 		opts:       o,
-		nodes:      1,
 		conditions: conditions,
 		chains:     chain.New(conditions),
 		replicas:   replica.New(conditions),
@@ -46,7 +45,7 @@
 func (p *picker) setNodes(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.nodes = max(n, 1)
+	p.nodes = n
 	p.chains.SetFleet(n)
 	p.replicas.SetFleet(n)
 	for _, b := range p.budgets {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -259,7 +259,7 @@
 	x := s.x
 	x.settle(c[0].Engine, failed)
 	switch {
-	case failed.phase == outcome.NotSent:
+	case failed.phase == outcome.NotSent, failed.phase == outcome.Refused && failed.culprit == "":
 		s.req.Avoid[c[0].Engine.ID] = true
 	case failed.reason == outcome.UpstreamLost || failed.reason == outcome.UpstreamInvalid:
 		s.lookFor(ctx, c)
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -251,3 +251,14 @@
 		}
 	}
 }
+
+func TestUnknownFleetLeavesNoSlackForRetries(t *testing.T) {
+	b := Budget{Ratio: 0.2, Slack: 100}
+	if ratio, perSecond := b.share(0); ratio <= 0 || perSecond != 0 {
+		t.Errorf("share of an unknown fleet: %v, %v a second", ratio, perSecond)
+	}
+	_, alone := b.share(1)
+	if _, of10 := b.share(10); of10*10 > alone+1e-9 {
+		t.Errorf("ten nodes take %v a second each, one %v", of10, alone)
+	}
+}
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -1,9 +1,9 @@
-// Package relay hands the newest configuration and directory from node to node,
-// for nodes that the platform's store turns away while it serves others.
+// Package relay hands the newest configuration and directory from node to node:
+// to nodes that the platform's store turns away while it serves others, and to
+// the many nodes of a zone from the few that watch the store for them.
 //
-// A node that lost the store asks its peers in turn; one that has it asks
-// nobody. Both documents carry versions and only go forward, so a peer that is
-// itself behind does no harm. Calls are JSON-RPC over TCP.
+// Both documents carry versions and only go forward, so a peer that is itself
+// behind does no harm. Calls are JSON-RPC over TCP.
 package relay
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"mimosaarch.example/adapter/upconn"
+	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
 )
@@ -24,8 +25,11 @@
 
 // Bounds of calls.
 const (
-	// callTimeout bounds a whole call, the connection included.
+	// callTimeout bounds a whole call, the connection included, beside the wait
+	// that the asker allows.
 	callTimeout = 400 * time.Millisecond
+	// MaxWait is the longest wait of an answer.
+	MaxWait = 5 * time.Second
 	// dialTimeout bounds the connection, so that one dead peer costs little.
 	dialTimeout = 150 * time.Millisecond
 )
@@ -36,21 +40,43 @@
 	ConfigVersion int64 `json:"config_version"`
 	// Revision is that of its directory.
 	Revision int64 `json:"revision"`
+	// WaitMs is how long the answer may wait for something newer, in ms; 0 for
+	// not at all.
+	WaitMs int64 `json:"wait_ms,omitempty"`
+	// Want is what the asker waits for.
+	Want Want `json:"want,omitempty"`
 }
 
+// Want is a part of the news.
+type Want string
+
+// Parts of the news; the empty Want is both.
+const (
+	WantConfig    Want = "config"
+	WantUpstreams Want = "upstreams"
+)
+
 // News is what a node has that is newer.
 type News struct {
 	// Config is nil where the asker's is as new.
 	Config *routing.Config `json:"config,omitempty"`
-	// Upstreams is the whole directory as of Revision; not set where the
-	// asker's is as new.
+	// ConfigRevision is the store's revision up to which changes of the
+	// configuration are known.
+	ConfigRevision int64 `json:"config_revision,omitempty"`
+	// Upstreams are those that changed since the asker's revision, and Present
+	// the names of all, as of Revision; not set where the asker's is as new.
 	Upstreams []directory.Upstream `json:"upstreams,omitempty"`
+	Present   []ids.Upstream       `json:"present,omitempty"`
 	Revision  int64                `json:"revision,omitempty"`
+	// AgeMs is how long ago the store last answered the node, in ms.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // Source answers peers. Any goroutine may call it.
 type Source interface {
-	News(have Have) News
+	// News gives what is newer than the asker's, and waits for it as long as
+	// the asker allows.
+	News(ctx context.Context, have Have) News
 }
 
 // Serve answers peers until l is closed, whose error it gives.
@@ -60,7 +86,7 @@
 		if err != nil {
 			return err
 		}
-		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(MaxWait + callTimeout)); err != nil {
 			_ = conn.Close() // it carried nothing
 			continue
 		}
@@ -71,7 +97,7 @@
 
 // answer handles one call.
 func answer(source Source) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	return func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		if r.Method != methodNews || r.Params == nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 		}
@@ -79,7 +105,8 @@
 		if err := json.Unmarshal(*r.Params, &have); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return source.News(have), nil
+		have.WaitMs = min(have.WaitMs, MaxWait.Milliseconds())
+		return source.News(ctx, have), nil
 	}
 }
 
@@ -97,7 +124,7 @@
 
 // Ask asks the peer at an address for its news. The error is a *CallError.
 func Ask(ctx context.Context, peer string, have Have) (News, error) {
-	limit, done := context.WithTimeout(ctx, callTimeout)
+	limit, done := context.WithTimeout(ctx, callTimeout+time.Duration(have.WaitMs)*time.Millisecond)
 	defer done()
 	dialer := net.Dialer{Timeout: dialTimeout, Control: upconn.GuardSilence}
 	conn, err := dialer.DialContext(limit, "tcp", peer)
@@ -118,4 +145,4 @@
 type nothing struct{}
 
 // News implements Source.
-func (nothing) News(Have) News { return News{} }
+func (nothing) News(context.Context, Have) News { return News{} }
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -18,7 +19,7 @@
 	list   []directory.Upstream
 }
 
-func (s *shelf) News(have Have) News {
+func (s *shelf) News(_ context.Context, have Have) News {
 	var n News
 	if s.config.Version > have.ConfigVersion {
 		n.Config = &s.config
--- a/adapter/upconn/upconn_test.go
+++ b/adapter/upconn/upconn_test.go
@@ -144,7 +144,7 @@
 	open := make(chan net.Conn, 8)
 	target := serve(t, func(c net.Conn) { open <- c }, func(c net.Conn) { open <- c }, func(c net.Conn) { open <- c })
 	first := connect(t, p, target, forever)
-	server := <-open
+	<-open
 	p.Put(first, 10*time.Second)
 	if c := p.Kept(target); c != first || !c.Reused() {
 		t.Fatal("a sound connection is not given again")
@@ -155,7 +155,7 @@
 		t.Error("one that its upstream will close soon is given")
 	}
 	second := connect(t, p, target, forever)
-	server = <-open
+	server := <-open
 	p.Put(second, 0)
 	if _, err := server.Write([]byte("x")); err != nil {
 		t.Fatal(err)
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -145,6 +145,29 @@
 	return changes
 }
 
+// Merge takes the entries that changed since the own revision, and the names of
+// all that are there as of revision. An older one is ignored.
+func (d *Directory) Merge(now time.Time, changed []Upstream, present []ids.Upstream, revision int64) []Change {
+	if revision < d.revision {
+		return nil
+	}
+	d.revision = revision
+	var changes []Change
+	for i := range changed {
+		changes = d.put(changes, &changed[i])
+	}
+	there := make(map[ids.Upstream]bool, len(present))
+	for _, id := range present {
+		there[id] = true
+	}
+	for id, u := range d.byID {
+		if !there[id] {
+			changes = d.remove(changes, now, u)
+		}
+	}
+	return changes
+}
+
 // Put takes one entry that was added or changed.
 func (d *Directory) Put(u Upstream) []Change {
 	d.revision = max(d.revision, u.Revision)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -32,6 +32,7 @@
 // Member is a node of the fleet as the others see it.
 type Member struct {
 	Name ids.VM
+	Zone ids.Zone
 	// Peer is the address at which it answers peers.
 	Peer string
 }
@@ -92,9 +93,11 @@
 	log      zerolog.Logger
 	metrics  *telemetry.Telemetry
 
+	news      *notice
 	configs   *configs
 	upstreams *upstreams
 	peers     *peers
+	watchers  *watchers
 	server    *forward.Server
 	keeper    *leader.Keeper
 	placer    *placer.Placer
@@ -105,8 +108,10 @@
 // New makes a Node; nothing happens before Run.
 func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New()}
-	n.configs = &configs{log: log}
-	n.upstreams = newUpstreams(log)
+	n.news = newNotice()
+	n.watchers = newWatchers(settings, boottime.Now)
+	n.configs = &configs{log: log, news: n.news}
+	n.upstreams = newUpstreams(log, n.news)
 	n.peers = newPeers(settings, ports.Members, n, log)
 	n.server = forward.New(forward.Options{
 		Headers: ports.Headers,
@@ -154,15 +159,46 @@
 }
 
 // News implements relay.Source.
-func (n *Node) News(have relay.Have) relay.News {
-	var news relay.News
-	if config := n.configs.newest.Load(); config != nil && config.Version > have.ConfigVersion {
-		news.Config = config
+func (n *Node) News(ctx context.Context, have relay.Have) relay.News {
+	timer := time.NewTimer(time.Duration(have.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		changed := n.news.next()
+		news := n.newsFor(have)
+		if news.Config != nil || news.Revision > 0 || have.WaitMs <= 0 {
+			return news
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return n.newsFor(have)
+		case <-ctx.Done():
+			return news
+		}
+	}
+}
+
+// newsFor gives what is newer than a peer's now.
+func (n *Node) newsFor(have relay.Have) relay.News {
+	news := relay.News{ConfigRevision: n.configs.revision.Load()}
+	now := boottime.Now()
+	if have.Want != relay.WantUpstreams {
+		news.AgeMs = n.configs.age(now).Milliseconds()
+		if config := n.configs.newest.Load(); config != nil && config.Version > have.ConfigVersion {
+			news.Config = config
+		}
+	}
+	if have.Want == relay.WantConfig {
+		return news
 	}
-	if view := n.upstreams.view.Load(); view != nil && view.Revision > have.Revision {
+	news.AgeMs = max(news.AgeMs, n.upstreams.age(now).Milliseconds())
+	if view := n.upstreams.view.Load(); view.Revision > have.Revision {
 		news.Revision = view.Revision
 		for _, u := range view.All() {
-			news.Upstreams = append(news.Upstreams, *u)
+			news.Present = append(news.Present, u.ID)
+			if u.Revision > have.Revision {
+				news.Upstreams = append(news.Upstreams, *u)
+			}
 		}
 	}
 	return news
@@ -247,11 +283,11 @@
 // follow follows the configuration.
 func (n *Node) follow(ctx context.Context) {
 	options := listwatch.Options{Name: "configuration", Log: n.log, Seed: n.settings.Seed}
-	listwatch.New[routing.Config](n.ports.Configs, n.configs, options).Run(ctx)
+	listwatch.New(n.sharedConfigs(), n.configs, options).Run(ctx)
 }
 
 // followUpstreams follows the directory.
 func (n *Node) followUpstreams(ctx context.Context) {
 	options := listwatch.Options{Name: "upstreams", Log: n.log, Seed: n.settings.Seed + 1}
-	listwatch.New[directory.Upstream](n.ports.Upstreams, n.upstreams, options).Run(ctx)
+	listwatch.New(n.sharedUpstreams(), n.upstreams, options).Run(ctx)
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -8,13 +8,12 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/adapter/relay"
-	"mimosaarch.example/decide/directory"
 )
 
 // Times of the duty.
 const (
 	// membersEvery is the time between two reads of the list of nodes.
-	membersEvery = 5 * time.Second
+	membersEvery = 10 * time.Second
 	// joinRetry is the wait after the own entry could not be written.
 	joinRetry = 500 * time.Millisecond
 	// askEvery is the time between two questions to peers while the store
@@ -77,7 +76,7 @@
 
 // join enters the own node in the list.
 func (p *peers) join(ctx context.Context) {
-	err := p.members.Join(ctx, Member{Name: p.settings.VM, Peer: p.settings.Peers})
+	err := p.members.Join(ctx, Member{Name: p.settings.VM, Zone: p.settings.Zone, Peer: p.settings.Peers})
 	if err != nil {
 		p.log.Info().Str("event", "join_failed").Err(err).Send()
 		return
@@ -96,6 +95,7 @@
 		p.log.Info().Str("event", "members").Int("nodes", len(members)).Send()
 	}
 	p.known = members
+	p.node.watchers.set(members)
 	p.node.server.SetNodes(len(members))
 }
 
@@ -115,9 +115,7 @@
 		p.node.configs.offer(news.Config, "peer")
 	}
 	if news.Revision > have.Revision {
-		p.node.upstreams.change("peer", func(d *directory.Directory, now time.Time) []directory.Change {
-			return d.Replace(now, news.Upstreams, news.Revision)
-		})
+		p.node.upstreams.merge(news)
 	}
 }
 
--- /dev/null
+++ b/node/entry/share.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"mimosaarch.example/adapter/listwatch"
+	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// Watching the store is shared: a few nodes of each zone do it, and the others
+// wait at one of these for what is new. Calls to the store then grow with the
+// number of zones instead of nodes. A node that gets no good answer watches the
+// store itself at once.
+const (
+	// watchersPerZone nodes of a zone watch the store, so that one may fail
+	// without all others turning to the store.
+	watchersPerZone = 2
+	// peerWait is how long a peer's answer may wait. A peer that froze must be
+	// left, and the store asked, before a configuration is overdue.
+	peerWait = 900 * time.Millisecond
+	// maxAge is how old a peer's own view may be. Its watch of the store brings
+	// an answer at least each 3 s.
+	maxAge = 3600 * time.Millisecond
+	// shunFor is how long a peer without a good answer is left out; it doubles
+	// up to shunMost, as some entries are of nodes that are gone for good.
+	shunFor  = 2 * time.Second
+	shunMost = 60 * time.Second
+)
+
+// watchers knows who watches the store in the own zone.
+type watchers struct {
+	own  ids.VM
+	zone ids.Zone
+	now  func() time.Time
+
+	mu    sync.Mutex
+	peers []Member
+	shun  map[ids.VM]shunned
+}
+
+// shunned is a peer that is left out.
+type shunned struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// newWatchers makes the list for a node.
+func newWatchers(s Settings, now func() time.Time) *watchers {
+	return &watchers{own: s.VM, zone: s.Zone, now: now, shun: make(map[ids.VM]shunned)}
+}
+
+// set takes the list of the fleet's nodes.
+func (w *watchers) set(members []Member) {
+	var zone []Member
+	for _, m := range members {
+		if m.Zone == w.zone {
+			zone = append(zone, m)
+		}
+	}
+	slices.SortFunc(zone, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers = zone
+}
+
+// pick gives the peer to wait at; false if the node is to watch the store
+// itself.
+func (w *watchers) pick() (Member, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	var watching []Member
+	place := 0
+	for i, m := range w.peers {
+		if m.Name == w.own {
+			place = i
+			if len(watching) < watchersPerZone {
+				return Member{}, false
+			}
+			continue
+		}
+		if now.Before(w.shun[m.Name].until) || len(watching) >= watchersPerZone {
+			continue
+		}
+		watching = append(watching, m)
+	}
+	if len(watching) < watchersPerZone {
+		return Member{}, false
+	}
+	return watching[place%len(watching)], true
+}
+
+// failed leaves a peer out for a while.
+func (w *watchers) failed(name ids.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wait := min(max(w.shun[name].wait*2, shunFor), shunMost)
+	w.shun[name] = shunned{until: w.now().Add(wait), wait: wait}
+}
+
+// answered ends the count of a peer's failures.
+func (w *watchers) answered(name ids.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.shun, name)
+}
+
+// shared is a listwatch.Source that waits at a peer where one watches the
+// store, and else at the store.
+type shared[T any] struct {
+	store    listwatch.Source[T]
+	watchers *watchers
+	// have tells what the node has; changes turns a peer's news.
+	have    func(since int64) relay.Have
+	changes func(since int64, news relay.News) listwatch.Changes[T]
+	// answeredAt is told when the store itself answered.
+	stored func()
+}
+
+// List implements listwatch.Source.
+func (s *shared[T]) List(ctx context.Context) (listwatch.List[T], error) {
+	list, err := s.store.List(ctx)
+	if err == nil {
+		s.stored()
+	}
+	return list, err
+}
+
+// Watch implements listwatch.Source.
+func (s *shared[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
+	if peer, ok := s.watchers.pick(); ok {
+		have := s.have(since)
+		have.WaitMs = peerWait.Milliseconds()
+		news, err := relay.Ask(ctx, peer.Peer, have)
+		if err == nil && news.AgeMs <= maxAge.Milliseconds() {
+			s.watchers.answered(peer.Name)
+			return s.changes(since, news), nil
+		}
+		s.watchers.failed(peer.Name)
+	}
+	changes, err := s.store.Watch(ctx, since, wait)
+	if err == nil {
+		s.stored()
+	}
+	return changes, err
+}
+
+// sharedConfigs shares the watch of the configuration.
+func (n *Node) sharedConfigs() listwatch.Source[routing.Config] {
+	return &shared[routing.Config]{
+		store:    n.ports.Configs,
+		watchers: n.watchers,
+		stored:   n.configs.storeAnswered,
+		have: func(int64) relay.Have {
+			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
+		},
+		changes: func(since int64, news relay.News) listwatch.Changes[routing.Config] {
+			changes := listwatch.Changes[routing.Config]{Revision: max(since, news.ConfigRevision)}
+			if news.Config != nil {
+				changes.Events = []listwatch.Event[routing.Config]{{Put: news.Config}}
+			}
+			return changes
+		},
+	}
+}
+
+// sharedUpstreams shares the watch of the directory.
+func (n *Node) sharedUpstreams() listwatch.Source[directory.Upstream] {
+	return &shared[directory.Upstream]{
+		store:    n.ports.Upstreams,
+		watchers: n.watchers,
+		stored:   n.upstreams.storeAnswered,
+		have: func(since int64) relay.Have {
+			return relay.Have{Revision: since, Want: relay.WantUpstreams}
+		},
+		changes: func(since int64, news relay.News) listwatch.Changes[directory.Upstream] {
+			changes := listwatch.Changes[directory.Upstream]{Revision: max(since, news.Revision)}
+			if news.Revision > since {
+				// Taken here and not as events, since it names what is there
+				// instead of what went.
+				n.upstreams.merge(news)
+			}
+			return changes
+		},
+	}
+}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/adapter/listwatch"
+	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
@@ -19,13 +20,62 @@
 // holder names this process for the lease: unique across restarts.
 func holder(s Settings) string { return fmt.Sprintf("%s-%x", s.VM, s.Seed) }
 
+// notice wakes all who wait for something new.
+type notice struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// newNotice makes a notice.
+func newNotice() *notice { return &notice{ch: make(chan struct{})} }
+
+// next gives a channel that is closed with the next change.
+func (n *notice) next() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ch
+}
+
+// give tells of a change.
+func (n *notice) give() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.ch)
+	n.ch = make(chan struct{})
+}
+
+// contact is when the store last answered about one collection.
+type contact struct{ at atomic.Pointer[time.Time] }
+
+// storeAnswered notes an answer.
+func (c *contact) storeAnswered() {
+	now := boottime.Now()
+	c.at.Store(&now)
+}
+
+// never is the age of a collection that the store never told of.
+const never = time.Hour
+
+// age gives the time since the last answer.
+func (c *contact) age(now time.Time) time.Duration {
+	at := c.at.Load()
+	if at == nil {
+		return never
+	}
+	return now.Sub(*at)
+}
+
 // configs is the configuration in force. It only goes forward.
 type configs struct {
-	log    zerolog.Logger
-	table  atomic.Pointer[routing.Table]
-	newest atomic.Pointer[routing.Config]
-	lost   atomic.Bool
-	mu     sync.Mutex
+	contact
+	log  zerolog.Logger
+	news *notice
+	// revision is the store's up to which changes are known.
+	revision atomic.Int64
+	table    atomic.Pointer[routing.Table]
+	newest   atomic.Pointer[routing.Config]
+	lost     atomic.Bool
+	mu       sync.Mutex
 }
 
 // Listed implements listwatch.Sink.
@@ -33,6 +83,7 @@
 	for i := range list.Items {
 		c.offer(&list.Items[i], "store")
 	}
+	c.revision.Store(list.Revision)
 }
 
 // Changed implements listwatch.Sink.
@@ -42,6 +93,7 @@
 			c.offer(e.Put, "store")
 		}
 	}
+	c.revision.Store(changes.Revision)
 }
 
 // Lost implements listwatch.Sink.
@@ -64,6 +116,7 @@
 	}
 	c.newest.Store(config)
 	c.table.Store(table)
+	c.news.give()
 	c.log.Info().Str("event", "configuration").Str("from", from).Int64("version", config.Version).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
 }
@@ -78,7 +131,9 @@
 
 // upstreams is the directory. Its goroutines take turns by mu.
 type upstreams struct {
+	contact
 	log  zerolog.Logger
+	news *notice
 	gone func(*directory.Upstream)
 	view atomic.Pointer[directory.View]
 	lost atomic.Bool
@@ -88,8 +143,8 @@
 }
 
 // newUpstreams makes an empty directory.
-func newUpstreams(log zerolog.Logger) *upstreams {
-	u := &upstreams{log: log, directory: directory.New()}
+func newUpstreams(log zerolog.Logger, news *notice) *upstreams {
+	u := &upstreams{log: log, news: news, directory: directory.New()}
 	u.view.Store(u.directory.View())
 	return u
 }
@@ -116,6 +171,13 @@
 	})
 }
 
+// merge takes a peer's news.
+func (u *upstreams) merge(news relay.News) {
+	u.change("peer", func(d *directory.Directory, now time.Time) []directory.Change {
+		return d.Merge(now, news.Upstreams, news.Present, news.Revision)
+	})
+}
+
 // Lost implements listwatch.Sink.
 func (u *upstreams) Lost(error) { u.lost.Store(true) }
 
@@ -155,6 +217,7 @@
 		return
 	}
 	u.view.Store(u.directory.View())
+	u.news.give()
 	for _, c := range changes {
 		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", string(c.Upstream.ID)).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
