--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -236,6 +236,15 @@
 	p.conditions.Full(p.opts.Now(), u.ID)
 }
 
+// refused tells that an upstream refused though it has room.
+func (p *picker) refused(u *directory.Upstream) {
+	p.mu.Lock()
+	p.conditions.Refused(p.opts.Now(), u.ID)
+	p.mu.Unlock()
+	p.opts.Metrics.Add("upstream.refusing", 1)
+	p.opts.Log.Info().Str("event", "upstream_refusing").Str("upstream", string(u.ID)).Str("address", u.Address).Send()
+}
+
 // hasEnded reports whether an upstream's process is certainly gone.
 func (p *picker) hasEnded(id ids.Upstream) bool {
 	p.mu.Lock()
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -117,7 +117,8 @@
 // patience gives the wait for an answer. An idempotent request does not wait
 // long for its first upstream.
 func (x *exchange) patience(first bool) upconn.Watch {
-	wait := x.limit.Sub(x.server.opts.Now())
+	// The request's own end comes first, with the answer for it.
+	wait := x.limit.Sub(x.server.opts.Now()) + time.Second
 	if first && x.route.Kind == routing.Idempotent && x.route.Attempts() > 1 {
 		hedge := max(time.Duration(float64(x.route.Objective)*hedgeObjectives), leastHedge)
 		wait = min(wait, hedge)
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
@@ -38,9 +39,10 @@
 type probe struct {
 	at   time.Time
 	done chan struct{}
-	// dead and pace are set once done is closed.
+	// dead, pace and full are set once done is closed.
 	dead bool
 	pace float64
+	full bool
 }
 
 // newProber makes a prober.
@@ -77,11 +79,24 @@
 	}
 	probe := p.one(ctx, u)
 	<-probe.done
-	if !probe.dead {
+	switch {
+	case probe.dead:
+	case probe.full:
 		p.picks.full(u)
+	default:
+		p.picks.refused(u)
 	}
 }
 
+// fullPart is the part of its KV cache from which on an engine counts as full.
+// Reports are some hundred ms old, and a request needs room on top.
+const fullPart = 0.8
+
+// isFull reports whether an engine has no room for a request.
+func isFull(r layered.Report) bool {
+	return r.Queued > 0 || r.KVTotal <= 0 || r.KVUsed >= fullPart*r.KVTotal
+}
+
 // one gives the latest probe of an engine, begun now if there is no fresh one.
 func (p *prober) one(ctx context.Context, u *directory.Upstream) *probe {
 	now := p.opts.Now()
@@ -114,6 +129,7 @@
 		return
 	}
 	out.pace = report.Pace
+	out.full = isFull(report)
 	p.picks.answered(u)
 	p.picks.paced(u, report.Pace)
 	if report.Pace >= slowPace {
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -262,3 +262,25 @@
 		t.Errorf("ten nodes take %v a second each, one %v", of10, alone)
 	}
 }
+
+func TestStageThatRefusesThoughItHasRoomIsLeftOutForAll(t *testing.T) {
+	var second *fake
+	first := stageFake(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		if strings.Contains(string(req.Header.Peek("Q-Stages")), second.Address) {
+			return reply(conn, req, 503, "", "Q-Not-Run: 1", "Q-Fault: "+second.Address)
+		}
+		return eventsFrom(conn, req, 1, 2, true)
+	})
+	second = stageFake(t, "b", 5, 10, whole(2))
+	twin := stageFake(t, "c", 5, 10, whole(2))
+	twin.Zone = "far"
+	r := newRig(t, first, second, twin)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		if _, complete := r.ask(t, "POST", "/stream/x", id, "p"); !complete {
+			t.Errorf("%s is not whole", id)
+		}
+	}
+	if n := len(first.requests()); n != 4 {
+		t.Errorf("%d sends for three requests, want one more for the first alone", n)
+	}
+}
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -37,6 +37,10 @@
 	ended bool
 	// fullUntil: it refused for want of room.
 	fullUntil time.Time
+	// refusedUntil: it refused though it has room; refusals counts that, the
+	// last time being refusedAt.
+	refusedUntil, refusedAt time.Time
+	refusals                int
 }
 
 // New makes a Table that believes every upstream well.
@@ -119,6 +123,22 @@
 	return b != nil && now.Before(b.fullUntil)
 }
 
+// refusalsFor is how long refusals count together.
+const refusalsFor = 10 * time.Second
+
+// Refused tells that an upstream refused though it has room, as one does that is
+// leaving and whose word of it has not come. It gets nothing for a while, longer
+// each time.
+func (t *Table) Refused(now time.Time, id ids.Upstream) {
+	b := t.of(id)
+	if now.Sub(b.refusedAt) > refusalsFor {
+		b.refusals = 0
+	}
+	b.refusedUntil = now.Add(suspicion(b.refusals))
+	b.refusedAt = now
+	b.refusals++
+}
+
 // Ended tells that an upstream's process is certainly gone.
 func (t *Table) Ended(id ids.Upstream) { t.of(id).ended = true }
 
@@ -151,7 +171,10 @@
 // Suspected reports whether an upstream of a zone should get nothing at now.
 func (t *Table) Suspected(now time.Time, id ids.Upstream, zone ids.Zone) bool {
 	b := t.upstreams[id]
-	return b != nil && now.Before(b.suspectUntil) || t.ZoneSuspected(now, zone)
+	if b != nil && (now.Before(b.suspectUntil) || now.Before(b.refusedUntil)) {
+		return true
+	}
+	return t.ZoneSuspected(now, zone)
 }
 
 // Pace gives by how much an upstream is slower than usual, at least 1.
--- a/decide/condition/condition_test.go
+++ b/decide/condition/condition_test.go
@@ -75,3 +75,20 @@
 		t.Error("forgotten upstreams are unknown")
 	}
 }
+
+func TestOneThatRefusesThoughItHasRoomIsLeftOutEverLonger(t *testing.T) {
+	table := New()
+	table.Refused(at(0), "a")
+	table.Answered("a", "z")
+	if !table.Suspected(at(399), "a", "z") || table.Suspected(at(400), "a", "z") {
+		t.Error("an answer to another question does not end it; 400 ms do")
+	}
+	table.Refused(at(500), "a")
+	if !table.Suspected(at(1299), "a", "z") {
+		t.Error("the second time is longer")
+	}
+	table.Refused(at(30_000), "a")
+	if table.Suspected(at(30_400), "a", "z") {
+		t.Error("long after, it starts anew")
+	}
+}
--- a/mimosactl/app/app.go
+++ b/mimosactl/app/app.go
@@ -50,6 +50,7 @@
 		e.profile(),
 		e.status(),
 		e.explain(),
+		e.trace(),
 		e.send(),
 		e.load(),
 		e.bench(),
