--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,6 +189,7 @@
 	address string
 	counts  *counts
 	calls   *calls
+	table   atomic.Pointer[routing.Table]
 	mu      sync.Mutex
 	dir     *directory.Directory
 }
@@ -224,13 +226,14 @@
 		t.Fatal(err)
 	}
 	r := &rig{counts: &counts{n: make(map[string]int64)}, calls: &calls{dead: make(map[ids.Upstream]bool)}, dir: directory.New()}
+	r.table.Store(table)
 	for _, f := range fakes {
 		r.dir.Put(f.Upstream)
 	}
 	r.Server = New(Options{
 		Headers: names, Zone: "z", Engines: r.calls, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.counts, Seed: 1,
 		Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-		Table:  func() *routing.Table { return table },
+		Table:  r.table.Load,
 		View: func() *directory.View {
 			r.mu.Lock()
 			defer r.mu.Unlock()
--- a/adapter/forward/plain_test.go
+++ b/adapter/forward/plain_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"mimosaarch.example/decide/routing"
 )
 
 func TestPlainExchangeGoesThroughUnchanged(t *testing.T) {
@@ -283,7 +281,7 @@
 
 func TestNodeWithoutConfigurationSaysNotRun(t *testing.T) {
 	r := newRig(t, newFake(t, "u1", "plain", ok("x")))
-	r.opts.Table = func() *routing.Table { return nil }
+	r.table.Store(nil)
 	resp, _ := r.ask(t, "GET", "/none/", "r1", "")
 	if resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 {
 		t.Errorf("answer %d, want 503 with when to come back", resp.StatusCode())
--- a/mimosactl/logtrace/logtrace.go
+++ b/mimosactl/logtrace/logtrace.go
@@ -98,9 +98,14 @@
 		if b.At.Before(first.Add(-before)) || b.At.After(last) || !slices.Contains(vms, b.VM) {
 			continue
 		}
-		if b.concerns(met) {
-			t.Lines = append(t.Lines, b)
+		if !b.concerns(met) {
+			continue
+		}
+		if b.At.Before(first) && b.Fields["upstream"] == nil {
+			// Of what the whole node believes, the latest counts.
+			t.Lines = slices.DeleteFunc(t.Lines, func(l Line) bool { return l.Request == "" && l.same(b) })
 		}
+		t.Lines = append(t.Lines, b)
 	}
 	slices.SortStableFunc(t.Lines, func(a, b Line) int {
 		if c := a.At.Compare(b.At); c != 0 {
@@ -126,6 +131,11 @@
 	return text, vms
 }
 
+// same reports whether a later line of a node takes the place of this one.
+func (l Line) same(o Line) bool {
+	return l.VM == o.VM && l.Event == o.Event && l.Fields["kind"] == o.Fields["kind"] && l.Fields["upstream"] == nil
+}
+
 // concerns reports whether a line is about an upstream that was met, or about
 // what the whole node depends on.
 func (l Line) concerns(met string) bool {
--- a/mimosactl/logtrace/logtrace_test.go
+++ b/mimosactl/logtrace/logtrace_test.go
@@ -12,6 +12,8 @@
 {"level":"info","vm":"v1","event":"upstream_suspected","upstream":"u-old","address":"10.0.0.2:1","time":"2026-01-01T00:00:20Z"}
   3.2 v1 {"level":"info","vm":"v1","event":"upstream_suspected","upstream":"u2","address":"10.0.0.2:1","time":"2026-01-01T00:00:25Z"}
 {"level":"info","vm":"v2","event":"upstream_suspected","upstream":"u2","address":"10.0.0.2:1","time":"2026-01-01T00:00:26Z"}
+{"level":"info","vm":"v1","event":"configuration","version":3,"time":"2026-01-01T00:00:26Z"}
+{"level":"info","vm":"v1","event":"configuration","version":4,"time":"2026-01-01T00:00:27Z"}
 {"level":"info","vm":"v1","event":"upstream_seen","upstream":"u9","address":"10.0.0.9:1","time":"2026-01-01T00:00:26Z"}
 {"level":"info","vm":"v1","event":"chain","request":"r1","chain":"10.0.0.1:1=0-4,10.0.0.2:1=4-8","time":"2026-01-01T00:00:30Z"}
 {"level":"info","vm":"v1","event":"chain","request":"r2","chain":"10.0.0.9:1=0-8","time":"2026-01-01T00:00:30Z"}
@@ -29,7 +31,7 @@
 	for _, line := range trace.Lines {
 		got = append(got, line.VM+" "+line.Event)
 	}
-	want := []string{"v1 upstream_suspected", "v1 upstream_suspected", "v1 chain", "v1 broken_off"}
+	want := []string{"v1 upstream_suspected", "v1 upstream_suspected", "v1 configuration", "v1 chain", "v1 broken_off"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
