--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -14,6 +14,9 @@
 const (
 	// membersEvery is the time between two reads of the list of nodes.
 	membersEvery = 10 * time.Second
+	// startEvery is the same in the first startFor, while others join too.
+	startEvery = time.Second
+	startFor   = 3 * time.Second
 	// joinRetry is the wait after the own entry could not be written.
 	joinRetry = 500 * time.Millisecond
 	// askEvery is the time between two questions to peers while the store
@@ -30,10 +33,11 @@
 	log      zerolog.Logger
 	rand     *rand.Rand
 
-	known    []Member
-	joined   bool
-	joinAt   time.Time
-	listedAt time.Time
+	known     []Member
+	joined    bool
+	startedAt time.Time
+	joinAt    time.Time
+	listedAt  time.Time
 }
 
 // newPeers makes the duty.
@@ -46,6 +50,9 @@
 
 // run works until ctx ends.
 func (p *peers) run(ctx context.Context) {
+	p.startedAt = time.Now()
+	// Callers may come at once, and the fleet's size bounds what is sent.
+	p.list(ctx)
 	ticker := time.NewTicker(askEvery)
 	defer ticker.Stop()
 	for {
@@ -68,12 +75,20 @@
 	case !p.joined && now.Sub(p.joinAt) >= joinRetry:
 		p.joinAt = now
 		p.join(ctx)
-	case p.joined && now.Sub(p.listedAt) >= membersEvery:
-		p.listedAt = now
+	case now.Sub(p.listedAt) >= p.listWait():
 		p.list(ctx)
 	}
 }
 
+// listWait is the time between two reads of the list: short until the own entry
+// is in it, as all nodes join when the fleet starts.
+func (p *peers) listWait() time.Duration {
+	if len(p.known) == 0 || time.Since(p.startedAt) < startFor {
+		return startEvery
+	}
+	return membersEvery
+}
+
 // join enters the own node in the list.
 func (p *peers) join(ctx context.Context) {
 	err := p.members.Join(ctx, Member{Name: p.settings.VM, Zone: p.settings.Zone, Peer: p.settings.Peers})
@@ -86,6 +101,7 @@
 
 // list reads the list of nodes.
 func (p *peers) list(ctx context.Context) {
+	p.listedAt = time.Now()
 	members, err := p.members.List(ctx)
 	if err != nil {
 		p.log.Info().Str("event", "members_unread").Err(err).Send()
