Runs are never given back; every other zone lays further copies from the back

Ruled out: an engine that ended (its entry stood, and it answered others). Change: every upstream on which a request may have run counts; the belief that an upstream has ended is gone, and its test with it, in place of which TestRefusedConnectionsDoNotGiveRunsBack fails without the change. Every other zone now lays its further copies from the last layer.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -277,8 +277,8 @@
 }
 
 // runs counts the upstreams on which the request may have run, with also if it
-// is not nil. Those whose process is certainly gone do not count; those that
-// only do not answer do, as they may be cut off from this node alone.
+// is not nil. None is taken back for not answering: it may be cut off from this
+// node alone, or refuse connections since it has too many.
 func (x *exchange) runs(also *directory.Upstream) int {
 	seen := make(map[ids.Upstream]bool)
 	for _, u := range x.ran {
@@ -287,11 +287,5 @@
 	if also != nil {
 		seen[also.ID] = true
 	}
-	runs := 0
-	for id := range seen {
-		if !x.server.picks.hasEnded(id) {
-			runs++
-		}
-	}
-	return runs
+	return len(seen)
 }
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
@@ -137,6 +139,7 @@
 type calls struct {
 	mu       sync.Mutex
 	dead     map[ids.Upstream]bool
+	refused  map[ids.Upstream]bool
 	rerouted []string
 	refuse   error
 	onRoute  func()
@@ -146,6 +149,9 @@
 func (c *calls) Probe(_ context.Context, u *directory.Upstream) (layered.Report, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused[u.ID] {
+		return layered.Report{}, &upconn.DialError{Refused: true, Cause: syscall.ECONNREFUSED}
+	}
 	if c.dead[u.ID] {
 		return layered.Report{}, &GoneError{Cause: context.DeadlineExceeded}
 	}
@@ -225,7 +231,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{counts: &counts{n: make(map[string]int64)}, calls: &calls{dead: make(map[ids.Upstream]bool)}, dir: directory.New()}
+	r := &rig{counts: &counts{n: make(map[string]int64)}, calls: &calls{dead: make(map[ids.Upstream]bool), refused: make(map[ids.Upstream]bool)}, dir: directory.New()}
 	r.table.Store(table)
 	for _, f := range fakes {
 		r.dir.Put(f.Upstream)
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -212,7 +212,7 @@
 }
 
 // notReached tells that no connection to an upstream could be made: its process
-// is gone, or its VM or the way there.
+// is gone or has too many, or its VM or the way there is gone.
 func (p *picker) notReached(u *directory.Upstream, err error) {
 	var dialed *upconn.DialError
 	if !errors.As(err, &dialed) {
@@ -224,9 +224,6 @@
 		return
 	}
 	p.failed(u, outcome.ConnectFailed)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conditions.Ended(u.ID)
 }
 
 // full tells that an upstream refused for want of room.
@@ -245,13 +242,6 @@
 	p.opts.Log.Info().Str("event", "upstream_refusing").Str("upstream", string(u.ID)).Str("address", u.Address).Send()
 }
 
-// hasEnded reports whether an upstream's process is certainly gone.
-func (p *picker) hasEnded(id ids.Upstream) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.conditions.HasEnded(id)
-}
-
 // forget drops what is known of an upstream that is gone.
 func (p *picker) forget(id ids.Upstream) {
 	p.mu.Lock()
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -284,3 +284,27 @@
 		t.Errorf("%d sends for three requests, want one more for the first alone", n)
 	}
 }
+
+func TestRefusedConnectionsDoNotGiveRunsBack(t *testing.T) {
+	// An engine with too many connections refuses further ones and runs on.
+	var a *fake
+	a = stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		_ = a.listener.Close()
+		return eventsFrom(conn, req, 1, 1, false)
+	})
+	broken := func(conn net.Conn, req *fasthttp.Request) bool {
+		from := after(req)
+		return eventsFrom(conn, req, from, from, false)
+	}
+	b, c := stageFake(t, "b", 0, 10, broken), stageFake(t, "c", 0, 10, broken)
+	b.Zone, c.Zone = "far", "far"
+	r := newRig(t, a, b, c)
+	// The engine is asked over a connection of its own, and refuses that.
+	r.calls.refused["a"] = true
+	if _, complete := r.ask(t, "POST", "/stream/x", "r1", "p"); complete {
+		t.Error("whole, though each broke off")
+	}
+	if len(b.requests()) > 0 && len(c.requests()) > 0 {
+		t.Errorf("ran on three upstreams, the route allows two")
+	}
+}
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -33,8 +33,6 @@
 	strikes   int
 	pace      float64
 	paceUntil time.Time
-	// ended: its process is gone, since nothing listens at its address.
-	ended bool
 	// fullUntil: it refused for want of room.
 	fullUntil time.Time
 	// refusedUntil: it refused though it has room; refusals counts that, the
@@ -139,15 +137,6 @@
 	b.refusals++
 }
 
-// Ended tells that an upstream's process is certainly gone.
-func (t *Table) Ended(id ids.Upstream) { t.of(id).ended = true }
-
-// HasEnded reports whether an upstream's process is certainly gone.
-func (t *Table) HasEnded(id ids.Upstream) bool {
-	b := t.upstreams[id]
-	return b != nil && b.ended
-}
-
 // Answered tells that an upstream of a zone answered. It reports whether that
 // ends a suspicion of the upstream.
 func (t *Table) Answered(id ids.Upstream, zone ids.Zone) bool {
--- a/decide/condition/condition_test.go
+++ b/decide/condition/condition_test.go
@@ -60,19 +60,12 @@
 	}
 }
 
-func TestEndedOnlyByProof(t *testing.T) {
+func TestForgottenUpstreamsAreUnknown(t *testing.T) {
 	table := New()
 	table.Failed(at(0), "a")
-	if table.HasEnded("a") {
-		t.Error("a failure is no proof of an end")
-	}
-	table.Ended("a")
-	if !table.HasEnded("a") {
-		t.Error("end not kept")
-	}
 	table.Forget("a")
-	if table.HasEnded("a") {
-		t.Error("forgotten upstreams are unknown")
+	if table.Suspected(at(1), "a", "z") {
+		t.Error("a forgotten upstream is suspected")
 	}
 }
 
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -46,6 +46,10 @@
 	// passes through them has ended and the new layers are loaded, so an engine
 	// that comes back empty is the better filling.
 	Move map[ids.Zone]bool
+	// fromBack has further copies begin at the last layer, once the first stage
+	// has a stand-in. Zones take turns, so that they do not all hold the same
+	// layers only once.
+	fromBack bool
 }
 
 // Whole reports for each zone whether its engines hold every layer.
@@ -80,7 +84,8 @@
 	}
 	slices.Sort(zones)
 	var orders []Order
-	for _, zone := range zones {
+	for i, zone := range zones {
+		o.fromBack = i%2 == 1
 		orders = append(orders, planZone(m, byZone[zone], o)...)
 	}
 	return orders
@@ -155,6 +160,9 @@
 			continue
 		}
 		layers := pick(covered, capacity(m, e, o))
+		if o.fromBack && len(covered) > 0 && slices.Min(covered) > 0 && covered[0] > 1 {
+			layers = pickBack(covered, capacity(m, e, o))
+		}
 		if layers.Empty() {
 			continue
 		}
@@ -210,6 +218,20 @@
 	return layered.Range{From: from, To: to}
 }
 
+// pickBack is pick from the last layer backwards.
+func pickBack(covered []int, size int) layered.Range {
+	least := slices.Min(covered)
+	to := len(covered)
+	for covered[to-1] != least {
+		to--
+	}
+	from := to
+	for from > 0 && to-from < size && covered[from-1] == least {
+		from--
+	}
+	return layered.Range{From: from, To: to}
+}
+
 // widestPart is the part of a card's memory that weights may take where an
 // engine fills a hole beside its own layers. It leaves less room for requests
 // than usual, but a zone with a hole serves none.
