Streams whose runs are used up go on at engines where they ran

Cause: the route's count of upstreams ended streams whose middle stage had died though their first engines live, where going on is no further run.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 	// to have run; ran lists the upstreams of these.
 	sends      int
 	mayHaveRun bool
-	ran        []*directory.Upstream
+	ran        map[ids.Upstream]bool
 	// written tells that part of the answer is with the caller; events counts
 	// those of a stream, the first of which came after first.
 	written bool
@@ -268,24 +269,38 @@
 }
 
 // mayRunAgain reports whether another send may run: the request allows it, and
-// the upstreams on which it may have run are fewer than its route allows.
+// its route a further upstream, or a stream going on at one where it ran.
 func (x *exchange) mayRunAgain() bool {
 	if !x.mayHaveRun {
 		return true
 	}
-	return x.route.MayRepeat() && x.runs(nil) < x.route.Attempts()
+	return x.route.MayRepeat() && (len(x.ran) < x.route.Attempts() || x.route.Kind == routing.Streaming)
 }
 
-// runs counts the upstreams on which the request may have run, with also if it
-// is not nil. None is taken back for not answering: it may be cut off from this
-// node alone, or refuse connections since it has too many.
-func (x *exchange) runs(also *directory.Upstream) int {
-	seen := make(map[ids.Upstream]bool)
-	for _, u := range x.ran {
-		seen[u.ID] = true
+// noteRun notes an upstream on which the request may have run. None is taken
+// back for not answering: it may be cut off from this node alone, or refuse
+// connections since it has too many.
+func (x *exchange) noteRun(id ids.Upstream) {
+	x.mayHaveRun = true
+	if x.ran == nil {
+		x.ran = make(map[ids.Upstream]bool)
 	}
-	if also != nil {
-		seen[also.ID] = true
+	x.ran[id] = true
+}
+
+// bound gives the upstreams to which further sends are bound, nil for none: those
+// on which the request ran, with also if it is not empty, once they are as many
+// as its route allows.
+func (x *exchange) bound(also ids.Upstream) map[ids.Upstream]bool {
+	ran := maps.Clone(x.ran)
+	if also != "" {
+		if ran == nil {
+			ran = make(map[ids.Upstream]bool)
+		}
+		ran[also] = true
+	}
+	if len(ran) < x.route.Attempts() {
+		return nil
 	}
-	return len(seen)
+	return ran
 }
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -65,8 +65,7 @@
 	if failed.phase.ProvesNotRun() {
 		return
 	}
-	x.mayHaveRun = true
-	x.ran = append(x.ran, u)
+	x.noteRun(u.ID)
 }
 
 // again decides whether a failed attempt is followed by another; if not, it
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -185,8 +185,10 @@
 // better than to wait on.
 func (w *streamWait) mayLeave(bad []*directory.Upstream, dead bool) bool {
 	x := w.s.x
-	if !x.route.MayRepeat() || x.runs(w.chain[0].Engine) >= x.route.Attempts() {
+	if !x.route.MayRepeat() || x.sends >= maxSends {
 		return false
 	}
-	return x.server.picks.worthLeaving(w.s.model, x.server.opts.View(), w.without(bad), w.chain, dead)
+	req := w.without(bad)
+	req.FirstOf = x.bound(w.chain[0].Engine.ID)
+	return x.server.picks.worthLeaving(w.s.model, x.server.opts.View(), req, w.chain, dead)
 }
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -119,6 +119,7 @@
 		return chain.Chain{{Engine: u}}, nil
 	}
 	view := x.server.opts.View()
+	s.req.FirstOf = x.bound("")
 	careful := s.req
 	careful.Avoid = maps.Clone(s.req.Avoid)
 	maps.Copy(careful.Avoid, s.shunned)
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -102,6 +102,8 @@
 	// First, where set, stays the first stage: the request runs there already,
 	// and only the stages after it are chosen.
 	First *Hop
+	// FirstOf, where set, are the engines one of which must be the first stage.
+	FirstOf map[ids.Upstream]bool
 }
 
 // fixed reports whether an engine is the given first stage.
@@ -109,6 +111,9 @@
 	return r.First != nil && r.First.Engine.ID == e.ID
 }
 
+// mayBegin reports whether an engine may be the first stage.
+func (r Request) mayBegin(e *directory.Upstream) bool { return r.FirstOf == nil || r.FirstOf[e.ID] }
+
 // tokens is the KV cache that a request needs on each stage.
 func (r Request) tokens() float64 { return r.Prompt + r.Answer }
 
@@ -352,7 +357,7 @@
 // extend improves the ways that lead on from boundary i through engine e.
 func (b *Book) extend(now time.Time, m *layered.Model, r Request, cuts []int, ways []step, i int, e *directory.Upstream) {
 	from := cuts[i]
-	if e.Layers.From > from || e.Layers.To <= from {
+	if e.Layers.From > from || e.Layers.To <= from || from == 0 && !r.mayBegin(e) {
 		return
 	}
 	perLayer := b.layerCost(now, m, r, e)
--- a/decide/chain/chain_test.go
+++ b/decide/chain/chain_test.go
@@ -193,6 +193,20 @@
 	}
 }
 
+func TestFirstStageMayBeBound(t *testing.T) {
+	v := view(engine("a", "z1", "slow", 0, 40), engine("b", "z1", "fast", 0, 40), engine("c", "z1", "fast", 40, 80))
+	bound := request
+	bound.FirstOf = map[ids.Upstream]bool{"a": true}
+	if got := choose(t, New(condition.New()), v, bound); got != "a=0-40,c=40-80" {
+		t.Errorf("chain %s", got)
+	}
+	bound.FirstOf = map[ids.Upstream]bool{"c": true}
+	var none *NoChainError
+	if _, err := New(condition.New()).Choose(start, model(), v, bound); !errors.As(err, &none) {
+		t.Errorf("error %v", err)
+	}
+}
+
 func TestNoChainIsSaid(t *testing.T) {
 	v := view(engine("a", "z1", "fast", 0, 40), engine("b", "z1", "fast", 41, 80))
 	_, err := New(condition.New()).Choose(start, model(), v, request)
