--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -191,3 +192,13 @@
 		})
 	}
 }
+
+func TestZonesLayFurtherCopiesFromDifferentEnds(t *testing.T) {
+	m := model()
+	engines := append(append(zone("a", 1, 3, 8), zone("b", 1, 6, 5)...), zone("c", 2, 2, 5)...)
+	after := apply(engines, Plan(m, engines, Options{}))
+	// An engine of each zone may leave while no order can be given.
+	if least := slices.Min(coverage(m, after)); least < 4 {
+		t.Errorf("some layers are held by %d engines of three zones, want one more than zones", least)
+	}
+}
