--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -48,8 +48,6 @@
 	TokenCounts, LengthHint string
 	// LastEventID is the last event of a stream that the caller has.
 	LastEventID string
-	// Model names the model of a request.
-	Model string
 }
 
 // Engines makes the calls to engines that go with requests.
@@ -121,7 +119,8 @@
 	if nodes <= 0 {
 		return b.Ratio * slackPart, 0
 	}
-	perSecond = b.Slack * slackPart / float64(max(nodes, 1)) / retry.BudgetWindow.Seconds()
+	window := max(b.Window, retry.BudgetWindow)
+	perSecond = b.Slack * slackPart / float64(nodes) / window.Seconds()
 	return b.Ratio * slackPart, perSecond
 }
 
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -115,8 +115,9 @@
 	mu sync.Mutex
 	// under is what engines were told and have not shown yet.
 	under map[ids.Upstream]pending
-	// known counts the engines seen; grownAt is when it last grew.
-	known   map[ids.Upstream]bool
+	// known are the engines of each service at the last look; grownAt is when
+	// one was new.
+	known   map[ids.Service]map[ids.Upstream]bool
 	grownAt time.Time
 	// holeSince tells since when zones lack layers. Run's alone.
 	holeSince map[zoneOf]time.Time
@@ -138,7 +139,7 @@
 
 // New makes a Placer.
 func New(o Options) *Placer {
-	return &Placer{opts: o, under: make(map[ids.Upstream]pending), known: make(map[ids.Upstream]bool), holeSince: make(map[zoneOf]time.Time)}
+	return &Placer{opts: o, under: make(map[ids.Upstream]pending), known: make(map[ids.Service]map[ids.Upstream]bool), holeSince: make(map[zoneOf]time.Time)}
 }
 
 // Run does the duty until ctx ends, and waits for its calls.
@@ -174,7 +175,7 @@
 func (p *Placer) place(ctx context.Context, service *routing.Service, engines []*directory.Upstream) {
 	now := p.opts.Now()
 	m := service.Model
-	settled := p.settled(now, engines)
+	settled := p.settled(now, service.Name, engines)
 	if _, ok := p.term(); !ok || !settled {
 		return
 	}
@@ -209,19 +210,21 @@
 }
 
 // settled reports whether the list of engines has come to rest.
-func (p *Placer) settled(now time.Time, engines []*directory.Upstream) bool {
+func (p *Placer) settled(now time.Time, service ids.Service, engines []*directory.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait := settleFirst
+	known := make(map[ids.Upstream]bool, len(engines))
 	for _, u := range engines {
-		if !p.known[u.ID] {
-			p.known[u.ID] = true
+		known[u.ID] = true
+		if !p.known[service][u.ID] {
 			p.grownAt = now
 		}
 		if !u.Layers.Empty() {
 			wait = settle
 		}
 	}
+	p.known[service] = known
 	return now.Sub(p.grownAt) >= wait
 }
 
--- a/adapter/upconn/pool.go
+++ b/adapter/upconn/pool.go
@@ -86,7 +86,7 @@
 
 // Dial makes a new connection. The error is a *DialError.
 func (p *Pool) Dial(ctx context.Context, t Target) (*Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, Control: guardSilence, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: GuardSilence, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, &DialError{Target: t, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
@@ -104,8 +104,9 @@
 	return c, nil
 }
 
-// guardSilence makes the kernel give up on a peer that acknowledges nothing.
-func guardSilence(_, _ string, raw syscall.RawConn) error {
+// GuardSilence is for net.ListenConfig and net.Dialer: the kernel ends a
+// connection whose sent bytes stay unacknowledged for two seconds.
+func GuardSilence(_, _ string, raw syscall.RawConn) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
@@ -113,12 +114,6 @@
 	return errors.Join(controlErr, err)
 }
 
-// GuardSilence is for net.ListenConfig and net.Dialer: connections end when
-// sent bytes stay unacknowledged for two seconds.
-func GuardSilence(network, address string, raw syscall.RawConn) error {
-	return guardSilence(network, address, raw)
-}
-
 // Put keeps a connection after a whole answer. idle is the time after which the
 // upstream closes it by its own word; 0 where it said nothing.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -51,8 +51,6 @@
 	ReadPerMs float64
 	// Stride is how many steps one pass makes.
 	Stride int
-	// Slots is how many requests an engine works on at once.
-	Slots int
 	// LoadSeconds is the time to load all layers, in s.
 	LoadSeconds float64
 	// Prompt and Answer are the mean sizes of requests, in tokens.
--- /dev/null
+++ b/decide/chain/book.go
@@ -0,0 +1,105 @@
+package chain
+
+import (
+	"math"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/condition"
+)
+
+// Book is this node's knowledge of the engines. Make it with New.
+type Book struct {
+	conditions *condition.Table
+	engines    map[ids.Upstream]*state
+	// fleet is by how much the own load is multiplied to guess everybody's.
+	fleet float64
+}
+
+// state is what is known of one engine beside the directory.
+type state struct {
+	// streams run through it from this node, with tokens of KV cache in each
+	// layer they pass.
+	now load
+	// mean is the same over the last seconds, as of at.
+	mean load
+	at   time.Time
+}
+
+// load is work on an engine.
+type load struct {
+	streams     float64
+	tokenLayers float64
+}
+
+// toward gives a load that is the part of the way from l to o.
+func (l load) toward(o load, part float64) load {
+	return load{
+		streams:     l.streams + part*(o.streams-l.streams),
+		tokenLayers: l.tokenLayers + part*(o.tokenLayers-l.tokenLayers),
+	}
+}
+
+const (
+	// meanOver is the time over which the mean load is taken.
+	meanOver = 3 * time.Second
+	// momentPart is the weight of the present load in a guess of everybody's.
+	// A node has a handful of streams on an engine, so the present number times
+	// the number of nodes is mostly noise.
+	momentPart = 0.3
+)
+
+// advance brings the mean up to now.
+func (s *state) advance(now time.Time) {
+	passed := now.Sub(s.at)
+	s.at = now
+	s.mean = s.mean.toward(s.now, 1-math.Exp(-passed.Seconds()/meanOver.Seconds()))
+}
+
+// guess gives the load that the engine has from one node of the fleet, on
+// average.
+func (s *state) guess(now time.Time) load {
+	s.advance(now)
+	return s.mean.toward(s.now, momentPart)
+}
+
+// New makes a Book that shares beliefs with others.
+func New(conditions *condition.Table) *Book {
+	return &Book{conditions: conditions, engines: make(map[ids.Upstream]*state), fleet: 1}
+}
+
+// SetFleet tells how many nodes share the engines.
+func (b *Book) SetFleet(nodes int) { b.fleet = float64(max(nodes, 1)) }
+
+// Forget drops what is known of an engine that is gone.
+func (b *Book) Forget(id ids.Upstream) {
+	if s := b.engines[id]; s != nil && s.now.streams <= 0 {
+		delete(b.engines, id)
+	}
+}
+
+// of gives the state of an engine.
+func (b *Book) of(id ids.Upstream) *state {
+	s := b.engines[id]
+	if s == nil {
+		s = &state{}
+		b.engines[id] = s
+	}
+	return s
+}
+
+// Began counts a request on its chain.
+func (b *Book) Began(now time.Time, c Chain, r Request) { b.count(now, c, r, 1) }
+
+// Ended takes a request off its chain; r must be what Began was told.
+func (b *Book) Ended(now time.Time, c Chain, r Request) { b.count(now, c, r, -1) }
+
+// count adds a request to, or takes it off, each engine of a chain.
+func (b *Book) count(now time.Time, c Chain, r Request, sign float64) {
+	for _, h := range c {
+		s := b.of(h.Engine.ID)
+		s.advance(now)
+		s.now.streams += sign
+		s.now.tokenLayers += sign * r.tokens() * float64(h.Layers.Len())
+	}
+}
--- /dev/null
+++ b/decide/chain/search.go
@@ -0,0 +1,258 @@
+package chain
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/directory"
+)
+
+// Request is what a chain is chosen for.
+type Request struct {
+	Service ids.Service
+	// Zone is preferred among equals.
+	Zone ids.Zone
+	// Prompt and Answer are the expected sizes, in tokens.
+	Prompt, Answer float64
+	// Avoid are engines that the request already failed on.
+	Avoid map[ids.Upstream]bool
+	// First, where set, stays the first stage: the request runs there already,
+	// and only the stages after it are chosen.
+	First *Hop
+	// FirstOf, where set, are the engines one of which must be the first stage.
+	FirstOf map[ids.Upstream]bool
+}
+
+// fixed reports whether an engine is the given first stage.
+func (r Request) fixed(e *directory.Upstream) bool {
+	return r.First != nil && r.First.Engine.ID == e.ID
+}
+
+// mayBegin reports whether an engine may be the first stage.
+func (r Request) mayBegin(e *directory.Upstream) bool { return r.FirstOf == nil || r.FirstOf[e.ID] }
+
+// tokens is the KV cache that a request needs on each stage.
+func (r Request) tokens() float64 { return r.Prompt + r.Answer }
+
+// Costs that the model of the engines does not give.
+const (
+	// hopMs is charged for each stage of a pass, in ms, for the transfer of
+	// activations.
+	hopMs = 0.3
+	// waitPart of a whole pass of an engine is waited at each stage for the
+	// pass that is under way.
+	waitPart = 0.5
+	// zoneHopMs is charged for a stage in another zone than the one before, in
+	// ms: all such chains share one pipe, for the activations of every token.
+	// They are chosen where no zone has a whole chain, or those are full.
+	zoneHopMs = 1000.0
+	// awayFactor multiplies the cost of a chain in another zone than the
+	// request's. A cut between zones breaks every stream across it, while a
+	// chain that is somewhat slower costs its caller nothing.
+	awayFactor = 1.5
+	// fullAt is the part of an engine's KV room from which on it costs more;
+	// at full it costs fullFactor times as much. Engines that run out of room
+	// throw out running requests.
+	fullAt     = 0.75
+	fullFactor = 8.0
+)
+
+// Choose gives the chain for a request; the error is a *NoChainError.
+func (b *Book) Choose(now time.Time, m *layered.Model, view *directory.View, r Request) (Chain, error) {
+	all := view.Of(r.Service)
+	usable := make([]*directory.Upstream, 0, len(all))
+	for _, e := range all {
+		if !e.Leaving && !e.Layers.Empty() && !r.Avoid[e.ID] && !b.conditions.Suspected(now, e.ID, e.Zone) {
+			usable = append(usable, e)
+		}
+	}
+	best, bestCost := Chain(nil), math.Inf(1)
+	for _, zone := range zonesOf(usable) {
+		c, cost := b.shortest(now, m, usable, r, zone)
+		if zone != r.Zone && r.First == nil {
+			cost *= awayFactor
+		}
+		if c != nil && cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if best == nil || b.hasFull(now, best) {
+		if c, cost := b.shortest(now, m, usable, r, ""); c != nil && cost < bestCost {
+			best = c
+		}
+	}
+	if best == nil {
+		return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
+	}
+	return best, nil
+}
+
+// Cost is the time that a request is expected to take on a chain, in ms, beside
+// what already runs there.
+func (b *Book) Cost(now time.Time, m *layered.Model, r Request, c Chain) float64 {
+	cost := 0.0
+	for _, h := range c {
+		cost += b.stageCost(now, m, r, h.Engine) + b.layerCost(now, m, r, h.Engine)*float64(h.Layers.Len())
+	}
+	return cost
+}
+
+// hasFull reports whether an engine of a chain refused for want of room just
+// now.
+func (b *Book) hasFull(now time.Time, c Chain) bool {
+	return slices.ContainsFunc(c, func(h Hop) bool { return b.conditions.IsFull(now, h.Engine.ID) })
+}
+
+// zonesOf gives the zones of engines in order.
+func zonesOf(engines []*directory.Upstream) []ids.Zone {
+	var zones []ids.Zone
+	for _, e := range engines {
+		if !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// step is the cheapest known way to a layer.
+type step struct {
+	cost float64
+	hop  Hop
+	// before is the index of the boundary where the hop begins.
+	before int
+}
+
+// shortest finds the cheapest chain among the engines of a zone, or of all
+// zones where it is empty; nil if there is none.
+func (b *Book) shortest(now time.Time, m *layered.Model, engines []*directory.Upstream, r Request, zone ids.Zone) (Chain, float64) {
+	var inside []*directory.Upstream
+	for _, e := range engines {
+		if (zone == "" || e.Zone == zone) && !r.fixed(e) {
+			inside = append(inside, e)
+		}
+	}
+	cuts := boundaries(inside, m.Layers, r.First)
+	if len(cuts) < 2 || cuts[0] != 0 || cuts[len(cuts)-1] != m.Layers {
+		return nil, math.Inf(1)
+	}
+	ways := make([]step, len(cuts))
+	for i := range ways {
+		ways[i].cost = math.Inf(1)
+	}
+	start := 0
+	if r.First != nil {
+		start = slices.Index(cuts, r.First.Layers.To)
+		ways[start].hop = *r.First
+	}
+	ways[start].cost = 0
+	for i := start; i < len(cuts)-1; i++ {
+		if math.IsInf(ways[i].cost, 1) {
+			continue
+		}
+		for _, e := range inside {
+			b.extend(now, m, r, cuts, ways, i, e)
+		}
+	}
+	last := len(cuts) - 1
+	if math.IsInf(ways[last].cost, 1) {
+		return nil, math.Inf(1)
+	}
+	return trace(ways, last), ways[last].cost
+}
+
+// boundaries gives the layers at which some engine begins or ends, ascending,
+// with those of a first stage that is given.
+func boundaries(engines []*directory.Upstream, layers int, first *Hop) []int {
+	var cuts []int
+	if first != nil {
+		cuts = append(cuts, first.Layers.From, first.Layers.To)
+	}
+	for _, e := range engines {
+		cuts = append(cuts, min(e.Layers.From, layers), min(e.Layers.To, layers))
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
+
+// extend improves the ways that lead on from boundary i through engine e.
+func (b *Book) extend(now time.Time, m *layered.Model, r Request, cuts []int, ways []step, i int, e *directory.Upstream) {
+	from := cuts[i]
+	if e.Layers.From > from || e.Layers.To <= from || from == 0 && !r.mayBegin(e) {
+		return
+	}
+	perLayer := b.layerCost(now, m, r, e)
+	fixed := b.stageCost(now, m, r, e)
+	if prev := ways[i].hop.Engine; prev != nil && prev.Zone != e.Zone {
+		fixed += zoneHopMs
+	}
+	for j := i + 1; j < len(cuts) && cuts[j] <= e.Layers.To; j++ {
+		cost := ways[i].cost + fixed + perLayer*float64(cuts[j]-from)
+		if cost < ways[j].cost {
+			ways[j] = step{cost: cost, hop: Hop{e, layered.Range{From: from, To: cuts[j]}}, before: i}
+		}
+	}
+}
+
+// passes is how many decoding passes a request takes.
+func (r Request) passes(m *layered.Model) float64 { return r.Answer / float64(max(m.Stride, 1)) }
+
+// stageCost is the time that a request takes at an engine beside its passes, in
+// ms.
+func (b *Book) stageCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
+	writers := 1.0
+	if s := b.engines[e.ID]; s != nil {
+		writers += s.guess(now).streams * b.fleet
+	}
+	wait := waitPart * m.PassMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
+	return r.passes(m) * (hopMs + wait*b.conditions.Pace(now, e.ID))
+}
+
+// layerCost is the time that a request takes in one layer of an engine, in ms.
+func (b *Book) layerCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
+	card, known := m.Cards[e.Card]
+	if !known {
+		card = layered.Card{StepFactor: 1, ReadFactor: 1}
+	}
+	writers, occupied := 1.0, 0.0
+	if s := b.engines[e.ID]; s != nil {
+		guess := s.guess(now)
+		writers += guess.streams * b.fleet
+		if room := m.Room(card, e.Layers.Len()) * float64(e.Layers.Len()); room > 0 {
+			occupied = guess.tokenLayers * b.fleet / room
+		}
+	}
+	cost := m.ReadMs(card, 1, r.Prompt) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())
+	crowd := 1 + max(occupied-fullAt, 0)/(1-fullAt)*(fullFactor-1)
+	if b.conditions.IsFull(now, e.ID) {
+		crowd = max(crowd, fullFactor)
+	}
+	return cost * b.conditions.Pace(now, e.ID) * crowd
+}
+
+// trace follows the ways back from the last boundary. Where an engine comes
+// twice, it runs all layers between as well, which it holds in one piece.
+func trace(ways []step, last int) Chain {
+	var c Chain
+	for i := last; i > 0; i = ways[i].before {
+		c = append(c, ways[i].hop)
+	}
+	slices.Reverse(c)
+	return merge(c)
+}
+
+// merge joins the hops of one engine into one.
+func merge(c Chain) Chain {
+	for i := range c {
+		for j := len(c) - 1; j > i; j-- {
+			if c[j].Engine.ID == c[i].Engine.ID {
+				c[i].Layers.To = c[j].Layers.To
+				return merge(append(c[:i+1:i+1], c[j+1:]...))
+			}
+		}
+	}
+	return c
+}
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -16,7 +16,7 @@
 func model() *layered.Model {
 	return &layered.Model{
 		Layers: 80, LayerMB: 1750, KVTokenBytes: 918000, StepMs: 1, PerSequenceMs: 0.007, PerContextMs: 0.01,
-		ReadPerMs: 105, Stride: 3, Slots: 192, LoadSeconds: 14, Prompt: 774, Answer: 200,
+		ReadPerMs: 105, Stride: 3, LoadSeconds: 14, Prompt: 774, Answer: 200,
 		Cards: map[string]layered.Card{
 			"large":  {MemoryMB: 72000, StepFactor: 2.4, ReadFactor: 3.2},
 			"medium": {MemoryMB: 43200, StepFactor: 5.6, ReadFactor: 2.7},
--- a/decide/replica/replica.go
+++ b/decide/replica/replica.go
@@ -125,8 +125,8 @@
 			mean = s.meanMs
 		}
 	}
-	slots := float64(max(u.Slots, 1))
-	cost := mean * b.conditions.Pace(now, u.ID) * (1 + active*max(b.fleet/slots, 1/slots))
+	occupied := active * b.fleet / float64(max(u.Slots, 1))
+	cost := mean * b.conditions.Pace(now, u.ID) * (1 + occupied)
 	if u.Zone != zone {
 		cost += awayMs
 	}
--- a/decide/routing/routing.go
+++ b/decide/routing/routing.go
@@ -75,11 +75,7 @@
 
 // Service is a routed service.
 type Service struct {
-	Name       ids.Service
-	HealthPath string
-	// MaxConnections is the most connections one upstream takes from all
-	// callers together; 0 where it is not said.
-	MaxConnections int
+	Name ids.Service
 	// Model is set for services of model engines.
 	Model *layered.Model
 }
