Streams of services without layers are counted off; an engine's own failure is tried elsewhere first

Cause, found on reading: a stream to a plain service was taken off a chain on which it never was, and stayed on its upstream for good, so that later ones went to other zones; its test failed before. And a stream that may be resumed was answered with an engine's 500 where another engine could serve it.

--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -204,7 +204,7 @@
 	}
 }
 
-// paced takes an upstream's word about its pace.
+// paced takes the pace that an upstream reports of itself.
 func (p *picker) paced(u *directory.Upstream, pace float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -22,7 +22,8 @@
 	// probeFresh is how long a probe's outcome answers for the next: a stage
 	// that dies stalls many streams at once, and one probe tells all of them.
 	probeFresh = 250 * time.Millisecond
-	// slowPace is the pace from which on an engine is as good as stalled.
+	// slowPace is the pace from which on an engine counts as stalled: a stream of
+	// usual events on it exceeds the pauses that routes allow.
 	slowPace = 3.0
 )
 
@@ -51,8 +52,7 @@
 }
 
 // ask probes the engines of a chain that were not probed just now. dead are
-// those that did not answer, slow those so slow that the chain is as good as
-// stalled.
+// those that did not answer, slow those whose reported pace counts as stalled.
 func (p *prober) ask(ctx context.Context, c chain.Chain) (dead, slow []*directory.Upstream) {
 	probes := make([]*probe, len(c))
 	for i, h := range c {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -95,8 +95,7 @@
 	x.log("chain").Str("chain", c.String()).Str("upstream", string(first.ID)).Str("route", x.route.Name).
 		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
 	w := &streamWait{s: s, ctx: ctx, chain: c, begun: s.x.written}
-	// A stall may have led the request to another chain.
-	defer func() { x.server.picks.chainEnded(w.chain, req) }()
+	defer func() { s.uncount(w.chain, req) }()
 	a, failed := x.begin(ctx, first, x.compose(first, s.headers(c)), w.wait)
 	if failed == nil {
 		failed = s.relay(a, w)
@@ -107,6 +106,16 @@
 	return failed
 }
 
+// uncount takes the request off the chain on which it ended, which a stall may
+// have changed, or off its one upstream.
+func (s *stream) uncount(c chain.Chain, req chain.Request) {
+	if s.model == nil {
+		s.x.server.picks.replicaEnded(c[0].Engine.ID, 0, false)
+		return
+	}
+	s.x.server.picks.chainEnded(c, req)
+}
+
 // choose picks the chain: of engines that hold layers, or of one upstream where
 // the service has no model of layers.
 func (s *stream) choose() (chain.Chain, *failure) {
@@ -185,15 +194,18 @@
 // eventBuffer holds usual events whole, in bytes.
 const eventBuffer = 1 << 10
 
-// other passes on an answer that is no stream: an engine's own failure.
+// other passes on an answer that is no stream: an engine's own failure. Where
+// the request may run elsewhere, that comes first.
 func (s *stream) other(a *attempt) *failure {
 	body, err := a.answer.Body()
 	if err != nil {
 		return a.lost(err)
 	}
 	a.keep()
-	if s.x.written {
-		return &failure{phase: outcome.Started, reason: outcome.UpstreamInvalid, cause: &StatusError{a.answer.Head.StatusCode()}}
+	status := a.answer.Head.StatusCode()
+	elsewhere := status >= serverError && s.x.route.MayRepeat() && s.x.sends < s.x.route.Attempts()
+	if s.x.written || elsewhere {
+		return &failure{phase: outcome.Started, reason: outcome.UpstreamInvalid, cause: &StatusError{status}}
 	}
 	s.x.answerPlain(a.u, a.answer, body)
 	return nil
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -308,3 +308,42 @@
 		t.Errorf("ran on three upstreams, the route allows two")
 	}
 }
+
+func TestStreamsOfAPlainServiceAreCountedOff(t *testing.T) {
+	near, far := newFake(t, "u1", "plain", whole(2)), newFake(t, "u2", "plain", whole(2))
+	far.Zone = "far"
+	r := newRig(t, near, far)
+	for i := range 6 {
+		resp, complete := r.ask(t, "POST", "/plainstream/x", fmt.Sprint("r", i), "p")
+		if !complete {
+			t.Fatalf("answer %d", resp.StatusCode())
+		}
+		wantEvents(t, resp.Body(), 1, 2)
+	}
+	if n := len(far.requests()); n > 0 {
+		t.Errorf("%d of 6 streams, one after the other, went to another zone", n)
+	}
+	if len(near.requests()[0].Header.Peek("Q-Stages")) > 0 {
+		t.Error("a chain is named to a service without layers")
+	}
+}
+
+func TestEnginesOwnFailureIsTriedElsewhereFirst(t *testing.T) {
+	fails := func(conn net.Conn, req *fasthttp.Request) bool { return reply(conn, req, 500, "bad") }
+	a, b := stageFake(t, "a", 0, 10, fails), stageFake(t, "b", 0, 10, whole(2))
+	b.Zone = "far"
+	r := newRig(t, a, b)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete || resp.StatusCode() != 200 {
+		t.Errorf("answer %d", resp.StatusCode())
+	}
+	c, d := stageFake(t, "c", 0, 10, fails), stageFake(t, "d", 0, 10, fails)
+	r = newRig(t, c, d)
+	resp, _ = r.ask(t, "POST", "/stream/x", "r2", "p")
+	if resp.StatusCode() != 500 || string(resp.Header.Peek("Q-Seal")) != "seal-bad" {
+		t.Errorf("both fail: %d, want the engine's own answer", resp.StatusCode())
+	}
+	if resp, _ = r.ask(t, "POST", "/once/x", "r3", "p"); resp.StatusCode() != 500 || len(c.requests())+len(d.requests()) != 3 {
+		t.Errorf("one that may run once: %d", resp.StatusCode())
+	}
+}
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -85,7 +85,7 @@
 	tick = 100 * time.Millisecond
 	// settleFirst is how long no engine may have come before the first plan of
 	// a fleet that holds nothing: engines enter the directory over some
-	// seconds, and a plan is only as good as the list behind it.
+	// seconds, and a plan made from a part of them is not changed later.
 	settleFirst = 1500 * time.Millisecond
 	// settle is the same once engines hold layers.
 	settle = 300 * time.Millisecond
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay hands the newest configuration and directory from node to node:
-// to nodes that the platform's store turns away while it serves others, and to
+// to nodes that the platform's store rejects while it serves others, and to
 // the many nodes of a zone from the few that watch the store for them.
 //
 // Both documents carry versions and only go forward, so a peer that is itself
--- a/adapter/upconn/pool.go
+++ b/adapter/upconn/pool.go
@@ -115,7 +115,7 @@
 }
 
 // Put keeps a connection after a whole answer. idle is the time after which the
-// upstream closes it by its own word; 0 where it said nothing.
+// upstream has announced to close it; 0 where it announced nothing.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
 	c.usedAt = p.now()
 	if idle > 0 {
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -95,7 +95,7 @@
 	return tokens / m.ReadPerMs * card.ReadFactor * m.share(layers)
 }
 
-// Report is an engine's word about itself, some hundred ms old.
+// Report is what an engine reports of itself, some hundred ms old.
 type Report struct {
 	// Pace over 1 means that it takes so many times as long as usual.
 	Pace float64
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -60,7 +60,7 @@
 	// fullFor is how long an upstream that refused for want of room counts as
 	// full: requests end many times in that time.
 	fullFor = 300 * time.Millisecond
-	// paceFor is how long an upstream's word about its pace is believed.
+	// paceFor is how long a reported pace is believed.
 	paceFor = 2 * time.Second
 )
 
@@ -125,7 +125,7 @@
 const refusalsFor = 10 * time.Second
 
 // Refused tells that an upstream refused though it has room, as one does that is
-// leaving and whose word of it has not come. It gets nothing for a while, longer
+// draining before the directory says so. It gets nothing for a while, longer
 // each time.
 func (t *Table) Refused(now time.Time, id ids.Upstream) {
 	b := t.of(id)
@@ -150,7 +150,7 @@
 	return true
 }
 
-// Paced takes an upstream's word that it takes so many times as long as usual.
+// Paced takes a reported pace: how many times as long as usual an upstream takes.
 func (t *Table) Paced(now time.Time, id ids.Upstream, pace float64) {
 	b := t.of(id)
 	b.pace = max(pace, 1)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -1,7 +1,7 @@
 // Package entry runs a node that forwards callers' exchanges on an entry VM: it
 // follows the configuration and the directory of upstreams in the platform's
 // store, serves callers, has engines load layers while it holds the lease for
-// that, and hands news to peers that the store turns away.
+// that, and relays updates to peers that the store rejects.
 //
 // The package knows no wire format; Ports bring those of a deployment.
 package entry
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -29,7 +29,7 @@
 	// an answer at least each 3 s.
 	maxAge = 3600 * time.Millisecond
 	// shunFor is how long a peer without a good answer is left out; it doubles
-	// up to shunMost, as some entries are of nodes that are gone for good.
+	// up to shunMost, as some entries are of nodes that no longer exist.
 	shunFor  = 2 * time.Second
 	shunMost = 60 * time.Second
 )
