--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/outcome"
@@ -21,15 +20,13 @@
 
 // attempt is one send of a request to an upstream.
 type attempt struct {
-	x    *exchange
-	u    *directory.Upstream
-	conn *upconn.Conn
-	// watch bounds the waits for bytes once the request is written.
-	watch  upconn.Watch
+	x      *exchange
+	u      *directory.Upstream
+	conn   *upconn.Conn
 	stop   func() bool
-	began  time.Time
 	answer *upconn.Answer
-	// wrote is closed once the body is written; nil if that was done at once.
+	// wrote gets what came of writing a long body; nil if the body was written
+	// with the head.
 	wrote chan error
 }
 
@@ -52,7 +49,7 @@
 
 // begin connects and sends the request; head is its whole head.
 func (x *exchange) begin(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.Watch) (*attempt, *failure) {
-	a := &attempt{x: x, u: u, began: x.server.opts.Now(), watch: watch}
+	a := &attempt{x: x, u: u}
 	conn, err := x.server.pool.Get(ctx, target(u))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -62,13 +59,7 @@
 	}
 	x.sends++
 	a.conn = conn
-	a.stop = context.AfterFunc(ctx, conn.Abort)
-	conn.Guard(func(waited time.Duration) (time.Duration, error) {
-		if ctx.Err() != nil {
-			return 0, context.Cause(ctx)
-		}
-		return a.watch(waited)
-	})
+	a.stop = conn.Bind(ctx, watch)
 	if err := a.send(head); err != nil {
 		a.abandon()
 		return nil, &failure{phase: outcome.MaybeSent, reason: outcome.UpstreamLost, cause: err}
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -40,19 +40,17 @@
 	// head is what all sends of the request have in common.
 	head    []byte
 	arrived time.Time
-	// deadline is the caller's, zero if it gave none; limit also takes in the
-	// route's timeout.
-	deadline, limit time.Time
-	route           *routing.Route
-	account         *routing.Account
-	service         ids.Service
-	version         int64
+	// limit is the earlier of the caller's deadline and the route's timeout.
+	limit   time.Time
+	route   *routing.Route
+	account *routing.Account
+	service ids.Service
+	version int64
 
-	// sends counts sends that reached an upstream, or may have; mayHaveRun tells that one of them is not proved not
-	// to have run; ran lists the upstreams of these.
-	sends      int
-	mayHaveRun bool
-	ran        map[ids.Upstream]bool
+	// sends counts sends that reached an upstream, or may have; ran are the
+	// upstreams of those that are not proved not to have run.
+	sends int
+	ran   map[ids.Upstream]bool
 	// written tells that part of the answer is with the caller; events counts
 	// those of a stream, the first of which came after first.
 	written bool
@@ -155,9 +153,9 @@
 	if ms <= 0 {
 		return
 	}
-	x.deadline = x.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
-	if x.deadline.Before(x.limit) {
-		x.limit = x.deadline
+	deadline := x.arrived.Add(time.Duration(ms * float64(time.Millisecond)))
+	if deadline.Before(x.limit) {
+		x.limit = deadline
 	}
 }
 
@@ -175,7 +173,7 @@
 func (x *exchange) refuse(r *refusal) {
 	x.count("refusal." + string(r.reason))
 	line := x.log("refused").Int("status", r.status).Str("reason", string(r.reason)).Str("detail", r.detail).
-		Int64("config", x.version).Int("sends", x.sends).Bool("may_have_run", x.mayHaveRun).
+		Int64("config", x.version).Int("sends", x.sends).Bool("may_have_run", x.mayHaveRun()).
 		Dur("took_ms", x.server.opts.Now().Sub(x.arrived))
 	if x.route != nil {
 		line.Str("route", x.route.Name).Str("service", string(x.service))
@@ -196,7 +194,7 @@
 	switch {
 	case x.written:
 		x.breakOff(reason, detail)
-	case !x.mayHaveRun:
+	case !x.mayHaveRun():
 		x.refuse(&refusal{fasthttp.StatusServiceUnavailable, reason, detail, after})
 	case reason == outcome.DeadlineExpired:
 		x.refuse(&refusal{fasthttp.StatusGatewayTimeout, reason, detail, 0})
@@ -268,10 +266,13 @@
 	return append(out, "\r\n"...)
 }
 
+// mayHaveRun reports whether a send is not proved not to have run.
+func (x *exchange) mayHaveRun() bool { return len(x.ran) > 0 }
+
 // mayRunAgain reports whether another send may run: the request allows it, and
 // its route a further upstream, or a stream going on at one where it ran.
 func (x *exchange) mayRunAgain() bool {
-	if !x.mayHaveRun {
+	if !x.mayHaveRun() {
 		return true
 	}
 	return x.route.MayRepeat() && (len(x.ran) < x.route.Attempts() || x.route.Kind == routing.Streaming)
@@ -281,7 +282,6 @@
 // back for not answering: it may be cut off from this node alone, or refuse
 // connections since it has too many.
 func (x *exchange) noteRun(id ids.Upstream) {
-	x.mayHaveRun = true
 	if x.ran == nil {
 		x.ran = make(map[ids.Upstream]bool)
 	}
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -101,13 +101,24 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := chain.Check(c, m.Layers); err != nil {
-		return nil, err
+	if !p.tiles(c, m.Layers) {
+		return nil, &chain.TilingError{Chain: c.String(), Layers: m.Layers}
 	}
 	p.chains.Began(p.opts.Now(), c, r)
 	return c, nil
 }
 
+// tiles checks a chain before it leaves. One that does not tile the model is a
+// fault of the choice, so it is logged wherever it is met.
+func (p *picker) tiles(c chain.Chain, layers int) bool {
+	err := chain.Check(c, layers)
+	if err != nil {
+		p.opts.Metrics.Add("chain.not_tiling", 1)
+		p.opts.Log.Error().Str("event", "chain_not_tiling").Err(err).Send()
+	}
+	return err == nil
+}
+
 // leaveGain is the part of its present chain's expected time that another must
 // stay below for a request to leave a chain that is slow but alive: it has to
 // be read anew there, and draws on the retry budget.
@@ -139,7 +150,7 @@
 	at := p.opts.Now()
 	r.First = &now[0]
 	other, err := p.chains.Choose(at, m, view, r)
-	if err != nil || chain.Check(other, m.Layers) != nil {
+	if err != nil || !p.tiles(other, m.Layers) {
 		return nil
 	}
 	if !dead && p.chains.Cost(at, m, r, other) >= leaveGain*p.chains.Cost(at, m, r, now) {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -28,6 +28,9 @@
 	// slowFactor times it is waited at least, so that a stream which is slow
 	// throughout does not ask at each pause.
 	slowFactor = 1.5
+	// firstGapParts of the longest pause is the mean before a pause was seen:
+	// fast chains take a sixth to a fourth of 200 ms.
+	firstGapParts = 4
 	// gapWeight is the weight of a new pause in that mean.
 	gapWeight = 0.2
 	// leastWait keeps short objectives from asking for usual pauses.
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -34,7 +34,7 @@
 
 // stream serves a request that is answered by events.
 func (x *exchange) stream(ctx context.Context, table *routing.Table) {
-	s := &stream{x: x, gap: x.route.PauseObjective / 4, shunned: make(map[ids.Upstream]bool)}
+	s := &stream{x: x, gap: x.route.PauseObjective / firstGapParts, shunned: make(map[ids.Upstream]bool)}
 	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Upstream]bool)}
 	if service := table.Service(x.service); service != nil {
 		s.model = service.Model
--- a/adapter/upconn/answer.go
+++ b/adapter/upconn/answer.go
@@ -40,7 +40,8 @@
 	Head fasthttp.ResponseHeader
 	conn *Conn
 	body io.Reader
-	// unframed answers end with their connection.
+	// unframed answers end with their connection, so that only an orderly end
+	// tells that they are whole.
 	unframed bool
 	// bodiless answers end with their head.
 	bodiless bool
@@ -130,10 +131,6 @@
 	return body, nil
 }
 
-// Unframed reports whether the body ends with its connection, so that only an
-// orderly end tells that it is whole.
-func (a *Answer) Unframed() bool { return a.unframed }
-
 // Reusable reports whether the connection may carry another exchange, and for
 // how long the upstream said to keep it, 0 where it said nothing.
 func (a *Answer) Reusable() (bool, time.Duration) {
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -80,6 +81,19 @@
 // Guard sets the watch for the reads that follow.
 func (c *Conn) Guard(w Watch) { c.watch = w }
 
+// Bind guards the reads that follow, and ends them and any write with ctx, whose
+// cause is their error. The returned function ends the tie to ctx; it reports
+// whether ctx had not ended the connection before.
+func (c *Conn) Bind(ctx context.Context, w Watch) (stop func() bool) {
+	c.Guard(func(waited time.Duration) (time.Duration, error) {
+		if ctx.Err() != nil {
+			return 0, context.Cause(ctx)
+		}
+		return w(waited)
+	})
+	return context.AfterFunc(ctx, c.Abort)
+}
+
 // Read implements io.Reader for the connection's own buffer.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -87,6 +87,16 @@
 	return float64(max(m.Stride, 1)) * step * card.StepFactor * m.share(layers)
 }
 
+// waitPart of a whole pass of an engine is waited at each stage for the pass that
+// is under way, which on average is half done.
+const waitPart = 0.5
+
+// WaitMs is the time that a request waits at an engine before each of its passes,
+// in ms; held is how many layers the engine holds.
+func (m *Model) WaitMs(card Card, held int, writers, context float64) float64 {
+	return waitPart * m.PassMs(card, held, writers, context)
+}
+
 // ReadMs is the time to read a prompt through so many layers, in ms.
 func (m *Model) ReadMs(card Card, layers int, tokens float64) float64 {
 	if m.ReadPerMs <= 0 {
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -42,9 +42,6 @@
 	// hopMs is charged for each stage of a pass, in ms, for the transfer of
 	// activations.
 	hopMs = 0.3
-	// waitPart of a whole pass of an engine is waited at each stage for the
-	// pass that is under way.
-	waitPart = 0.5
 	// zoneHopMs is charged for a stage in another zone than the one before, in
 	// ms: all such chains share one pipe, for the activations of every token.
 	// They are chosen where no zone has a whole chain, or those are full.
@@ -207,7 +204,7 @@
 	if s := b.engines[e.ID]; s != nil {
 		writers += s.guess(now).streams * b.fleet
 	}
-	wait := waitPart * m.PassMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
+	wait := m.WaitMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
 	return r.passes(m) * (hopMs + wait*b.conditions.Pace(now, e.ID))
 }
 
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -24,18 +24,14 @@
 	// Address is IP and port. It may go to another upstream later.
 	Address string
 	Zone    ids.Zone
-	// Version is the version of the upstream's software.
-	Version string
 	// Slots is how many requests it works on at once.
 	Slots int
 	// Leaving upstreams get no new work.
 	Leaving bool
 	// Card is the kind of accelerator of an engine.
 	Card string
-	// Layers is what an engine holds; empty for none. Weights is the version
-	// of these weights.
-	Layers  layered.Range
-	Weights int64
+	// Layers is what an engine holds; empty for none.
+	Layers layered.Range
 	// Busy engines carry out an order.
 	Busy bool
 	// Revision is that of the registry's entry.
@@ -127,22 +123,11 @@
 
 // Replace takes a whole list as of revision. An older one is ignored.
 func (d *Directory) Replace(now time.Time, list []Upstream, revision int64) []Change {
-	if revision < d.revision {
-		return nil
-	}
-	d.revision = revision
-	var changes []Change
-	listed := make(map[ids.Upstream]bool, len(list))
+	present := make([]ids.Upstream, len(list))
 	for i := range list {
-		listed[list[i].ID] = true
-		changes = d.put(changes, &list[i])
+		present[i] = list[i].ID
 	}
-	for id, u := range d.byID {
-		if !listed[id] {
-			changes = d.remove(changes, now, u)
-		}
-	}
-	return changes
+	return d.Merge(now, list, present, revision)
 }
 
 // Merge takes the entries that changed since the own revision, and the names of
--- a/decide/placement/compare_test.go
+++ b/decide/placement/compare_test.go
@@ -151,7 +151,7 @@
 			}
 			card := m.Cards[e.Card]
 			for to := at + 1; to <= e.Holds.To; to++ {
-				ms := best[at] + m.PassMs(card, to-at, 1, m.Prompt) + waitPart*m.PassMs(card, e.Holds.Len(), 1, m.Prompt)
+				ms := best[at] + m.PassMs(card, to-at, 1, m.Prompt) + m.WaitMs(card, e.Holds.Len(), 1, m.Prompt)
 				best[to] = min(best[to], ms)
 			}
 		}
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -101,8 +101,6 @@
 	// stretchGain is the part of the usual chain's time that each step must
 	// save, since it costs room for requests.
 	stretchGain = 0.02
-	// waitPart of an engine's pass is waited at each stage.
-	waitPart = 0.5
 )
 
 // planZone gives the orders for the engines of one zone. Where they hold nothing
@@ -142,7 +140,8 @@
 			break
 		}
 		at = order.Layers.To
-		ms += (1 + waitPart) * m.PassMs(cards[order.Engine], order.Layers.Len(), 1, m.Prompt)
+		card := cards[order.Engine]
+		ms += m.PassMs(card, order.Layers.Len(), 1, m.Prompt) + m.WaitMs(card, order.Layers.Len(), 1, m.Prompt)
 	}
 	if at < m.Layers {
 		return math.Inf(1)
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -120,7 +120,7 @@
 	// have tells what the node has; changes turns a peer's news.
 	have    func(since int64) relay.Have
 	changes func(since int64, news relay.News) listwatch.Changes[T]
-	// answeredAt is told when the store itself answered.
+	// stored is told when the store itself answered.
 	stored func()
 }
 
