Nodes name only what changed, and read the first list from a watching node

Cause: the two nodes of a zone that watch the store told each follower the names of all upstreams with each change (42 kB at 3,000 upstreams), and each node read all pages of the list itself when it started: 300 nodes, 18,000 reads, 30 s until they served again (docs/CAPACITY.md).

Ruled out: tombstones by the store's revision. The end of a grace has no revision, and two watching nodes end graces at different times, so a follower that goes from one to the other could keep an upstream for good. A mark of one process's own changes is exact; whoever lacks it gets everything.

Change: decide/directory remembers its last changes by a mark (Since, Update); relay.News tells a delta to whom its base is known. The first list comes from a watching node where one knows it within 3 ms a node of the fleet, at most 0.9 s, and else from the store.

--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -40,6 +40,8 @@
 	ConfigVersion int64 `json:"config_version"`
 	// Revision is that of its directory.
 	Revision int64 `json:"revision"`
+	// Base is what it last took over from the peer it asks; zero for nothing.
+	Base Base `json:"base,omitzero"`
 	// WaitMs is how long the answer may wait for something newer, in ms; 0 for
 	// not at all.
 	WaitMs int64 `json:"wait_ms,omitempty"`
@@ -47,6 +49,15 @@
 	Want Want `json:"want,omitempty"`
 }
 
+// Base names a state of one process's directory, so that only what changed
+// since needs to be told.
+type Base struct {
+	// Holder is the process, unique across restarts.
+	Holder string `json:"holder"`
+	// Mark counts its changes.
+	Mark uint64 `json:"mark"`
+}
+
 // Want is a part of the news.
 type Want string
 
@@ -63,11 +74,17 @@
 	// ConfigRevision is the store's revision up to which changes of the
 	// configuration are known.
 	ConfigRevision int64 `json:"config_revision,omitempty"`
-	// Upstreams are those that changed since the asker's revision, and Present
-	// the names of all, as of Revision; not set where the asker's is as new.
+	// Upstreams are those that changed since the asker's revision, as of
+	// Revision; not set where the asker's is as new. Where the asker's Base was
+	// known, they are those that changed since, and Gone names those that went;
+	// else Present names all that are there.
 	Upstreams []directory.Upstream `json:"upstreams,omitempty"`
+	Delta     bool                 `json:"delta,omitempty"`
+	Gone      []ids.Upstream       `json:"gone,omitempty"`
 	Present   []ids.Upstream       `json:"present,omitempty"`
 	Revision  int64                `json:"revision,omitempty"`
+	// Base is the state that the asker has after it took these.
+	Base Base `json:"base,omitzero"`
 	// AgeMs is how long ago the store last answered the node, in ms.
 	AgeMs int64 `json:"age_ms"`
 }
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -48,8 +48,13 @@
 type View struct {
 	// Revision is the registry's revision that the view stands for.
 	Revision int64
+	// Mark counts the changes of the Directory that gave the view.
+	Mark     uint64
 	services map[ids.Service][]*Upstream
 	byID     map[ids.Upstream]*Upstream
+	// recent names the upstreams of the last changes, the newest last, which is
+	// the change that Mark counts.
+	recent []ids.Upstream
 }
 
 // Of gives the upstreams of a service in the order of their names, with those
@@ -82,6 +87,28 @@
 	return all
 }
 
+// Since gives what changed since an earlier view of the same Directory: the
+// upstreams that are there, and the names of those that are not any more. It
+// gives false if the changes since that mark are no longer known.
+func (v *View) Since(mark uint64) (changed []*Upstream, gone []ids.Upstream, ok bool) {
+	if v == nil || mark > v.Mark || v.Mark-mark > uint64(len(v.recent)) {
+		return nil, nil, false
+	}
+	told := make(map[ids.Upstream]bool)
+	for _, id := range v.recent[uint64(len(v.recent))-(v.Mark-mark):] {
+		if told[id] {
+			continue
+		}
+		told[id] = true
+		if u := v.byID[id]; u != nil {
+			changed = append(changed, u)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	return changed, gone, true
+}
+
 // ChangeKind is what happened to an upstream.
 type ChangeKind string
 
@@ -108,8 +135,16 @@
 	missing map[ids.Upstream]time.Time
 	// graceUntil is until when removals count as an outage's effect.
 	graceUntil time.Time
+	// mark counts all changes; recent names the upstreams of the last ones.
+	// Views share it, so it is only appended to, or replaced.
+	mark   uint64
+	recent []ids.Upstream
 }
 
+// maxRecent is how many changes are remembered at most, and half of it at
+// least: a minute of a release of 3,000 upstreams at 50 changes a second.
+const maxRecent = 6000
+
 // New makes an empty Directory.
 func New() *Directory {
 	return &Directory{byID: make(map[ids.Upstream]*Upstream), missing: make(map[ids.Upstream]time.Time)}
@@ -153,6 +188,25 @@
 	return changes
 }
 
+// Update takes the entries that changed and the names of those that went, as of
+// revision. An older one is ignored.
+func (d *Directory) Update(now time.Time, changed []Upstream, gone []ids.Upstream, revision int64) []Change {
+	if revision < d.revision {
+		return nil
+	}
+	d.revision = revision
+	var changes []Change
+	for i := range changed {
+		changes = d.put(changes, &changed[i])
+	}
+	for _, id := range gone {
+		if u := d.byID[id]; u != nil {
+			changes = d.remove(changes, now, u)
+		}
+	}
+	return changes
+}
+
 // Put takes one entry that was added or changed.
 func (d *Directory) Put(u Upstream) []Change {
 	d.revision = max(d.revision, u.Revision)
@@ -191,6 +245,7 @@
 		u.Leaving = true
 	}
 	d.byID[u.ID] = u
+	d.note(u.ID)
 	switch {
 	case old == nil:
 		return append(changes, Change{Seen, u})
@@ -215,13 +270,25 @@
 func (d *Directory) drop(changes []Change, u *Upstream) []Change {
 	delete(d.byID, u.ID)
 	delete(d.missing, u.ID)
+	d.note(u.ID)
 	return append(changes, Change{Gone, u})
 }
 
+// note remembers a change.
+func (d *Directory) note(id ids.Upstream) {
+	if len(d.recent) == maxRecent {
+		d.recent = slices.Clone(d.recent[maxRecent/2:])
+	}
+	d.recent = append(d.recent, id)
+	d.mark++
+}
+
 // View gives the directory as it is now.
 func (d *Directory) View() *View {
 	v := &View{
 		Revision: d.revision,
+		Mark:     d.mark,
+		recent:   d.recent,
 		services: make(map[ids.Service][]*Upstream),
 		byID:     make(map[ids.Upstream]*Upstream, len(d.byID)),
 	}
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -126,3 +126,86 @@
 		t.Error("no view knows upstreams")
 	}
 }
+
+// since gives what changed since a mark as text.
+func since(t *testing.T, d *Directory, mark uint64) []string {
+	t.Helper()
+	changed, gone, ok := d.View().Since(mark)
+	if !ok {
+		return []string{"unknown"}
+	}
+	out := []string{}
+	for _, u := range changed {
+		out = append(out, "+"+string(u.ID))
+	}
+	for _, id := range gone {
+		out = append(out, "-"+string(id))
+	}
+	return out
+}
+
+func TestChangesSinceAViewAreNamed(t *testing.T) {
+	d := New()
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, 5)
+	mark := d.View().Mark
+	if diff := cmp.Diff([]string{}, since(t, d, mark)); diff != "" {
+		t.Error(diff)
+	}
+	d.Put(upstream("a", 6))
+	d.Remove(start, "b", 7)
+	d.Put(upstream("a", 8))
+	if diff := cmp.Diff([]string{"+a", "-b"}, since(t, d, mark)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"unknown"}, since(t, d, mark+9)); diff != "" {
+		t.Error("of a mark that was never given:", diff)
+	}
+	var none *View
+	if _, _, ok := none.Since(0); ok {
+		t.Error("no view knows changes")
+	}
+}
+
+func TestFollowerOfChangesHasTheSameView(t *testing.T) {
+	from, to := New(), New()
+	mark := uint64(0)
+	for i := range 4 * maxRecent {
+		id := string(rune('a' + i%7))
+		if i%3 == 2 {
+			from.Remove(start, ids.Upstream(id), int64(i+1))
+		} else {
+			from.Put(upstream(id, int64(i+1)))
+		}
+		if i%5 != 0 {
+			continue
+		}
+		view := from.View()
+		changed, gone, ok := view.Since(mark)
+		if !ok {
+			t.Fatalf("step %d: changes since %d unknown at %d", i, mark, view.Mark)
+		}
+		var list []Upstream
+		for _, u := range changed {
+			list = append(list, *u)
+		}
+		to.Update(start, list, gone, view.Revision)
+		mark = view.Mark
+		if diff := cmp.Diff(names(from), names(to)); diff != "" {
+			t.Fatalf("step %d: %s", i, diff)
+		}
+	}
+	if _, _, ok := from.View().Since(0); ok {
+		t.Error("changes are remembered without bound")
+	}
+}
+
+func TestOlderUpdateIsIgnored(t *testing.T) {
+	d := New()
+	d.Replace(start, []Upstream{upstream("a", 1)}, 5)
+	if d.Update(start, nil, []ids.Upstream{"a"}, 4) != nil || len(names(d)) != 1 {
+		t.Error("an older update took effect")
+	}
+	if got := kinds(d.Update(start, []Upstream{upstream("b", 6)}, []ids.Upstream{"a", "x"}, 6)); !cmp.Equal(got, []string{"seen b", "gone a"}) {
+		t.Errorf("changes %v", got)
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -111,7 +111,7 @@
 	n.news = newNotice()
 	n.watchers = newWatchers(settings, boottime.Now)
 	n.configs = &configs{log: log, news: n.news}
-	n.upstreams = newUpstreams(log, n.news)
+	n.upstreams = newUpstreams(holder(settings), log, n.news)
 	n.peers = newPeers(settings, ports.Members, n, log)
 	n.server = forward.New(forward.Options{
 		Headers: ports.Headers,
@@ -192,15 +192,7 @@
 		return news
 	}
 	news.AgeMs = max(news.AgeMs, n.upstreams.age(now).Milliseconds())
-	if view := n.upstreams.view.Load(); view.Revision > have.Revision {
-		news.Revision = view.Revision
-		for _, u := range view.All() {
-			news.Present = append(news.Present, u.ID)
-			if u.Revision > have.Revision {
-				news.Upstreams = append(news.Upstreams, *u)
-			}
-		}
-	}
+	n.upstreams.tell(&news, have)
 	return news
 }
 
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -32,6 +32,13 @@
 	// up to shunMost, as some entries are of nodes that no longer exist.
 	shunFor  = 2 * time.Second
 	shunMost = 60 * time.Second
+	// membersWait bounds the wait for the list of nodes before the first list
+	// of upstreams. Reading it takes one or two calls of the store.
+	membersWait = time.Second
+	// listTime is the store's time for one node's list of a fleet of 3,000
+	// upstreams, 60 pages at 2,000 reads a second being 30 ms, and a tenth of it
+	// for the small fleets, which gain little from a wait.
+	listTime = 3 * time.Millisecond
 )
 
 // watchers knows who watches the store in the own zone.
@@ -40,8 +47,12 @@
 	zone ids.Zone
 	now  func() time.Time
 
+	// known is closed once the list of nodes was read, or could not be.
+	known chan struct{}
+
 	mu    sync.Mutex
 	peers []Member
+	fleet int
 	shun  map[ids.VM]shunned
 }
 
@@ -53,7 +64,7 @@
 
 // newWatchers makes the list for a node.
 func newWatchers(s Settings, now func() time.Time) *watchers {
-	return &watchers{own: s.VM, zone: s.Zone, now: now, shun: make(map[ids.VM]shunned)}
+	return &watchers{own: s.VM, zone: s.Zone, now: now, known: make(chan struct{}), shun: make(map[ids.VM]shunned)}
 }
 
 // set takes the list of the fleet's nodes.
@@ -67,7 +78,32 @@
 	slices.SortFunc(zone, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.peers = zone
+	w.peers, w.fleet = zone, len(members)
+}
+
+// tried tells that the list of nodes was read, or could not be. One goroutine
+// may call it.
+func (w *watchers) tried() {
+	select {
+	case <-w.known:
+	default:
+		close(w.known)
+	}
+}
+
+// listWait waits until it is known which nodes there are, and gives the time to
+// wait for a peer's list before the store is asked.
+func (w *watchers) listWait(ctx context.Context) time.Duration {
+	timer := time.NewTimer(membersWait)
+	defer timer.Stop()
+	select {
+	case <-w.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(peerWait, time.Duration(w.fleet)*listTime)
 }
 
 // pick gives the peer to wait at; false if the node is to watch the store
@@ -120,12 +156,20 @@
 	// have tells what the node has; changes turns a peer's news.
 	have    func(since int64) relay.Have
 	changes func(since int64, news relay.News) listwatch.Changes[T]
+	// list turns a peer's news about everything; nil if the store is to be
+	// asked for lists.
+	list func(news relay.News) listwatch.List[T]
 	// stored is told when the store itself answered.
 	stored func()
 }
 
 // List implements listwatch.Source.
 func (s *shared[T]) List(ctx context.Context) (listwatch.List[T], error) {
+	if s.list != nil {
+		if news, ok := s.ask(ctx, relay.Have{Want: relay.WantUpstreams}, s.watchers.listWait(ctx)); ok && news.Revision > 0 {
+			return s.list(news), nil
+		}
+	}
 	list, err := s.store.List(ctx)
 	if err == nil {
 		s.stored()
@@ -135,15 +179,8 @@
 
 // Watch implements listwatch.Source.
 func (s *shared[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
-	if peer, ok := s.watchers.pick(); ok {
-		have := s.have(since)
-		have.WaitMs = peerWait.Milliseconds()
-		news, err := relay.Ask(ctx, peer.Peer, have)
-		if err == nil && news.AgeMs <= maxAge.Milliseconds() {
-			s.watchers.answered(peer.Name)
-			return s.changes(since, news), nil
-		}
-		s.watchers.failed(peer.Name)
+	if news, ok := s.ask(ctx, s.have(since), peerWait); ok {
+		return s.changes(since, news), nil
 	}
 	changes, err := s.store.Watch(ctx, since, wait)
 	if err == nil {
@@ -152,6 +189,23 @@
 	return changes, err
 }
 
+// ask waits at the peer that watches the store for this node; false if there is
+// none, or none that knows the store's state.
+func (s *shared[T]) ask(ctx context.Context, have relay.Have, wait time.Duration) (relay.News, bool) {
+	peer, ok := s.watchers.pick()
+	if !ok {
+		return relay.News{}, false
+	}
+	have.WaitMs = wait.Milliseconds()
+	news, err := relay.Ask(ctx, peer.Peer, have)
+	if err != nil || news.AgeMs > maxAge.Milliseconds() {
+		s.watchers.failed(peer.Name)
+		return relay.News{}, false
+	}
+	s.watchers.answered(peer.Name)
+	return news, true
+}
+
 // sharedConfigs shares the watch of the configuration.
 func (n *Node) sharedConfigs() listwatch.Source[routing.Config] {
 	return &shared[routing.Config]{
@@ -171,23 +225,24 @@
 	}
 }
 
-// sharedUpstreams shares the watch of the directory.
+// sharedUpstreams shares the watch of the directory, and its list.
 func (n *Node) sharedUpstreams() listwatch.Source[directory.Upstream] {
 	return &shared[directory.Upstream]{
 		store:    n.ports.Upstreams,
 		watchers: n.watchers,
 		stored:   n.upstreams.storeAnswered,
-		have: func(since int64) relay.Have {
-			return relay.Have{Revision: since, Want: relay.WantUpstreams}
-		},
+		have:     func(int64) relay.Have { return n.upstreams.have() },
 		changes: func(since int64, news relay.News) listwatch.Changes[directory.Upstream] {
 			changes := listwatch.Changes[directory.Upstream]{Revision: max(since, news.Revision)}
-			if news.Revision > since {
-				// Taken here and not as events, since it names what is there
+			if news.Revision > 0 {
+				// Taken here and not as events, since it may name what is there
 				// instead of what went.
 				n.upstreams.merge(news)
 			}
 			return changes
 		},
+		list: func(news relay.News) listwatch.List[directory.Upstream] {
+			return listwatch.List[directory.Upstream]{Items: news.Upstreams, Revision: news.Revision}
+		},
 	}
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -132,19 +132,23 @@
 // upstreams is the directory. Its goroutines take turns by mu.
 type upstreams struct {
 	contact
-	log  zerolog.Logger
-	news *notice
-	gone func(*directory.Upstream)
-	view atomic.Pointer[directory.View]
-	lost atomic.Bool
+	// holder names this process to peers.
+	holder string
+	log    zerolog.Logger
+	news   *notice
+	gone   func(*directory.Upstream)
+	view   atomic.Pointer[directory.View]
+	lost   atomic.Bool
 
 	mu        sync.Mutex
 	directory *directory.Directory
+	// base is the state of a peer that was last taken over.
+	base relay.Base
 }
 
 // newUpstreams makes an empty directory.
-func newUpstreams(log zerolog.Logger, news *notice) *upstreams {
-	u := &upstreams{log: log, news: news, directory: directory.New()}
+func newUpstreams(holder string, log zerolog.Logger, news *notice) *upstreams {
+	u := &upstreams{holder: holder, log: log, news: news, directory: directory.New()}
 	u.view.Store(u.directory.View())
 	return u
 }
@@ -174,10 +178,57 @@
 // merge takes a peer's news.
 func (u *upstreams) merge(news relay.News) {
 	u.change("peer", func(d *directory.Directory, now time.Time) []directory.Change {
+		if news.Revision < d.Revision() {
+			return nil
+		}
+		u.base = news.Base
+		if news.Delta {
+			return d.Update(now, news.Upstreams, news.Gone, news.Revision)
+		}
 		return d.Merge(now, news.Upstreams, news.Present, news.Revision)
 	})
 }
 
+// have tells a peer what is here.
+func (u *upstreams) have() relay.Have {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return relay.Have{Revision: u.directory.Revision(), Base: u.base, Want: relay.WantUpstreams}
+}
+
+// tell adds to the news what an asker does not have.
+func (u *upstreams) tell(news *relay.News, have relay.Have) {
+	view := u.view.Load()
+	if have.Base.Holder == u.holder {
+		if changed, gone, ok := view.Since(have.Base.Mark); ok {
+			if len(changed)+len(gone) > 0 || view.Revision > have.Revision {
+				news.Upstreams, news.Gone, news.Delta = values(changed), gone, true
+				news.Revision, news.Base = view.Revision, relay.Base{Holder: u.holder, Mark: view.Mark}
+			}
+			return
+		}
+	}
+	if view.Revision <= have.Revision {
+		return
+	}
+	news.Revision, news.Base = view.Revision, relay.Base{Holder: u.holder, Mark: view.Mark}
+	for _, one := range view.All() {
+		news.Present = append(news.Present, one.ID)
+		if one.Revision > have.Revision {
+			news.Upstreams = append(news.Upstreams, *one)
+		}
+	}
+}
+
+// values copies upstreams out of a view.
+func values(list []*directory.Upstream) []directory.Upstream {
+	var out []directory.Upstream
+	for _, u := range list {
+		out = append(out, *u)
+	}
+	return out
+}
+
 // Lost implements listwatch.Sink.
 func (u *upstreams) Lost(error) { u.lost.Store(true) }
 
