Metrics: pauses, decisions, calls of the store, ages of what is believed

Cause: an engineer on call could not tell from the metrics address whether a pause came from engines or the node, nor how old its configuration was.

Change: histograms stream.pause, request.until_sent, decision.chain, decision.replica, store.list, .lease, .join, .members; gauges of version, revision and age of configuration and directory, upstreams, open requests. An age counts from the store's answer to the peer that told this node; what a node tells peers of itself stays the age of its own contact.

--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -95,8 +95,10 @@
 
 // chain chooses the chain of a request and counts it there.
 func (p *picker) chain(m *layered.Model, view *directory.View, r chain.Request) (chain.Chain, error) {
+	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer func() { p.opts.Metrics.Took("decision.chain", p.opts.Now().Sub(began)) }()
 	c, err := p.chains.Choose(p.opts.Now(), m, view, r)
 	if err != nil {
 		return nil, err
@@ -171,8 +173,10 @@
 // replica chooses the upstream of a plain request and counts it there; nil if
 // none may take it.
 func (p *picker) replica(list []*directory.Upstream, avoid map[ids.Upstream]bool, draw float64) *directory.Upstream {
+	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer func() { p.opts.Metrics.Took("decision.replica", p.opts.Now().Sub(began)) }()
 	u := p.replicas.Choose(p.opts.Now(), list, p.opts.Zone, avoid, draw)
 	if u != nil {
 		p.replicas.Began(u.ID)
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -74,6 +74,7 @@
 			Str("chain", w.chain.String()).Int64("after_event", w.s.seq.last).Send()
 	}
 	if w.begun {
+		x.server.opts.Metrics.Took("stream.pause", pause)
 		w.s.gap += time.Duration(gapWeight * float64(pause-w.s.gap))
 	}
 	w.begun = true
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -74,6 +74,14 @@
 	return v.byID[id]
 }
 
+// Len gives the number of upstreams.
+func (v *View) Len() int {
+	if v == nil {
+		return 0
+	}
+	return len(v.byID)
+}
+
 // All gives every upstream in the order of their names.
 func (v *View) All() []*Upstream {
 	if v == nil {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -112,7 +112,7 @@
 	n.watchers = newWatchers(settings, boottime.Now)
 	n.configs = &configs{log: log, news: n.news}
 	n.upstreams = newUpstreams(holder(settings), log, n.news)
-	n.peers = newPeers(settings, ports.Members, n, log)
+	n.peers = newPeers(settings, &timedMembers{ports.Members, n.metrics.Took}, n, log)
 	n.server = forward.New(forward.Options{
 		Headers: ports.Headers,
 		Zone:    settings.Zone,
@@ -134,7 +134,7 @@
 			StaleReads: true,
 			Seed:       settings.Seed,
 		},
-		Store: ports.Lease,
+		Store: &timedLease{ports.Lease, n.metrics.Took},
 		Now:   boottime.Now,
 		Log:   log,
 	})
@@ -149,6 +149,7 @@
 		Log:     log,
 		Count:   n.metrics.Add,
 	})
+	n.gauges()
 	return n
 }
 
--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -16,6 +16,7 @@
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/node/telemetry"
 )
 
 // fleetOf gives n upstreams, each with a revision of its own.
@@ -123,7 +124,7 @@
 	t.Helper()
 	settings := Settings{VM: "z-99", Zone: "z"}
 	n := &Node{
-		settings: settings, watchers: newWatchers(settings, time.Now), upstreams: knowing("q", nil),
+		settings: settings, watchers: newWatchers(settings, time.Now), upstreams: knowing("q", nil), metrics: telemetry.New(),
 		ports: Ports{Upstreams: store},
 	}
 	members := append(zone("z", 2), Member{Name: "z-99", Zone: "z"})
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -9,6 +9,7 @@
 
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
@@ -159,8 +160,9 @@
 	// list turns a peer's news about everything; nil if the store is to be
 	// asked for lists.
 	list func(news relay.News) listwatch.List[T]
-	// stored is told when the store itself answered.
-	stored func()
+	// contact is told when the store or a peer answered.
+	contact *contact
+	took    func(name string, d time.Duration)
 }
 
 // List implements listwatch.Source.
@@ -170,9 +172,11 @@
 			return s.list(news), nil
 		}
 	}
+	began := boottime.Now()
 	list, err := s.store.List(ctx)
+	s.took(storeList, boottime.Now().Sub(began))
 	if err == nil {
-		s.stored()
+		s.contact.storeAnswered()
 	}
 	return list, err
 }
@@ -184,7 +188,7 @@
 	}
 	changes, err := s.store.Watch(ctx, since, wait)
 	if err == nil {
-		s.stored()
+		s.contact.storeAnswered()
 	}
 	return changes, err
 }
@@ -203,6 +207,7 @@
 		return relay.News{}, false
 	}
 	s.watchers.answered(peer.Name)
+	s.contact.peerAnswered(time.Duration(news.AgeMs) * time.Millisecond)
 	return news, true
 }
 
@@ -211,7 +216,8 @@
 	return &shared[routing.Config]{
 		store:    n.ports.Configs,
 		watchers: n.watchers,
-		stored:   n.configs.storeAnswered,
+		contact:  &n.configs.contact,
+		took:     n.metrics.Took,
 		have: func(int64) relay.Have {
 			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
@@ -230,7 +236,8 @@
 	return &shared[directory.Upstream]{
 		store:    n.ports.Upstreams,
 		watchers: n.watchers,
-		stored:   n.upstreams.storeAnswered,
+		contact:  &n.upstreams.contact,
+		took:     n.metrics.Took,
 		have:     func(int64) relay.Have { return n.upstreams.have() },
 		changes: func(since int64, news relay.News) listwatch.Changes[directory.Upstream] {
 			changes := listwatch.Changes[directory.Upstream]{Revision: max(since, news.Revision)}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -45,24 +45,42 @@
 }
 
 // contact is when the store last answered about one collection.
-type contact struct{ at atomic.Pointer[time.Time] }
+type contact struct {
+	// at is when it answered this node, heard when it answered whoever told
+	// this node last.
+	at, heard atomic.Pointer[time.Time]
+}
 
 // storeAnswered notes an answer.
 func (c *contact) storeAnswered() {
 	now := boottime.Now()
 	c.at.Store(&now)
+	c.heard.Store(&now)
+}
+
+// peerAnswered notes the answer of a peer that the store answered that long
+// ago.
+func (c *contact) peerAnswered(age time.Duration) {
+	then := boottime.Now().Add(-age)
+	c.heard.Store(&then)
 }
 
 // never is the age of a collection that the store never told of.
 const never = time.Hour
 
-// age gives the time since the last answer.
-func (c *contact) age(now time.Time) time.Duration {
-	at := c.at.Load()
-	if at == nil {
+// age gives the time since the store's last answer to this node. Only that is
+// told to peers, so that no two nodes keep each other waiting.
+func (c *contact) age(now time.Time) time.Duration { return since(now, c.at.Load()) }
+
+// viewAge gives the time since the store's last answer that this node knows of.
+func (c *contact) viewAge(now time.Time) time.Duration { return since(now, c.heard.Load()) }
+
+// since gives the time since then, or never.
+func since(now time.Time, then *time.Time) time.Duration {
+	if then == nil {
 		return never
 	}
-	return now.Sub(*at)
+	return now.Sub(*then)
 }
 
 // configs is the configuration in force. It only goes forward.
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -100,6 +100,13 @@
 	metrics.GetOrRegisterCounter(name, t.registry).Inc(n)
 }
 
+// Gauge shows the value that f gives when the counters are read. Any goroutine
+// may call f.
+func (t *Telemetry) Gauge(name string, f func() int64) {
+	// A name is registered once only, so this cannot fail.
+	_ = t.registry.Register(name, metrics.NewFunctionalGauge(f))
+}
+
 // count adds one to a counter.
 func (t *Telemetry) count(name string) { t.Add(name, 1) }
 
