--- a/standin/link/gate.go
+++ b/standin/link/gate.go
@@ -22,6 +22,10 @@
 	// ModeSilence carries nothing on old and new connections while it lasts;
 	// what was held back goes on afterwards.
 	ModeSilence Mode = "silence"
+	// ModeSilenceThere is ModeSilence for what goes to the target only, and
+	// ModeSilenceBack for what comes from it.
+	ModeSilenceThere Mode = "silence_there"
+	ModeSilenceBack  Mode = "silence_back"
 	// ModeSlow delays bytes by DelayMs each way and holds each connection and
 	// direction to BytesPerSecond.
 	ModeSlow Mode = "slow"
@@ -44,7 +48,7 @@
 // valid reports whether the mode is one of those above.
 func (c Control) valid() bool {
 	switch c.Mode {
-	case ModeOpen, ModeCut, ModeRefuse, ModeSilenceOld, ModeSilence, ModeSlow:
+	case ModeOpen, ModeCut, ModeRefuse, ModeSilenceOld, ModeSilence, ModeSilenceThere, ModeSilenceBack, ModeSlow:
 		return true
 	default:
 		return false
@@ -85,11 +89,34 @@
 	return c.Mode
 }
 
-// pass waits until bytes may be carried; false when stop is closed first.
-func (g *gate) pass(stop <-chan struct{}) bool {
+// way is a direction of a connection.
+type way int
+
+// Directions: to the target, and back from it.
+const (
+	there way = iota
+	back
+)
+
+// silences reports whether a mode holds back what goes a way.
+func (m Mode) silences(w way) bool {
+	switch m {
+	case ModeSilence:
+		return true
+	case ModeSilenceThere:
+		return w == there
+	case ModeSilenceBack:
+		return w == back
+	default:
+		return false
+	}
+}
+
+// pass waits until bytes may be carried a way; false when stop is closed first.
+func (g *gate) pass(w way, stop <-chan struct{}) bool {
 	for {
 		control, changed := g.get()
-		if control.Mode != ModeSilence {
+		if !control.Mode.silences(w) {
 			return true
 		}
 		select {
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -175,16 +175,56 @@
 func TestSilenceGate(t *testing.T) {
 	g := newGate()
 	stop := make(chan struct{})
-	if !g.pass(stop) {
+	if !g.pass(there, stop) {
 		t.Error("an open gate does not pass")
 	}
 	g.set(Control{Mode: ModeSilence})
 	close(stop)
-	if g.pass(stop) {
+	if g.pass(there, stop) {
 		t.Error("a silent gate passes")
 	}
 }
 
+func TestOneWaySilence(t *testing.T) {
+	for mode, held := range map[Mode]way{ModeSilenceThere: there, ModeSilenceBack: back} {
+		g := newGate()
+		stop := make(chan struct{})
+		close(stop)
+		g.set(Control{Mode: mode})
+		if g.pass(held, stop) {
+			t.Errorf("%s passes the way that it holds back", mode)
+		}
+		if !g.pass(there+back-held, stop) {
+			t.Errorf("%s holds back the other way", mode)
+		}
+	}
+}
+
+func TestOneWaySilenceEndsWithOpen(t *testing.T) {
+	for _, mode := range []Mode{ModeSilenceThere, ModeSilenceBack} {
+		r := startEcho(t)
+		c := dial(t, r)
+		set(t, r, Control{Mode: mode})
+		answer := reading(c)
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		direct := &Relay{addr: r.target}
+		for range 20 {
+			dial(t, direct)
+		}
+		select {
+		case err := <-answer:
+			t.Errorf("%s gave an answer: %v", mode, err)
+		default:
+		}
+		set(t, r, Control{Mode: ModeOpen})
+		if err := <-answer; err != nil {
+			t.Errorf("after %s: %v", mode, err)
+		}
+	}
+}
+
 func TestSlow(t *testing.T) {
 	g := newGate()
 	if delay, occupy := g.pace(1000); delay != 0 || occupy != 0 {
--- a/standin/link/pair.go
+++ b/standin/link/pair.go
@@ -51,19 +51,19 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.direction(caller, target) })
-	both.Go(func() { p.direction(target, caller) })
+	both.Go(func() { p.direction(there, caller, target) })
+	both.Go(func() { p.direction(back, target, caller) })
 	both.Wait()
 	_ = caller.Close()
 	_ = target.Close()
 }
 
 // direction carries bytes one way until the source ends.
-func (p *pair) direction(from, to *net.TCPConn) {
+func (p *pair) direction(w way, from, to *net.TCPConn) {
 	line := make(chan chunk, chunksInFlight)
 	var reader sync.WaitGroup
 	reader.Go(func() { p.read(from, line) })
-	p.write(to, line)
+	p.write(w, to, line)
 	reader.Wait()
 }
 
@@ -97,9 +97,9 @@
 
 // write writes the line's chunks when due, and passes the source's end on. A
 // failed write resets the pair.
-func (p *pair) write(to *net.TCPConn, line <-chan chunk) {
+func (p *pair) write(w way, to *net.TCPConn, line <-chan chunk) {
 	for c := range line {
-		if !p.ready(c.due) {
+		if !p.ready(w, c.due) {
 			return
 		}
 		if c.data == nil {
@@ -113,8 +113,8 @@
 	}
 }
 
-// ready waits until bytes due at a time may be written; false after reset.
-func (p *pair) ready(due time.Time) bool {
+// ready waits until bytes due at a time may be written a way; false after reset.
+func (p *pair) ready(w way, due time.Time) bool {
 	if wait := time.Until(due); wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
@@ -124,7 +124,7 @@
 			return false
 		}
 	}
-	if !p.gate.pass(p.stop) {
+	if !p.gate.pass(w, p.stop) {
 		return false
 	}
 	select {
