Orders: the lease is kept by adapter/leader

Cause: two pieces held a lease by calls to a store, adapter/leader for mimosa-entry and the loop of adapter/orders for mimosad.

Ruled out: moving the orders' planner as well; adapter/placer works out wanted layers by itself, while orders follow plans that operators write.

--- a/adapter/leader/leader.go
+++ b/adapter/leader/leader.go
@@ -23,6 +23,10 @@
 	Store Store
 	// Now is the clock of the lease; it also counts while the VM is frozen.
 	Now func() time.Time
+	// Candidate tells whether this node is to seek the lease, so that not each
+	// node of a large fleet reads it; nil means always. Run calls it; it must
+	// not wait.
+	Candidate func() bool
 	// Log takes a line when the lease is gained or lost.
 	Log zerolog.Logger
 }
@@ -68,6 +72,9 @@
 // turn makes the call that is due.
 func (k *Keeper) turn(ctx context.Context, within time.Duration) {
 	k.mu.Lock()
+	if k.opts.Candidate != nil {
+		k.seek(k.opts.Candidate())
+	}
 	// The clock is read with the lock held: a write's lease counts from here.
 	command := k.lease.Tick(k.opts.Now())
 	k.mu.Unlock()
@@ -82,6 +89,15 @@
 	k.lease.Answered(k.opts.Now(), answer)
 }
 
+// seek sets whether the lease is wanted, with the lock held.
+func (k *Keeper) seek(wanted bool) {
+	if wanted {
+		k.lease.Want()
+		return
+	}
+	k.lease.GiveUp()
+}
+
 // tell logs a change.
 func (k *Keeper) tell(before bool) bool {
 	s := k.Status()
--- a/adapter/orders/calls.go
+++ b/adapter/orders/calls.go
@@ -14,27 +14,30 @@
 	"mimosaarch.example/decide/order"
 )
 
-// ask makes the lease's call.
-func (d *Duty) ask(ctx context.Context, command lease.Command) lease.Answer {
-	limit, done := context.WithTimeout(ctx, d.opts.CallTimeout)
+// leaseObject is the lease's object on the platform. It implements leader.Store.
+type leaseObject struct{ opts Options }
+
+// Call implements leader.Store.
+func (l *leaseObject) Call(ctx context.Context, command lease.Command) lease.Answer {
+	limit, done := context.WithTimeout(ctx, l.opts.CallTimeout)
 	defer done()
-	key := LeasePrefix + d.opts.Name
+	key := LeasePrefix + l.opts.Name
 	var object platformapi.Object
 	var err error
 	switch c := command.(type) {
 	case lease.Write:
-		object, err = d.opts.Platform.Put(limit, key, encode(c.Record), c.IfMatch)
+		object, err = l.opts.Platform.Put(limit, key, encode(c.Record), c.IfMatch)
 	default:
-		object, err = d.opts.Platform.Get(limit, key)
+		object, err = l.opts.Platform.Get(limit, key)
 	}
 	if err != nil {
-		return d.failed(err)
+		return l.failed(err)
 	}
 	return found(object)
 }
 
 // failed turns a failure into an answer.
-func (d *Duty) failed(err error) lease.Answer {
+func (l *leaseObject) failed(err error) lease.Answer {
 	var conflict *platform.ConflictError
 	var missing *platform.NotFoundError
 	switch {
@@ -46,7 +49,7 @@
 	case errors.As(err, &conflict):
 		return found(conflict.Current)
 	}
-	d.opts.Count(CallsFailed, 1)
+	l.opts.Count(CallsFailed, 1)
 	if platform.MayHaveTakenEffect(err) {
 		return lease.Answer{Kind: lease.Lost}
 	}
--- a/adapter/orders/duty.go
+++ b/adapter/orders/duty.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mimosaarch.example/adapter/leader"
 	"mimosaarch.example/adapter/ring"
 	"mimosaarch.example/core/engineapi"
 	"mimosaarch.example/core/ids"
@@ -12,6 +13,13 @@
 	"mimosaarch.example/decide/order"
 )
 
+// term is the part of the lease that orders depend on; a *leader.Keeper is one.
+// Any goroutine may call it.
+type term interface {
+	Status() lease.Status
+	StepDown()
+}
+
 // Duty seeks the lease and gives the orders. Make it with New, and let Run
 // run.
 type Duty struct {
@@ -21,9 +29,8 @@
 	sends chan struct{}
 	calls sync.WaitGroup
 
-	// mu guards lease: Run decides, any goroutine may ask its state.
-	mu    sync.Mutex
-	lease *lease.Lease
+	keeper *leader.Keeper
+	lease  term
 
 	// The rest is Run's.
 	planner *order.Planner
@@ -37,11 +44,18 @@
 // New makes a Duty; it calls nothing before Run.
 func New(opts Options) *Duty {
 	opts = opts.withDefaults()
+	keeper := leader.New(leader.Options{
+		Lease:     opts.Lease,
+		Store:     &leaseObject{opts},
+		Now:       time.Now,
+		Candidate: opts.Candidate,
+	})
 	return &Duty{
 		opts:    opts,
 		events:  ring.New[func(time.Time)]("order events", opts.Ring),
 		sends:   make(chan struct{}, opts.MaxSends),
-		lease:   lease.New(opts.Lease),
+		keeper:  keeper,
+		lease:   keeper,
 		planner: order.New(opts.Order),
 		plans:   make(map[ids.Service]int64),
 	}
@@ -53,6 +67,7 @@
 	ticker := time.NewTicker(d.opts.TickEvery)
 	defer ticker.Stop()
 	defer d.calls.Wait()
+	d.calls.Go(func() { d.keeper.Run(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,15 +92,10 @@
 
 // Status tells whether this node holds the lease now. Any goroutine may call
 // it.
-func (d *Duty) Status() lease.Status {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.lease.State(time.Now())
-}
+func (d *Duty) Status() lease.Status { return d.lease.Status() }
 
 // tick makes the calls that are due.
 func (d *Duty) tick(ctx context.Context) {
-	d.tickLease(ctx)
 	status := d.Status()
 	if !status.Held {
 		return
@@ -103,31 +113,6 @@
 	}
 }
 
-// tickLease makes the lease's call, if one is due.
-func (d *Duty) tickLease(ctx context.Context) {
-	wanted := d.opts.Candidate()
-	d.mu.Lock()
-	if wanted {
-		d.lease.Want()
-	} else {
-		d.lease.GiveUp()
-	}
-	// The clock is read with the lock held: a write's lease counts from here.
-	command := d.lease.Tick(time.Now())
-	d.mu.Unlock()
-	if command == nil {
-		return
-	}
-	d.calls.Go(func() {
-		answer := d.ask(ctx, command)
-		d.put(ctx, func(now time.Time) {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.lease.Answered(now, answer)
-		})
-	})
-}
-
 // put hands an answer to Run; it waits for room, since no answer may be
 // missed, and gives up only when the duty ends.
 func (d *Duty) put(ctx context.Context, event func(time.Time)) {
@@ -168,10 +153,7 @@
 // ends this one.
 func (d *Duty) ended(s order.Send, result order.Result) {
 	d.opts.Count(resultCounters[result], 1)
-	if !d.planner.Ended(s, result) {
-		return
+	if d.planner.Ended(s, result) {
+		d.lease.StepDown()
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.lease.StepDown()
 }
--- a/adapter/orders/orders_test.go
+++ b/adapter/orders/orders_test.go
@@ -229,6 +229,11 @@
 	})
 }
 
+// bareLease is a lease that nobody keeps.
+type bareLease struct{ *lease.Lease }
+
+func (b bareLease) Status() lease.Status { return b.State(time.Now()) }
+
 func TestNothingIsSentWithoutTheLease(t *testing.T) {
 	sent := false
 	d := New(Options{
@@ -237,12 +242,13 @@
 		Send:    func(context.Context, string, order.Send) order.Result { sent = true; return order.Applied },
 	})
 	hold := func(left time.Duration) {
-		d.lease = lease.New(lease.Options{Holder: "a"})
+		held := lease.New(lease.Options{Holder: "a"})
 		began := time.Now().Add(left - lease.DefaultDuration)
-		d.lease.Tick(began)
-		d.lease.Answered(began, lease.Answer{Kind: lease.Absent})
-		write := d.lease.Tick(began).(lease.Write)
-		d.lease.Answered(began, lease.Answer{Kind: lease.Found, Version: 3, Record: write.Record})
+		held.Tick(began)
+		held.Answered(began, lease.Answer{Kind: lease.Absent})
+		write := held.Tick(began).(lease.Write)
+		held.Answered(began, lease.Answer{Kind: lease.Found, Version: 3, Record: write.Record})
+		d.lease = bareLease{held}
 	}
 	s := order.Send{Order: engineapi.Order{Fence: 3}, Timeout: time.Second, MinLeft: lease.DefaultDuration / 3}
 	earlier := s
