Requests that crash each engine are recognised by mimosa-entry

Change: adapter/forward lays an upstream's death to what was lost there before an event of it came; the death is seen by a refused connection, which is tried at once after a broken plain answer, or by an entry that goes without leaving. The verdict is told to all nodes (relay.Tell, node/entry). The fingerprint is one function for both products. A request under way is given up as well, with the truth about whether it has run.

The first list of the directory comes from the store again.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -47,6 +47,12 @@
 // Unwrap gives the cause.
 func (f *failure) Unwrap() error { return f.cause }
 
+// midRun reports whether the upstream went away while the request may have been
+// running there.
+func (f *failure) midRun() bool {
+	return !f.phase.ProvesNotRun() && (f.reason == outcome.UpstreamLost || f.reason == outcome.UpstreamStalled)
+}
+
 // begin connects and sends the request; head is its whole head.
 func (x *exchange) begin(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.Watch) (*attempt, *failure) {
 	a := &attempt{x: x, u: u}
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -13,6 +13,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -28,6 +29,9 @@
 	noUpstreamAfter = 800 * time.Millisecond
 	// busyAfter is for upstreams that are full.
 	busyAfter = 400 * time.Millisecond
+	// quarantineAfter is for requests that crash upstreams, which no repeat
+	// helps.
+	quarantineAfter = 10 * time.Second
 )
 
 // exchange is one request of a caller, from its arrival to its answer. The
@@ -46,6 +50,8 @@
 	account *routing.Account
 	service ids.Service
 	version int64
+	// print names the request and its repeats.
+	print quarantine.Fingerprint
 
 	// sends counts sends that reached an upstream, or may have; ran are the
 	// upstreams of those that are not proved not to have run.
@@ -88,6 +94,10 @@
 		x.refuse(refusal)
 		return
 	}
+	if x.quarantined() {
+		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
+		return
+	}
 	x.prepare()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -134,10 +144,43 @@
 	}
 	_, draw := x.server.draw()
 	x.service = x.route.Pick(draw)
+	x.print = x.fingerprint()
 	x.setLimit()
 	return nil
 }
 
+// fingerprint names the request: the service, its caller's account, and all that
+// an upstream gets to see but for headers.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	var account ids.Account
+	if x.account != nil {
+		account = x.account.Name
+	}
+	return quarantine.FingerprintOf([]byte(x.service), []byte(account), x.req.Header.Method(), x.req.Header.RequestURI(), x.req.Body())
+}
+
+// quarantined reports whether the request is one that crashes the upstreams that
+// run it.
+func (x *exchange) quarantined() bool {
+	refused, news := x.server.blame.refused(x.service, x.print)
+	if news != nil {
+		x.count("upstream.culprits")
+		x.log("quarantined").Str("fingerprint", string(news.Fingerprint)).Str("service", string(x.service)).
+			Dur("for_ms", news.For).Send()
+		x.server.opts.Verdict(*news)
+	}
+	return refused
+}
+
+// lost notes that the request was running at these upstreams when their
+// connection broke.
+func (x *exchange) lost(upstreams ...ids.Upstream) {
+	x.server.blame.runLost(&run{print: x.print, service: x.service, upstreams: upstreams})
+}
+
+// quarantineDetail tells why such a request is refused.
+const quarantineDetail = "it has crashed the upstreams that ran it"
+
 // defaultTimeout bounds requests of routes without a timeout whose caller gives
 // no deadline.
 const defaultTimeout = 60 * time.Second
@@ -242,6 +285,9 @@
 func (x *exchange) done(status int, u *directory.Upstream) {
 	took := x.server.opts.Now().Sub(x.arrived)
 	x.count("outcome.answered")
+	if status < serverError {
+		x.server.blame.served(x.service, x.print)
+	}
 	x.server.opts.Metrics.Took("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
 		Str("upstream", string(u.ID)).Int64("config", x.version).Int("sends", x.sends).Int("events", x.events).
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -92,6 +92,9 @@
 	Log zerolog.Logger
 	// Metrics counts.
 	Metrics Metrics
+	// Verdict is told of requests that were found to crash upstreams, so that
+	// other nodes hear of them; it must not wait. Any goroutine calls it.
+	Verdict func(Verdict)
 	// Seed starts the random draws among equals.
 	Seed uint64
 }
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -19,7 +19,8 @@
 
 // picker holds the decisions that requests share, behind one lock.
 type picker struct {
-	opts Options
+	opts  Options
+	blame *blame
 
 	mu         sync.Mutex
 	nodes      int
@@ -30,10 +31,11 @@
 }
 
 // newPicker makes a picker for a node that does not know the fleet yet.
-func newPicker(o Options) *picker {
+func newPicker(o Options, b *blame) *picker {
 	conditions := condition.New()
 	return &picker{
 		opts:       o,
+		blame:      b,
 		conditions: conditions,
 		chains:     chain.New(conditions),
 		replicas:   replica.New(conditions),
@@ -239,6 +241,7 @@
 		return
 	}
 	p.failed(u, outcome.ConnectFailed)
+	p.blame.died(u)
 }
 
 // full tells that an upstream refused for want of room.
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -47,6 +47,7 @@
 		if x.ended(ctx) {
 			return
 		}
+		x.noteLost(u, failed)
 		if failed.phase.ProvesNotRun() {
 			if refusals++; refusals >= maxRefusals {
 				x.giveUp(failed.reason, failed.Error(), busyAfter)
@@ -68,12 +69,24 @@
 	x.noteRun(u.ID)
 }
 
+// noteLost notes what a plain attempt says that ended in mid-run.
+func (x *exchange) noteLost(u *directory.Upstream, failed *failure) {
+	if !failed.midRun() {
+		return
+	}
+	x.lost(u.ID)
+	go x.server.confirm(u)
+}
+
 // again decides whether a failed attempt is followed by another; if not, it
 // answers the caller. The retry budget is drawn on only by requests that
 // reached an upstream before.
 func (x *exchange) again(failed *failure) bool {
 	detail := failed.Error()
 	switch {
+	case x.quarantined():
+		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
+		return false
 	case x.sends >= maxSends || !x.mayRunAgain():
 		x.giveUp(failed.reason, detail, busyAfter)
 		return false
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -20,6 +20,7 @@
 	opts  Options
 	pool  *upconn.Pool
 	picks *picker
+	blame *blame
 	probe *prober
 
 	// stopping: answers end their connections. closing: idle ones are closed.
@@ -36,7 +37,8 @@
 func New(o Options) *Server {
 	s := &Server{opts: o, clients: make(map[*client]struct{}), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
 	s.pool = upconn.NewPool(boottime.Now, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
-	s.picks = newPicker(o)
+	s.blame = newBlame(o)
+	s.picks = newPicker(o, s.blame)
 	s.probe = newProber(o, s.picks)
 	return s
 }
@@ -130,8 +132,30 @@
 func (s *Server) Gone(u *directory.Upstream) {
 	s.pool.Forget(u.ID)
 	s.picks.forget(u.ID)
+	if !u.Leaving {
+		s.blame.died(u)
+	}
 }
 
+// Told takes a peer's verdict on requests that crash upstreams.
+func (s *Server) Told(v Verdict) { s.blame.told(v) }
+
+// confirm connects to an upstream that broke a connection off: one that has
+// crashed refuses.
+func (s *Server) confirm(u *directory.Upstream) {
+	limit, done := context.WithTimeout(context.Background(), confirmTimeout)
+	defer done()
+	conn, err := s.pool.Dial(limit, target(u))
+	if err != nil {
+		s.picks.notReached(u, err)
+		return
+	}
+	s.pool.Put(conn, 0)
+}
+
+// confirmTimeout bounds that connection. A refusal comes within a round trip.
+const confirmTimeout = 300 * time.Millisecond
+
 // draw gives a random number from 0 up to 1.
 func (s *Server) draw() (float64, uint64) {
 	s.mu.Lock()
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -61,6 +61,9 @@
 	restUntil time.Time
 	// reroutes is how often the chain was changed since the last event.
 	reroutes int
+	// ran tells that an event came through the present chain: its engines have
+	// begun to run the request and live.
+	ran bool
 }
 
 // progress tells that an event came.
@@ -77,7 +80,7 @@
 		x.server.opts.Metrics.Took("stream.pause", pause)
 		w.s.gap += time.Duration(gapWeight * float64(pause-w.s.gap))
 	}
-	w.begun = true
+	w.begun, w.ran = true, true
 	w.s.last = now
 	w.reroutes = 0
 }
@@ -116,6 +119,9 @@
 	if len(dead)+len(slow) == 0 && !silent {
 		return patience, nil
 	}
+	if len(dead) > 0 && x.quarantined() {
+		return 0, &upconn.SilentError{For: waited}
+	}
 	bad := slices.Concat(dead, slow)
 	if w.reroute(bad, len(dead) > 0) {
 		return patience, nil
@@ -163,6 +169,8 @@
 		if err == nil {
 			x.count("stream.rerouted")
 			w.reroutes++
+			w.left(old, other)
+			w.ran = false
 			w.restUntil = x.server.opts.Now().Add(rerouteRest)
 			return true
 		}
@@ -176,6 +184,19 @@
 	return false
 }
 
+// left notes the engines of the chain before that the present one leads around,
+// if they may have ended as they began to run the request.
+func (w *streamWait) left(old, now chain.Chain) {
+	if w.ran {
+		return
+	}
+	kept := now.Engines()
+	gone := slices.DeleteFunc(old.Engines(), func(id ids.Upstream) bool { return slices.Contains(kept, id) })
+	if len(gone) > 0 {
+		w.s.x.lost(gone...)
+	}
+}
+
 // avoid leaves out the engine of a chain that has an address.
 func (w *streamWait) avoid(avoid map[ids.Upstream]bool, c chain.Chain, address string) {
 	for _, h := range c {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -101,7 +101,7 @@
 		failed = s.relay(a, w)
 	}
 	if failed != nil {
-		s.blame(ctx, w.chain, failed)
+		s.blame(ctx, w, failed)
 	}
 	return failed
 }
@@ -268,9 +268,12 @@
 }
 
 // blame notes what a failed attempt says about the engines of its chain.
-func (s *stream) blame(ctx context.Context, c chain.Chain, failed *failure) {
-	x := s.x
+func (s *stream) blame(ctx context.Context, w *streamWait, failed *failure) {
+	x, c := s.x, w.chain
 	x.settle(c[0].Engine, failed)
+	if ctx.Err() == nil && failed.midRun() && !w.ran {
+		x.lost(c.Engines()...)
+	}
 	switch {
 	case failed.phase == outcome.NotSent, failed.phase == outcome.Refused && failed.culprit == "":
 		s.req.Avoid[c[0].Engine.ID] = true
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -17,11 +17,16 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 )
 
-// methodNews asks a node for what is newer than the asker's.
-const methodNews = "news"
+const (
+	// methodNews asks a node for what is newer than the asker's.
+	methodNews = "news"
+	// methodVerdict tells a node of requests that crash upstreams.
+	methodVerdict = "verdict"
+)
 
 // Bounds of calls.
 const (
@@ -89,11 +94,20 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
+// Verdict tells that requests of a fingerprint crash the upstreams that run
+// them, and for how long from now on they are refused, in ms.
+type Verdict struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	ForMs       int64                  `json:"for_ms"`
+}
+
 // Source answers peers. Any goroutine may call it.
 type Source interface {
 	// News gives what is newer than the asker's, and waits for it as long as
 	// the asker allows.
 	News(ctx context.Context, have Have) News
+	// Judged takes a peer's verdict.
+	Judged(v Verdict)
 }
 
 // Serve answers peers until l is closed, whose error it gives.
@@ -115,18 +129,32 @@
 // answer handles one call.
 func answer(source Source) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		if r.Method != methodNews || r.Params == nil {
-			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
+		switch {
+		case r.Params == nil:
+		case r.Method == methodNews:
+			var have Have
+			if err := json.Unmarshal(*r.Params, &have); err != nil {
+				return nil, invalid(err)
+			}
+			have.WaitMs = min(have.WaitMs, MaxWait.Milliseconds())
+			return source.News(ctx, have), nil
+		case r.Method == methodVerdict:
+			var v Verdict
+			if err := json.Unmarshal(*r.Params, &v); err != nil {
+				return nil, invalid(err)
+			}
+			source.Judged(v)
+			return nil, nil
 		}
-		var have Have
-		if err := json.Unmarshal(*r.Params, &have); err != nil {
-			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-		}
-		have.WaitMs = min(have.WaitMs, MaxWait.Milliseconds())
-		return source.News(ctx, have), nil
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	}
 }
 
+// invalid is the answer to parameters that cannot be read.
+func invalid(err error) error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+}
+
 // CallError tells that a peer did not answer.
 type CallError struct {
 	Peer  string
@@ -141,21 +169,32 @@
 
 // Ask asks the peer at an address for its news. The error is a *CallError.
 func Ask(ctx context.Context, peer string, have Have) (News, error) {
-	limit, done := context.WithTimeout(ctx, callTimeout+time.Duration(have.WaitMs)*time.Millisecond)
+	var news News
+	err := call(ctx, peer, callTimeout+time.Duration(have.WaitMs)*time.Millisecond, methodNews, have, &news)
+	return news, err
+}
+
+// Tell tells the peer at an address of a verdict. The error is a *CallError.
+func Tell(ctx context.Context, peer string, v Verdict) error {
+	return call(ctx, peer, callTimeout, methodVerdict, v, nil)
+}
+
+// call makes one call over a connection of its own.
+func call(ctx context.Context, peer string, within time.Duration, method string, params, result any) error {
+	limit, done := context.WithTimeout(ctx, within)
 	defer done()
 	dialer := net.Dialer{Timeout: dialTimeout, Control: upconn.GuardSilence}
 	conn, err := dialer.DialContext(limit, "tcp", peer)
 	if err != nil {
-		return News{}, &CallError{peer, err}
+		return &CallError{peer, err}
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 	rpc := jsonrpc2.NewConn(limit, stream, jsonrpc2.HandlerWithError(answer(nothing{})))
 	defer rpc.Close()
-	var news News
-	if err := rpc.Call(limit, methodNews, have, &news); err != nil {
-		return News{}, &CallError{peer, err}
+	if err := rpc.Call(limit, method, params, result); err != nil {
+		return &CallError{peer, err}
 	}
-	return news, nil
+	return nil
 }
 
 // nothing answers a peer that asks back, which none does.
@@ -163,3 +202,6 @@
 
 // News implements Source.
 func (nothing) News(context.Context, Have) News { return News{} }
+
+// Judged implements Source.
+func (nothing) Judged(Verdict) {}
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -17,8 +17,11 @@
 type shelf struct {
 	config routing.Config
 	list   []directory.Upstream
+	judged chan Verdict
 }
 
+func (s *shelf) Judged(v Verdict) { s.judged <- v }
+
 func (s *shelf) News(_ context.Context, have Have) News {
 	var n News
 	if s.config.Version > have.ConfigVersion {
@@ -66,6 +69,17 @@
 	}
 }
 
+func TestVerdictsAreTold(t *testing.T) {
+	s := &shelf{judged: make(chan Verdict, 1)}
+	want := Verdict{Fingerprint: "f", ForMs: 5000}
+	if err := Tell(t.Context(), serve(t, s), want); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-s.judged; got != want {
+		t.Errorf("told %+v", got)
+	}
+}
+
 func TestSilentPeerIsATypedError(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -29,6 +29,15 @@
 // Chain is the stages of a request in order.
 type Chain []Hop
 
+// Engines gives the engines in order.
+func (c Chain) Engines() []ids.Upstream {
+	out := make([]ids.Upstream, len(c))
+	for i, h := range c {
+		out[i] = h.Engine.ID
+	}
+	return out
+}
+
 // String implements fmt.Stringer.
 func (c Chain) String() string {
 	s := ""
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -102,12 +102,15 @@
 	keeper    *leader.Keeper
 	placer    *placer.Placer
 
+	verdicts chan forward.Verdict
+
 	stopping atomic.Bool
 }
 
 // New makes a Node; nothing happens before Run.
 func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New()}
+	n.verdicts = make(chan forward.Verdict, maxVerdicts)
 	n.news = newNotice()
 	n.watchers = newWatchers(settings, boottime.Now)
 	n.configs = &configs{log: log, news: n.news}
@@ -123,6 +126,7 @@
 		Now:     boottime.Now,
 		Log:     log,
 		Metrics: n.metrics,
+		Verdict: n.judged,
 		Seed:    settings.Seed,
 	})
 	n.upstreams.gone = n.server.Gone
@@ -269,6 +273,7 @@
 	go n.followUpstreams(ctx)
 	go n.upstreams.expire(ctx)
 	go n.peers.run(ctx)
+	go n.tellVerdicts(ctx)
 	go n.keeper.Run(ctx)
 	go n.placer.Run(ctx)
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -103,7 +103,6 @@
 func (p *peers) list(ctx context.Context) {
 	p.listedAt = time.Now()
 	members, err := p.members.List(ctx)
-	defer p.node.watchers.tried()
 	if err != nil {
 		p.log.Info().Str("event", "members_unread").Err(err).Send()
 		return
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -33,13 +33,6 @@
 	// up to shunMost, as some entries are of nodes that no longer exist.
 	shunFor  = 2 * time.Second
 	shunMost = 60 * time.Second
-	// membersWait bounds the wait for the list of nodes before the first list
-	// of upstreams. Reading it takes one or two calls of the store.
-	membersWait = time.Second
-	// listTime is the store's time for one node's list of a fleet of 3,000
-	// upstreams, 60 pages at 2,000 reads a second being 30 ms, and a tenth of it
-	// for the small fleets, which gain little from a wait.
-	listTime = 3 * time.Millisecond
 )
 
 // watchers knows who watches the store in the own zone.
@@ -48,12 +41,10 @@
 	zone ids.Zone
 	now  func() time.Time
 
-	// known is closed once the list of nodes was read, or could not be.
-	known chan struct{}
-
 	mu    sync.Mutex
 	peers []Member
-	fleet int
+	// fleet are the nodes of all zones.
+	fleet []Member
 	shun  map[ids.VM]shunned
 }
 
@@ -65,7 +56,7 @@
 
 // newWatchers makes the list for a node.
 func newWatchers(s Settings, now func() time.Time) *watchers {
-	return &watchers{own: s.VM, zone: s.Zone, now: now, known: make(chan struct{}), shun: make(map[ids.VM]shunned)}
+	return &watchers{own: s.VM, zone: s.Zone, now: now, shun: make(map[ids.VM]shunned)}
 }
 
 // set takes the list of the fleet's nodes.
@@ -79,32 +70,14 @@
 	slices.SortFunc(zone, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.peers, w.fleet = zone, len(members)
-}
-
-// tried tells that the list of nodes was read, or could not be. One goroutine
-// may call it.
-func (w *watchers) tried() {
-	select {
-	case <-w.known:
-	default:
-		close(w.known)
-	}
+	w.peers, w.fleet = zone, members
 }
 
-// listWait waits until it is known which nodes there are, and gives the time to
-// wait for a peer's list before the store is asked.
-func (w *watchers) listWait(ctx context.Context) time.Duration {
-	timer := time.NewTimer(membersWait)
-	defer timer.Stop()
-	select {
-	case <-w.known:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+// others gives the nodes of all zones but the own.
+func (w *watchers) others() []Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return min(peerWait, time.Duration(w.fleet)*listTime)
+	return slices.DeleteFunc(slices.Clone(w.fleet), func(m Member) bool { return m.Name == w.own || m.Peer == "" })
 }
 
 // pick gives the peer to wait at; false if the node is to watch the store
@@ -157,21 +130,15 @@
 	// have tells what the node has; changes turns a peer's news.
 	have    func(since int64) relay.Have
 	changes func(since int64, news relay.News) listwatch.Changes[T]
-	// list turns a peer's news about everything; nil if the store is to be
-	// asked for lists.
-	list func(news relay.News) listwatch.List[T]
 	// contact is told when the store or a peer answered.
 	contact *contact
 	took    func(name string, d time.Duration)
 }
 
-// List implements listwatch.Source.
+// List implements listwatch.Source. It always asks the store: after all nodes
+// were killed, first lists by a peer took 5.0 s instead of 4.0 s until 300 nodes
+// with 3,000 upstreams served again, as VMs have thinner links than the store.
 func (s *shared[T]) List(ctx context.Context) (listwatch.List[T], error) {
-	if s.list != nil {
-		if news, ok := s.ask(ctx, relay.Have{Want: relay.WantUpstreams}, s.watchers.listWait(ctx)); ok && news.Revision > 0 {
-			return s.list(news), nil
-		}
-	}
 	began := boottime.Now()
 	list, err := s.store.List(ctx)
 	s.took(storeList, boottime.Now().Sub(began))
@@ -183,7 +150,7 @@
 
 // Watch implements listwatch.Source.
 func (s *shared[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
-	if news, ok := s.ask(ctx, s.have(since), peerWait); ok {
+	if news, ok := s.ask(ctx, s.have(since)); ok {
 		return s.changes(since, news), nil
 	}
 	changes, err := s.store.Watch(ctx, since, wait)
@@ -195,12 +162,12 @@
 
 // ask waits at the peer that watches the store for this node; false if there is
 // none, or none that knows the store's state.
-func (s *shared[T]) ask(ctx context.Context, have relay.Have, wait time.Duration) (relay.News, bool) {
+func (s *shared[T]) ask(ctx context.Context, have relay.Have) (relay.News, bool) {
 	peer, ok := s.watchers.pick()
 	if !ok {
 		return relay.News{}, false
 	}
-	have.WaitMs = wait.Milliseconds()
+	have.WaitMs = peerWait.Milliseconds()
 	news, err := relay.Ask(ctx, peer.Peer, have)
 	if err != nil || news.AgeMs > maxAge.Milliseconds() {
 		s.watchers.failed(peer.Name)
@@ -231,7 +198,7 @@
 	}
 }
 
-// sharedUpstreams shares the watch of the directory, and its list.
+// sharedUpstreams shares the watch of the directory.
 func (n *Node) sharedUpstreams() listwatch.Source[directory.Upstream] {
 	return &shared[directory.Upstream]{
 		store:    n.ports.Upstreams,
@@ -248,8 +215,5 @@
 			}
 			return changes
 		},
-		list: func(news relay.News) listwatch.List[directory.Upstream] {
-			return listwatch.List[directory.Upstream]{Items: news.Upstreams, Revision: news.Revision}
-		},
 	}
 }
--- /dev/null
+++ b/node/entry/verdicts_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/adapter/forward"
+	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/node/telemetry"
+)
+
+// listener is a node that notes verdicts.
+type listener struct{ heard chan relay.Verdict }
+
+func (listener) News(context.Context, relay.Have) relay.News { return relay.News{} }
+
+func (l listener) Judged(v relay.Verdict) { l.heard <- v }
+
+func TestVerdictsReachAllOtherNodes(t *testing.T) {
+	settings := Settings{VM: "a-00", Zone: "a"}
+	n := &Node{
+		log: zerolog.Nop(), metrics: telemetry.New(), watchers: newWatchers(settings, time.Now),
+		verdicts: make(chan forward.Verdict, maxVerdicts),
+	}
+	members := append(zone("a", 3), zone("b", 2)...)
+	// The own node has nobody at its address, and one other is gone.
+	members[0].Peer, members[1].Peer = "127.0.0.1:1", "127.0.0.1:1"
+	heard := make(chan relay.Verdict, len(members))
+	for i := 2; i < len(members); i++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		members[i].Peer = l.Addr().String()
+		go func() { _ = relay.Serve(t.Context(), l, listener{heard}) }()
+	}
+	n.watchers.set(members)
+	n.judged(forward.Verdict{Fingerprint: "f", For: time.Minute})
+	go n.tellVerdicts(t.Context())
+	for range 3 {
+		if v := <-heard; v.Fingerprint != "f" || v.ForMs != time.Minute.Milliseconds() {
+			t.Errorf("heard %+v", v)
+		}
+	}
+}
+
+func TestVerdictsWithoutRoomAreCounted(t *testing.T) {
+	n := &Node{metrics: telemetry.New(), verdicts: make(chan forward.Verdict, 1)}
+	n.judged(forward.Verdict{})
+	n.judged(forward.Verdict{})
+	if n.metrics.Registry().Get("verdicts.dropped") == nil {
+		t.Error("a dropped verdict is not counted")
+	}
+}
