--- a/adapter/forward/blame.go
+++ b/adapter/forward/blame.go
@@ -36,7 +36,7 @@
 type run struct {
 	print     quarantine.Fingerprint
 	service   ids.Service
-	upstreams []ids.Upstream
+	upstreams []*directory.Upstream
 	// lostAt is when its connection was lost, zero before.
 	lostAt time.Time
 	// blamed tells that a death was laid to it. One attempt stands for one
@@ -95,10 +95,10 @@
 	r.lostAt = b.opts.Now()
 	b.forgetLost(r.lostAt)
 	b.lost = append(b.lost, r)
-	for _, id := range r.upstreams {
-		b.lostAt[id] = append(b.lostAt[id], r)
-		if dead, ok := b.deadAt[id]; ok && r.lostAt.Sub(dead) <= sameLoss {
-			b.charge(r.lostAt, id, r.service)
+	for _, u := range r.upstreams {
+		b.lostAt[u.ID] = append(b.lostAt[u.ID], r)
+		if dead, ok := b.deadAt[u.ID]; ok && r.lostAt.Sub(dead) <= sameLoss {
+			b.charge(r.lostAt, u.ID, r.service)
 		}
 	}
 }
@@ -108,17 +108,40 @@
 	for len(b.lost) > 0 && (len(b.lost) >= maxLost || now.Sub(b.lost[0].lostAt) > lostFor) {
 		old := b.lost[0]
 		b.lost = b.lost[1:]
-		for _, id := range old.upstreams {
-			rest := slices.DeleteFunc(b.lostAt[id], func(r *run) bool { return r == old })
+		for _, u := range old.upstreams {
+			rest := slices.DeleteFunc(b.lostAt[u.ID], func(r *run) bool { return r == old })
 			if len(rest) == 0 {
-				delete(b.lostAt, id)
+				delete(b.lostAt, u.ID)
 				continue
 			}
-			b.lostAt[id] = rest
+			b.lostAt[u.ID] = rest
 		}
 	}
 }
 
+// seen tells of an upstream that is new: one that stood at its address before
+// has ended.
+func (b *blame) seen(now *directory.Upstream) {
+	for _, u := range b.lostNear(now) {
+		b.died(u)
+	}
+}
+
+// lostNear gives the other upstreams at an address where runs were lost.
+func (b *blame) lostNear(now *directory.Upstream) []*directory.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var before []*directory.Upstream
+	for _, r := range b.lost {
+		for _, u := range r.upstreams {
+			if u.Address == now.Address && u.ID != now.ID && !u.Leaving && !slices.Contains(before, u) {
+				before = append(before, u)
+			}
+		}
+	}
+	return before
+}
+
 // died blames an upstream's death on the runs that were lost there. It may be
 // told more than once.
 func (b *blame) died(u *directory.Upstream) {
--- a/adapter/forward/blame_test.go
+++ b/adapter/forward/blame_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,7 +141,7 @@
 func (e *evidence) lose(print string, upstreams ...string) {
 	r := &run{print: quarantine.Fingerprint(print), service: "s"}
 	for _, u := range upstreams {
-		r.upstreams = append(r.upstreams, ids.Upstream(u))
+		r.upstreams = append(r.upstreams, &directory.Upstream{ID: ids.Upstream(u), Service: "s", Address: "at " + u})
 	}
 	e.runLost(r)
 }
@@ -175,6 +176,49 @@
 	}
 }
 
+func TestNewUpstreamAtTheAddressProvesADeath(t *testing.T) {
+	e := newEvidence()
+	for i, u := range []string{"u1", "u2"} {
+		e.lose("a", u)
+		e.seen(&directory.Upstream{ID: "other", Service: "s", Address: "elsewhere"})
+		if e.holds("a") {
+			t.Errorf("refused after %d deaths", i)
+		}
+		e.seen(&directory.Upstream{ID: ids.Upstream(u + "-next"), Service: "s", Address: "at " + u})
+	}
+	if !e.holds("a") {
+		t.Error("two upstreams were replaced at their addresses after they were lost, and it is not refused")
+	}
+}
+
+func TestAnotherProcessAtTheAddressProvesADeath(t *testing.T) {
+	const poison = "/safe/poison"
+	var all []*fake
+	for i := range 2 {
+		var crashed atomic.Bool
+		all = append(all, newFake(t, fmt.Sprint("u", i), "plain", func(conn net.Conn, req *fasthttp.Request) bool {
+			if crashed.Load() {
+				return reply(conn, req, 421, "")
+			}
+			if string(req.Header.RequestURI()) != poison {
+				return reply(conn, req, 200, "fine")
+			}
+			crashed.Store(true)
+			return false
+		}))
+	}
+	r := newRig(t, all...)
+	r.ask(t, "GET", poison, "r1", "")
+	eventually(t, "the request is refused", func() bool {
+		r.ask(t, "GET", "/safe/other", "r2", "")
+		refused, _ := r.blame.refused("plain", quarantine.FingerprintOf([]byte("plain"), []byte("acme"), []byte("GET"), []byte(poison), nil))
+		return refused
+	})
+	if got := runs(all, poison); got != 2 {
+		t.Errorf("ran %d times", got)
+	}
+}
+
 func TestDeathSeenBeforeTheLossCounts(t *testing.T) {
 	e := newEvidence()
 	for _, u := range []string{"u1", "u2"} {
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -69,12 +69,16 @@
 	x.noteRun(u.ID)
 }
 
-// noteLost notes what a plain attempt says that ended in mid-run.
+// noteLost notes what a plain attempt says that ended in mid-run, or met another
+// process at the upstream's address.
 func (x *exchange) noteLost(u *directory.Upstream, failed *failure) {
+	if failed.reason == outcome.UpstreamRefused {
+		x.server.blame.died(u)
+	}
 	if !failed.midRun() {
 		return
 	}
-	x.lost(u.ID)
+	x.lost(u)
 	go x.server.confirm(u)
 }
 
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -137,6 +137,9 @@
 	}
 }
 
+// Seen tells that an upstream has come into the directory.
+func (s *Server) Seen(u *directory.Upstream) { s.blame.seen(u) }
+
 // Told takes a peer's verdict on requests that crash upstreams.
 func (s *Server) Told(v Verdict) { s.blame.told(v) }
 
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -191,7 +191,7 @@
 		return
 	}
 	kept := now.Engines()
-	gone := slices.DeleteFunc(old.Engines(), func(id ids.Upstream) bool { return slices.Contains(kept, id) })
+	gone := slices.DeleteFunc(old.Engines(), func(u *directory.Upstream) bool { return slices.Contains(kept, u) })
 	if len(gone) > 0 {
 		w.s.x.lost(gone...)
 	}
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -30,10 +30,10 @@
 type Chain []Hop
 
 // Engines gives the engines in order.
-func (c Chain) Engines() []ids.Upstream {
-	out := make([]ids.Upstream, len(c))
+func (c Chain) Engines() []*directory.Upstream {
+	out := make([]*directory.Upstream, len(c))
 	for i, h := range c {
-		out[i] = h.Engine.ID
+		out[i] = h.Engine
 	}
 	return out
 }
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -138,6 +138,9 @@
 type Directory struct {
 	revision int64
 	byID     map[ids.Upstream]*Upstream
+	// at names the upstream at each address: the newest that was entered with it,
+	// as an address goes to another only after its process has ended.
+	at map[string]ids.Upstream
 	// missing holds, for entries not found after an outage, until when they
 	// are believed.
 	missing map[ids.Upstream]time.Time
@@ -155,7 +158,11 @@
 
 // New makes an empty Directory.
 func New() *Directory {
-	return &Directory{byID: make(map[ids.Upstream]*Upstream), missing: make(map[ids.Upstream]time.Time)}
+	return &Directory{
+		byID:    make(map[ids.Upstream]*Upstream),
+		at:      make(map[string]ids.Upstream),
+		missing: make(map[ids.Upstream]time.Time),
+	}
 }
 
 // Returned tells that the registry answers again after an outage.
@@ -248,13 +255,27 @@
 	return changes
 }
 
-// put adds or changes an entry. A leaving upstream stays leaving.
+// put adds or changes an entry. A leaving upstream stays leaving. One whose
+// address another one has by now is over, though its entry may stand until its
+// heartbeats are missed.
 func (d *Directory) put(changes []Change, u *Upstream) []Change {
 	delete(d.missing, u.ID)
 	old := d.byID[u.ID]
 	if old != nil && old.Revision >= u.Revision {
 		return changes
 	}
+	if other := d.byID[d.at[u.Address]]; other != nil && other.ID != u.ID {
+		if other.Revision >= u.Revision {
+			return changes
+		}
+		changes = d.drop(changes, other)
+	}
+	if old != nil {
+		delete(d.at, old.Address)
+	}
+	if u.Address != "" {
+		d.at[u.Address] = u.ID
+	}
 	if old != nil && old.Leaving {
 		u.Leaving = true
 	}
@@ -284,6 +305,9 @@
 func (d *Directory) drop(changes []Change, u *Upstream) []Change {
 	delete(d.byID, u.ID)
 	delete(d.missing, u.ID)
+	if d.at[u.Address] == u.ID {
+		delete(d.at, u.Address)
+	}
 	d.note(u.ID)
 	return append(changes, Change{Gone, u})
 }
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -209,3 +209,46 @@
 		t.Errorf("changes %v", got)
 	}
 }
+
+func TestNewUpstreamAtAnAddressEndsTheOneBefore(t *testing.T) {
+	d := New()
+	d.Put(upstream("a", 1))
+	d.Put(upstream("b", 2))
+	next := upstream("a2", 5)
+	next.Address = "a:1"
+	if diff := cmp.Diff([]string{"gone a", "seen a2"}, kinds(d.Put(next))); diff != "" {
+		t.Error(diff)
+	}
+	// Its entry still stands in the registry.
+	if changes := d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), next}, 6); changes != nil {
+		t.Errorf("a list brought back the one before: %v", kinds(changes))
+	}
+	if changes := d.Put(upstream("a", 3)); changes != nil {
+		t.Errorf("an older entry brought it back: %v", kinds(changes))
+	}
+	if diff := cmp.Diff([]string{"a2", "b"}, names(d)); diff != "" {
+		t.Error(diff)
+	}
+	if got := kinds(d.Remove(start, "a", 7)); got != nil {
+		t.Errorf("its removal: %v", got)
+	}
+	d.Remove(start, "a2", 8)
+	again := upstream("a3", 9)
+	again.Address = "a:1"
+	if got := kinds(d.Put(again)); !cmp.Equal(got, []string{"seen a3"}) {
+		t.Errorf("the next at a free address: %v", got)
+	}
+}
+
+func TestChangedAddressFreesTheOld(t *testing.T) {
+	d := New()
+	d.Put(upstream("a", 1))
+	moved := upstream("a", 2)
+	moved.Address = "x:1"
+	d.Put(moved)
+	other := upstream("b", 3)
+	other.Address = "a:1"
+	if diff := cmp.Diff([]string{"seen b"}, kinds(d.Put(other))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -26,7 +26,7 @@
 // knowing makes the directory of a process that listed the upstreams.
 func knowing(holder string, list []directory.Upstream) *upstreams {
 	u := newUpstreams(holder, zerolog.Nop(), newNotice())
-	u.gone = func(*directory.Upstream) {}
+	u.seen, u.gone = func(*directory.Upstream) {}, func(*directory.Upstream) {}
 	if list != nil {
 		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: int64(len(list))})
 	}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -155,9 +155,10 @@
 	holder string
 	log    zerolog.Logger
 	news   *notice
-	gone   func(*directory.Upstream)
-	view   atomic.Pointer[directory.View]
-	lost   atomic.Bool
+	// seen and gone are told of upstreams that came and went.
+	seen, gone func(*directory.Upstream)
+	view       atomic.Pointer[directory.View]
+	lost       atomic.Bool
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -285,7 +286,10 @@
 		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", string(c.Upstream.ID)).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
 			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
-		if c.Kind == directory.Gone {
+		switch c.Kind {
+		case directory.Seen:
+			u.seen(c.Upstream)
+		case directory.Gone:
 			u.gone(c.Upstream)
 		}
 	}
