After a cut, upstreams stand for a while and zones are tried at once

They heard a peer of another zone before the store; the store had let the entries behind the cut lapse, so the peer's list took all engines of the own zone away, while those of other zones were suspected for up to 3.2 s more.

Ruled out: a longer grace after the store's return (it began too late); asking only peers of the own zone (they know no more).

Change: the first news of a peer after the store was lost begins the same grace as the store's own return, and what was out of reach is tried at once.

Tests: entry TestUpstreamsCutOffWithTheNodeStandForAWhile failed before (1 of 3 left), condition TestWhatWasCutOffIsBelievedOnceReached.

--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -228,6 +228,13 @@
 	}
 }
 
+// reached tells that the node is no longer cut off.
+func (p *picker) reached() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conditions.Reached()
+}
+
 // paced takes the pace that an upstream reports of itself.
 func (p *picker) paced(u *directory.Upstream, pace float64) {
 	p.mu.Lock()
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -137,6 +137,10 @@
 	}
 }
 
+// Reached tells that the node, which was cut off from the store, hears of it
+// again: zones that were out of reach are tried at once.
+func (s *Server) Reached() { s.picks.reached() }
+
 // Seen tells that an upstream has come into the directory.
 func (s *Server) Seen(u *directory.Upstream) { s.blame.seen(u) }
 
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -120,6 +120,19 @@
 	return z != nil && now.Before(z.suspectUntil)
 }
 
+// Reached tells that this node reaches others again after it was cut off: what
+// was out of reach behind the cut is believed well.
+func (t *Table) Reached() {
+	for _, z := range t.zones {
+		for id := range z.silent {
+			if b := t.upstreams[id]; b != nil {
+				b.strikes, b.suspectUntil = 0, time.Time{}
+			}
+		}
+	}
+	clear(t.zones)
+}
+
 // Full tells that an upstream refused for want of room.
 func (t *Table) Full(now time.Time, id ids.Upstream) { t.of(id).fullUntil = now.Add(fullFor) }
 
--- a/decide/condition/condition_test.go
+++ b/decide/condition/condition_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"mimosaarch.example/core/ids"
 )
 
 var start = time.Unix(1000, 0)
@@ -110,3 +112,23 @@
 		t.Errorf("due though it has recovered: %v", due)
 	}
 }
+
+func TestWhatWasCutOffIsBelievedOnceReached(t *testing.T) {
+	table := New()
+	for _, id := range []ids.Upstream{"a", "b"} {
+		table.Failed(at(0), id)
+		table.Unreachable(at(0), id, "z")
+	}
+	table.Failed(at(0), "crashed")
+	table.Reached()
+	if table.Suspected(at(1), "a", "z") || table.Suspected(at(1), "other", "z") || table.ZoneSuspected(at(1), "z") {
+		t.Error("what was behind the cut is still suspected")
+	}
+	if !table.Suspected(at(1), "crashed", "z") {
+		t.Error("one that failed for another reason is believed")
+	}
+	table.Failed(at(2), "a")
+	if !table.Suspected(at(2+399), "a", "z") || table.Suspected(at(2+400), "a", "z") {
+		t.Error("strikes from before the cut's end count on")
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -133,7 +133,7 @@
 		Verdict: n.judged,
 		Seed:    settings.Seed,
 	})
-	n.upstreams.seen, n.upstreams.gone = n.server.Seen, n.server.Gone
+	n.upstreams.seen, n.upstreams.gone, n.upstreams.reached = n.server.Seen, n.server.Gone, n.server.Reached
 	n.keeper = leader.New(leader.Options{
 		Lease: lease.Options{
 			Holder:     holder(settings),
--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 func knowing(holder string, list []directory.Upstream) *upstreams {
 	u := newUpstreams(holder, zerolog.Nop(), newNotice())
 	u.seen, u.gone = func(*directory.Upstream) {}, func(*directory.Upstream) {}
+	u.reached = func() {}
 	if list != nil {
 		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: int64(len(list))})
 	}
@@ -98,3 +100,35 @@
 		t.Error("the end of the grace, which has no revision of the store's, was not told")
 	}
 }
+
+func TestUpstreamsCutOffWithTheNodeStandForAWhile(t *testing.T) {
+	to := knowing("q", fleetOf(3))
+	reached := 0
+	to.reached = func() { reached++ }
+	to.Lost(context.DeadlineExceeded)
+	// The cut ends: a peer is heard before the store, which has let the
+	// entries behind the cut lapse.
+	from := knowing("p", fleetOf(3))
+	from.Changed(removal("u-0000", 8))
+	from.Changed(removal("u-0001", 9))
+	take(to, from)
+	if left := len(to.view.Load().All()); left != 3 {
+		t.Errorf("%d of 3 upstreams are left as the first peer is heard", left)
+	}
+	back := directory.Upstream{ID: "u-0001", Service: "s", Revision: 10}
+	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: 10})
+	take(to, from)
+	to.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
+		return d.Expire(now.Add(2 * directory.ReturnGrace))
+	})
+	if view := to.view.Load(); view.Get("u-0001") == nil || view.Get("u-0000") != nil {
+		t.Error("after the grace the one that came back is there, and only the other is not")
+	}
+	to.Returned()
+	if reached != 1 {
+		t.Errorf("the end of the cut was told %d times", reached)
+	}
+	if to.graced {
+		t.Error("the next loss has no grace")
+	}
+}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -157,13 +157,17 @@
 	news   *notice
 	// seen and gone are told of upstreams that came and went.
 	seen, gone func(*directory.Upstream)
-	view       atomic.Pointer[directory.View]
-	lost       atomic.Bool
+	// reached is told when the store is heard of again after it was lost.
+	reached func()
+	view    atomic.Pointer[directory.View]
+	lost    atomic.Bool
 
 	mu        sync.Mutex
 	directory *directory.Directory
 	// base is the state of a peer that was last taken over.
 	base relay.Base
+	// graced tells that a peer told of the directory since the store was lost.
+	graced bool
 }
 
 // newUpstreams makes an empty directory.
@@ -201,6 +205,13 @@
 		if news.Revision < d.Revision() {
 			return nil
 		}
+		if u.lost.Load() && !u.graced {
+			// Upstreams that were cut off from the store together with this
+			// node are missing from what others know.
+			d.Returned(now)
+			u.graced = true
+			u.reached()
+		}
 		u.base = news.Base
 		if news.Delta {
 			return d.Update(now, news.Upstreams, news.Gone, news.Revision)
@@ -256,6 +267,10 @@
 func (u *upstreams) Returned() {
 	u.lost.Store(false)
 	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+		if !u.graced {
+			u.reached()
+		}
+		u.graced = false
 		d.Returned(now)
 		return nil
 	})
