Late heartbeats do not bring back an engine that has ended; names

Cause, found on reading: the rule that a newer entry at an address ends the older went by the store's revision. A late heartbeat of the ended process gives its entry a newer revision, and the living engine would have been dropped until its next change.

Change: an upstream that was known before does not take the place of the one at its address; the entry that is out of the view is kept, and back once it is alone there. The evidence of crashed upstreams is called culprits, as blame is what a stream does; old losses are forgotten before an address is looked up.

Tests: directory TestNewUpstreamAtAnAddressEndsTheOneBefore extended by late heartbeats, TestOneThatWasTakenForOverIsBackOnceItIsAlone, TestFollowerHasTheSameViewOfSharedAddresses.

--- a/adapter/forward/blame.go
+++ b/adapter/forward/culprits.go
@@ -44,9 +44,9 @@
 	blamed bool
 }
 
-// blame finds the requests that crash each upstream they run on. Any goroutine
+// culprits finds the requests that crash each upstream they run on. Any goroutine
 // may call its methods.
-type blame struct {
+type culprits struct {
 	opts Options
 
 	mu       sync.Mutex
@@ -64,9 +64,9 @@
 	own bool
 }
 
-// newBlame makes a blame without evidence.
-func newBlame(o Options) *blame {
-	return &blame{
+// newCulprits makes one without evidence.
+func newCulprits(o Options) *culprits {
+	return &culprits{
 		opts:     o,
 		blamers:  make(map[ids.Service]*quarantine.Blamer),
 		lostAt:   make(map[ids.Upstream][]*run),
@@ -76,63 +76,64 @@
 }
 
 // blamer gives the evidence of a service.
-func (b *blame) blamer(service ids.Service) *quarantine.Blamer {
-	q := b.blamers[service]
+func (c *culprits) blamer(service ids.Service) *quarantine.Blamer {
+	q := c.blamers[service]
 	if q == nil {
 		// Nodes tell each other verdicts and no evidence, so there is none to
 		// wait for.
 		q = quarantine.New(quarantine.Options{Settle: -1})
-		b.blamers[service] = q
+		c.blamers[service] = q
 	}
 	return q
 }
 
 // runLost notes that the connection of a run broke, or that it was led around
 // a dead stage.
-func (b *blame) runLost(r *run) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r.lostAt = b.opts.Now()
-	b.forgetLost(r.lostAt)
-	b.lost = append(b.lost, r)
+func (c *culprits) runLost(r *run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.lostAt = c.opts.Now()
+	c.forgetLost(r.lostAt)
+	c.lost = append(c.lost, r)
 	for _, u := range r.upstreams {
-		b.lostAt[u.ID] = append(b.lostAt[u.ID], r)
-		if dead, ok := b.deadAt[u.ID]; ok && r.lostAt.Sub(dead) <= sameLoss {
-			b.charge(r.lostAt, u.ID, r.service)
+		c.lostAt[u.ID] = append(c.lostAt[u.ID], r)
+		if dead, ok := c.deadAt[u.ID]; ok && r.lostAt.Sub(dead) <= sameLoss {
+			c.charge(r.lostAt, u.ID, r.service)
 		}
 	}
 }
 
 // forgetLost drops what was lost too long ago.
-func (b *blame) forgetLost(now time.Time) {
-	for len(b.lost) > 0 && (len(b.lost) >= maxLost || now.Sub(b.lost[0].lostAt) > lostFor) {
-		old := b.lost[0]
-		b.lost = b.lost[1:]
+func (c *culprits) forgetLost(now time.Time) {
+	for len(c.lost) > 0 && (len(c.lost) >= maxLost || now.Sub(c.lost[0].lostAt) > lostFor) {
+		old := c.lost[0]
+		c.lost = c.lost[1:]
 		for _, u := range old.upstreams {
-			rest := slices.DeleteFunc(b.lostAt[u.ID], func(r *run) bool { return r == old })
+			rest := slices.DeleteFunc(c.lostAt[u.ID], func(r *run) bool { return r == old })
 			if len(rest) == 0 {
-				delete(b.lostAt, u.ID)
+				delete(c.lostAt, u.ID)
 				continue
 			}
-			b.lostAt[u.ID] = rest
+			c.lostAt[u.ID] = rest
 		}
 	}
 }
 
 // seen tells of an upstream that is new: one that stood at its address before
 // has ended.
-func (b *blame) seen(now *directory.Upstream) {
-	for _, u := range b.lostNear(now) {
-		b.died(u)
+func (c *culprits) seen(now *directory.Upstream) {
+	for _, u := range c.lostNear(now) {
+		c.died(u)
 	}
 }
 
 // lostNear gives the other upstreams at an address where runs were lost.
-func (b *blame) lostNear(now *directory.Upstream) []*directory.Upstream {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (c *culprits) lostNear(now *directory.Upstream) []*directory.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forgetLost(c.opts.Now())
 	var before []*directory.Upstream
-	for _, r := range b.lost {
+	for _, r := range c.lost {
 		for _, u := range r.upstreams {
 			if u.Address == now.Address && u.ID != now.ID && !u.Leaving && !slices.Contains(before, u) {
 				before = append(before, u)
@@ -144,27 +145,27 @@
 
 // died blames an upstream's death on the runs that were lost there. It may be
 // told more than once.
-func (b *blame) died(u *directory.Upstream) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.opts.Now()
-	b.forgetLost(now)
-	for id, at := range b.deadAt {
+func (c *culprits) died(u *directory.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Now()
+	c.forgetLost(now)
+	for id, at := range c.deadAt {
 		if now.Sub(at) > lostFor {
-			delete(b.deadAt, id)
+			delete(c.deadAt, id)
 		}
 	}
-	if _, known := b.deadAt[u.ID]; !known {
-		b.deadAt[u.ID] = now
-		b.opts.Metrics.Add("upstream.died", 1)
+	if _, known := c.deadAt[u.ID]; !known {
+		c.deadAt[u.ID] = now
+		c.opts.Metrics.Add("upstream.died", 1)
 	}
-	b.charge(now, u.ID, u.Service)
+	c.charge(now, u.ID, u.Service)
 }
 
 // charge lays a death to the runs that were lost there.
-func (b *blame) charge(now time.Time, id ids.Upstream, service ids.Service) {
+func (c *culprits) charge(now time.Time, id ids.Upstream, service ids.Service) {
 	var prints []quarantine.Fingerprint
-	for _, r := range b.lostAt[id] {
+	for _, r := range c.lostAt[id] {
 		if !r.blamed && r.service == service {
 			r.blamed = true
 			prints = append(prints, r.print)
@@ -172,54 +173,54 @@
 	}
 	// Deaths that nothing is blamed for count as well: they speak for a cause
 	// outside.
-	b.blamer(service).Died(now, id, "", prints)
+	c.blamer(service).Died(now, id, "", prints)
 }
 
 // served notes that a request was answered whole.
-func (b *blame) served(service ids.Service, print quarantine.Fingerprint) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.blamer(service).Succeeded(b.opts.Now(), print)
+func (c *culprits) served(service ids.Service, print quarantine.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blamer(service).Succeeded(c.opts.Now(), print)
 }
 
 // refused reports whether requests of a fingerprint are refused; news is set
 // when this node has just found so by itself.
-func (b *blame) refused(service ids.Service, print quarantine.Fingerprint) (refused bool, news *Verdict) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.opts.Now()
-	known, told := b.verdicts[print]
+func (c *culprits) refused(service ids.Service, print quarantine.Fingerprint) (refused bool, news *Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Now()
+	known, told := c.verdicts[print]
 	told = told && now.Before(known.until)
 	if told && !known.own {
 		return true, nil
 	}
-	found, until := b.blamer(service).Quarantined(now, print)
+	found, until := c.blamer(service).Quarantined(now, print)
 	if !found || told {
 		return found, nil
 	}
 	verdict := Verdict{Fingerprint: print, For: until.Sub(now)}
-	b.keep(now, verdict, true)
+	c.keep(now, verdict, true)
 	return true, &verdict
 }
 
 // told takes a peer's verdict.
-func (b *blame) told(v Verdict) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.keep(b.opts.Now(), v, false)
+func (c *culprits) told(v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep(c.opts.Now(), v, false)
 }
 
 // keep holds a verdict until its time is over; without room the new one is
 // left out, and found by the node itself if need be.
-func (b *blame) keep(now time.Time, v Verdict, own bool) {
-	if len(b.verdicts) >= maxVerdicts {
-		for print, verdict := range b.verdicts {
+func (c *culprits) keep(now time.Time, v Verdict, own bool) {
+	if len(c.verdicts) >= maxVerdicts {
+		for print, verdict := range c.verdicts {
 			if !now.Before(verdict.until) {
-				delete(b.verdicts, print)
+				delete(c.verdicts, print)
 			}
 		}
 	}
-	if len(b.verdicts) < maxVerdicts {
-		b.verdicts[v.Fingerprint] = held{until: now.Add(min(v.For, quarantine.DefaultFor)), own: own}
+	if len(c.verdicts) < maxVerdicts {
+		c.verdicts[v.Fingerprint] = held{until: now.Add(min(v.For, quarantine.DefaultFor)), own: own}
 	}
 }
--- a/adapter/forward/blame_test.go
+++ b/adapter/forward/culprits_test.go
@@ -124,15 +124,15 @@
 	}
 }
 
-// evidence is a blame with a clock of its own.
+// evidence is a culprits with a clock of its own.
 type evidence struct {
-	*blame
+	*culprits
 	now time.Time
 }
 
 func newEvidence() *evidence {
 	e := &evidence{now: time.Unix(1000, 0)}
-	e.blame = newBlame(Options{
+	e.culprits = newCulprits(Options{
 		Now: func() time.Time { return e.now }, Log: zerolog.Nop(), Metrics: &counts{n: make(map[string]int64)},
 	})
 	return e
@@ -211,7 +211,7 @@
 	r.ask(t, "GET", poison, "r1", "")
 	eventually(t, "the request is refused", func() bool {
 		r.ask(t, "GET", "/safe/other", "r2", "")
-		refused, _ := r.blame.refused("plain", quarantine.FingerprintOf([]byte("plain"), []byte("acme"), []byte("GET"), []byte(poison), nil))
+		refused, _ := r.culprits.refused("plain", quarantine.FingerprintOf([]byte("plain"), []byte("acme"), []byte("GET"), []byte(poison), nil))
 		return refused
 	})
 	if got := runs(all, poison); got != 2 {
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -185,7 +185,7 @@
 // quarantined reports whether the request is one that crashes the upstreams that
 // run it.
 func (x *exchange) quarantined() bool {
-	refused, news := x.server.blame.refused(x.service, x.print)
+	refused, news := x.server.culprits.refused(x.service, x.print)
 	if news != nil {
 		x.count("upstream.culprits")
 		x.log("quarantined").Str("fingerprint", string(news.Fingerprint)).Str("service", string(x.service)).
@@ -198,7 +198,7 @@
 // lost notes that the request was running at these upstreams when their
 // connection broke.
 func (x *exchange) lost(upstreams ...*directory.Upstream) {
-	x.server.blame.runLost(&run{print: x.print, service: x.service, upstreams: upstreams})
+	x.server.culprits.runLost(&run{print: x.print, service: x.service, upstreams: upstreams})
 }
 
 // quarantineDetail tells why such a request is refused.
@@ -309,7 +309,7 @@
 	took := x.server.opts.Now().Sub(x.arrived)
 	x.count("outcome.answered")
 	if status < serverError {
-		x.server.blame.served(x.service, x.print)
+		x.server.culprits.served(x.service, x.print)
 	}
 	x.server.opts.Metrics.Took("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -19,8 +19,8 @@
 
 // picker holds the decisions that requests share, behind one lock.
 type picker struct {
-	opts  Options
-	blame *blame
+	opts     Options
+	culprits *culprits
 
 	mu         sync.Mutex
 	nodes      int
@@ -31,11 +31,11 @@
 }
 
 // newPicker makes a picker for a node that does not know the fleet yet.
-func newPicker(o Options, b *blame) *picker {
+func newPicker(o Options, c *culprits) *picker {
 	conditions := condition.New()
 	return &picker{
 		opts:       o,
-		blame:      b,
+		culprits:   c,
 		conditions: conditions,
 		chains:     chain.New(conditions),
 		replicas:   replica.New(conditions),
@@ -255,7 +255,7 @@
 		return
 	}
 	p.failed(u, outcome.ConnectFailed)
-	p.blame.died(u)
+	p.culprits.died(u)
 }
 
 // full tells that an upstream refused for want of room.
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -73,7 +73,7 @@
 // process at the upstream's address.
 func (x *exchange) noteLost(u *directory.Upstream, failed *failure) {
 	if failed.reason == outcome.UpstreamRefused {
-		x.server.blame.died(u)
+		x.server.culprits.died(u)
 	}
 	if !failed.midRun() {
 		return
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -17,11 +17,11 @@
 
 // Server takes callers' connections. Any goroutine may call its methods.
 type Server struct {
-	opts  Options
-	pool  *upconn.Pool
-	picks *picker
-	blame *blame
-	probe *prober
+	opts     Options
+	pool     *upconn.Pool
+	picks    *picker
+	culprits *culprits
+	probe    *prober
 
 	// stopping: answers end their connections. closing: idle ones are closed.
 	stopping, closing atomic.Bool
@@ -37,8 +37,8 @@
 func New(o Options) *Server {
 	s := &Server{opts: o, clients: make(map[*client]struct{}), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
 	s.pool = upconn.NewPool(boottime.Now, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
-	s.blame = newBlame(o)
-	s.picks = newPicker(o, s.blame)
+	s.culprits = newCulprits(o)
+	s.picks = newPicker(o, s.culprits)
 	s.probe = newProber(o, s.picks)
 	return s
 }
@@ -133,7 +133,7 @@
 	s.pool.Forget(u.ID)
 	s.picks.forget(u.ID)
 	if !u.Leaving {
-		s.blame.died(u)
+		s.culprits.died(u)
 	}
 }
 
@@ -142,10 +142,10 @@
 func (s *Server) Reached() { s.picks.reached() }
 
 // Seen tells that an upstream has come into the directory.
-func (s *Server) Seen(u *directory.Upstream) { s.blame.seen(u) }
+func (s *Server) Seen(u *directory.Upstream) { s.culprits.seen(u) }
 
 // Told takes a peer's verdict on requests that crash upstreams.
-func (s *Server) Told(v Verdict) { s.blame.told(v) }
+func (s *Server) Told(v Verdict) { s.culprits.told(v) }
 
 // confirm connects to an upstream that broke a connection off: one that has
 // crashed refuses.
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -359,7 +359,7 @@
 		Engines: engines, Log: zerolog.Nop(), Metrics: &counts{n: make(map[string]int64)},
 		Now: func() time.Time { return now },
 	}
-	picks := newPicker(o, newBlame(o))
+	picks := newPicker(o, newCulprits(o))
 	probe := newProber(o, picks)
 	d := directory.New()
 	for _, id := range []ids.Upstream{"slow", "usual"} {
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -138,9 +138,11 @@
 type Directory struct {
 	revision int64
 	byID     map[ids.Upstream]*Upstream
-	// at names the upstream at each address: the newest that was entered with it,
-	// as an address goes to another only after its process has ended.
-	at map[string]ids.Upstream
+	// at names the upstreams that were entered with each address, the present
+	// one last: an address goes to another only after its process has ended, and
+	// the entry of that one may stand until its heartbeats are missed. Views
+	// show the present one only.
+	at map[string][]ids.Upstream
 	// missing holds, for entries not found after an outage, until when they
 	// are believed.
 	missing map[ids.Upstream]time.Time
@@ -160,7 +162,7 @@
 func New() *Directory {
 	return &Directory{
 		byID:    make(map[ids.Upstream]*Upstream),
-		at:      make(map[string]ids.Upstream),
+		at:      make(map[string][]ids.Upstream),
 		missing: make(map[ids.Upstream]time.Time),
 	}
 }
@@ -255,44 +257,64 @@
 	return changes
 }
 
-// put adds or changes an entry. A leaving upstream stays leaving. One whose
-// address another one has by now is over, though its entry may stand until its
-// heartbeats are missed.
+// put adds or changes an entry. A leaving upstream stays leaving.
 func (d *Directory) put(changes []Change, u *Upstream) []Change {
 	delete(d.missing, u.ID)
 	old := d.byID[u.ID]
 	if old != nil && old.Revision >= u.Revision {
 		return changes
 	}
-	if other := d.byID[d.at[u.Address]]; other != nil && other.ID != u.ID {
-		if other.Revision >= u.Revision {
-			return changes
-		}
-		changes = d.drop(changes, other)
-	}
-	if old != nil {
-		delete(d.at, old.Address)
-	}
-	if u.Address != "" {
-		d.at[u.Address] = u.ID
-	}
 	if old != nil && old.Leaving {
 		u.Leaving = true
 	}
+	if old != nil && old.Address != u.Address {
+		changes = d.drop(changes, old)
+		old = nil
+	}
 	d.byID[u.ID] = u
-	d.note(u.ID)
 	switch {
 	case old == nil:
-		return append(changes, Change{Seen, u})
-	case u.Leaving && !old.Leaving:
+		return d.arrive(changes, u)
+	case !d.present(u):
+		return changes
+	}
+	d.note(u.ID)
+	if u.Leaving && !old.Leaving {
 		return append(changes, Change{Left, u})
 	}
 	return append(changes, Change{Changed, u})
 }
 
+// arrive enters a new entry at its address. It takes the place of the one there,
+// unless that is newer, or this one was seen before and only sent a late
+// heartbeat.
+func (d *Directory) arrive(changes []Change, u *Upstream) []Change {
+	others := d.at[u.Address]
+	if u.Address == "" || len(others) == 0 {
+		d.at[u.Address] = append(others, u.ID)
+		d.note(u.ID)
+		return append(changes, Change{Seen, u})
+	}
+	now := d.byID[others[len(others)-1]]
+	if now.Revision >= u.Revision || slices.Contains(d.recent, u.ID) {
+		d.at[u.Address] = slices.Insert(others, 0, u.ID)
+		return changes
+	}
+	d.at[u.Address] = append(others, u.ID)
+	d.note(now.ID)
+	d.note(u.ID)
+	return append(changes, Change{Gone, now}, Change{Seen, u})
+}
+
+// present reports whether an entry is the one in force at its address.
+func (d *Directory) present(u *Upstream) bool {
+	there := d.at[u.Address]
+	return u.Address == "" || there[len(there)-1] == u.ID
+}
+
 // remove takes an entry out, or lets it stand for a while after an outage.
 func (d *Directory) remove(changes []Change, now time.Time, u *Upstream) []Change {
-	if now.Before(d.graceUntil) && !u.Leaving {
+	if now.Before(d.graceUntil) && !u.Leaving && d.present(u) {
 		if _, waiting := d.missing[u.ID]; !waiting {
 			d.missing[u.ID] = now.Add(ReturnGrace)
 		}
@@ -301,15 +323,29 @@
 	return d.drop(changes, u)
 }
 
-// drop takes an entry out.
+// drop takes an entry out. What stood at its address before is in force again:
+// it was the other that had ended.
 func (d *Directory) drop(changes []Change, u *Upstream) []Change {
+	present := d.present(u)
 	delete(d.byID, u.ID)
 	delete(d.missing, u.ID)
-	if d.at[u.Address] == u.ID {
+	rest := slices.DeleteFunc(d.at[u.Address], func(id ids.Upstream) bool { return id == u.ID })
+	if len(rest) == 0 {
 		delete(d.at, u.Address)
+	} else {
+		d.at[u.Address] = rest
+	}
+	if !present {
+		return changes
 	}
 	d.note(u.ID)
-	return append(changes, Change{Gone, u})
+	changes = append(changes, Change{Gone, u})
+	if u.Address == "" || len(rest) == 0 {
+		return changes
+	}
+	back := d.byID[rest[len(rest)-1]]
+	d.note(back.ID)
+	return append(changes, Change{Seen, back})
 }
 
 // note remembers a change.
@@ -331,6 +367,9 @@
 		byID:     make(map[ids.Upstream]*Upstream, len(d.byID)),
 	}
 	for id, u := range d.byID {
+		if !d.present(u) {
+			continue
+		}
 		v.byID[id] = u
 		v.services[u.Service] = append(v.services[u.Service], u)
 	}
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -223,17 +224,22 @@
 	if changes := d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), next}, 6); changes != nil {
 		t.Errorf("a list brought back the one before: %v", kinds(changes))
 	}
-	if changes := d.Put(upstream("a", 3)); changes != nil {
-		t.Errorf("an older entry brought it back: %v", kinds(changes))
+	// A late heartbeat changes its entry, or enters it once more.
+	if changes := d.Put(upstream("a", 7)); changes != nil {
+		t.Errorf("a late heartbeat brought it back: %v", kinds(changes))
 	}
 	if diff := cmp.Diff([]string{"a2", "b"}, names(d)); diff != "" {
 		t.Error(diff)
 	}
-	if got := kinds(d.Remove(start, "a", 7)); got != nil {
+	if got := kinds(d.Remove(start, "a", 8)); got != nil {
 		t.Errorf("its removal: %v", got)
 	}
-	d.Remove(start, "a2", 8)
-	again := upstream("a3", 9)
+	if changes := d.Put(upstream("a", 9)); changes != nil {
+		t.Errorf("a heartbeat after its removal brought it back: %v", kinds(changes))
+	}
+	d.Remove(start, "a", 10)
+	d.Remove(start, "a2", 11)
+	again := upstream("a3", 12)
 	again.Address = "a:1"
 	if got := kinds(d.Put(again)); !cmp.Equal(got, []string{"seen a3"}) {
 		t.Errorf("the next at a free address: %v", got)
@@ -252,3 +258,56 @@
 		t.Error(diff)
 	}
 }
+
+func TestOneThatWasTakenForOverIsBackOnceItIsAlone(t *testing.T) {
+	d := New()
+	late := upstream("late", 5)
+	late.Address = "x:1"
+	real := upstream("real", 3)
+	real.Address = "x:1"
+	// In a first list nothing tells which is the newer but the revision.
+	d.Replace(start, []Upstream{late, real}, 6)
+	if diff := cmp.Diff([]string{"late"}, names(d)); diff != "" {
+		t.Fatal(diff)
+	}
+	mark := d.View().Mark
+	if diff := cmp.Diff([]string{"gone late", "seen real"}, kinds(d.Remove(start, "late", 7))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"real"}, names(d)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"+real", "-late"}, since(t, d, mark)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestFollowerHasTheSameViewOfSharedAddresses(t *testing.T) {
+	from, to := New(), New()
+	mark := uint64(0)
+	for i := range 3000 {
+		id := fmt.Sprint("u", i*7%23)
+		revision := int64(i + 1)
+		if i%4 == 3 {
+			from.Remove(start, ids.Upstream(id), revision)
+		} else {
+			u := upstream(id, revision)
+			u.Address = fmt.Sprint("at", i*7%23%5)
+			from.Put(u)
+		}
+		view := from.View()
+		changed, gone, ok := view.Since(mark)
+		if !ok {
+			t.Fatalf("step %d: changes since %d unknown", i, mark)
+		}
+		var list []Upstream
+		for _, u := range changed {
+			list = append(list, *u)
+		}
+		to.Update(start, list, gone, view.Revision)
+		mark = view.Mark
+		if diff := cmp.Diff(names(from), names(to)); diff != "" {
+			t.Fatalf("step %d: %s", i, diff)
+		}
+	}
+}
