Tests that failed at times: causes mended

A stream was counted off its engines after its last bytes were with the caller, so that the caller's next request could find its own engine busy and go to another zone.

Ruled out: load as such; each fails without it in some tens of runs.

Change: a stream is counted off before its end is passed on; every.Do looks at the context before each call; the test compares the counter before and after.

--- a/adapter/forward/culprits_test.go
+++ b/adapter/forward/culprits_test.go
@@ -66,11 +66,13 @@
 		t.Fatalf("first answer %d", resp.StatusCode())
 	}
 	eventually(t, "both deaths are seen", func() bool { return r.counts.get("upstream.died") == 2 })
+	// The first answer may have known both deaths already.
+	before := r.counts.get("refusal.quarantined")
 	resp, _ := r.ask(t, "GET", poison, "r2", "")
 	if resp.StatusCode() != 503 || runs(all, poison) != 2 {
 		t.Errorf("the request comes again: answer %d after %d runs, want 503 after 2", resp.StatusCode(), runs(all, poison))
 	}
-	if r.counts.get("refusal.quarantined") != 1 {
+	if r.counts.get("refusal.quarantined") != before+1 {
 		t.Error("the refusal has no counter of its own")
 	}
 	if resp, _ := r.ask(t, "GET", "/safe/other", "r3", ""); resp.StatusCode() != 200 {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -56,7 +56,10 @@
 	s     *stream
 	ctx   context.Context
 	chain chain.Chain
-	begun bool
+	// counted is the request as the chain's engines count it, until off is set.
+	counted chain.Request
+	off     bool
+	begun   bool
 	// restUntil is until when the chain is left alone.
 	restUntil time.Time
 	// reroutes is how often the chain was changed since the last event.
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -90,12 +90,11 @@
 	if failed != nil {
 		return failed
 	}
-	req := s.req
 	first := c[0].Engine
 	x.log("chain").Str("chain", c.String()).Str("upstream", string(first.ID)).Str("route", x.route.Name).
 		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
-	w := &streamWait{s: s, ctx: ctx, chain: c, begun: s.x.written}
-	defer func() { s.uncount(w.chain, req) }()
+	w := &streamWait{s: s, ctx: ctx, chain: c, counted: s.req, begun: s.x.written}
+	defer s.uncount(w)
 	a, failed := x.begin(ctx, first, x.compose(first, s.headers(c)), w.wait)
 	if failed == nil {
 		failed = s.relay(a, w)
@@ -107,13 +106,17 @@
 }
 
 // uncount takes the request off the chain on which it ended, which a stall may
-// have changed, or off its one upstream.
-func (s *stream) uncount(c chain.Chain, req chain.Request) {
+// have changed, or off its one upstream; once only.
+func (s *stream) uncount(w *streamWait) {
+	if w.off {
+		return
+	}
+	w.off = true
 	if s.model == nil {
-		s.x.server.picks.replicaEnded(c[0].Engine.ID, 0, false)
+		s.x.server.picks.replicaEnded(w.chain[0].Engine.ID, 0, false)
 		return
 	}
-	s.x.server.picks.chainEnded(c, req)
+	s.x.server.picks.chainEnded(w.chain, w.counted)
 }
 
 // choose picks the chain: of engines that hold layers, or of one upstream where
@@ -170,6 +173,8 @@
 	for {
 		ev, err := in.next()
 		if errors.Is(err, io.EOF) {
+			// The caller's next request must find the engines free.
+			s.uncount(w)
 			return s.finish(a)
 		}
 		if err != nil {
--- a/core/every/every.go
+++ b/core/every/every.go
@@ -16,6 +16,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			// Both may be due after a long call.
+			if ctx.Err() != nil {
+				return
+			}
 			f()
 		}
 	}
--- a/core/every/every_test.go
+++ b/core/every/every_test.go
@@ -34,8 +34,8 @@
 			calls++
 			time.Sleep(5 * time.Second)
 		})
-		if calls != 2 && calls != 3 {
-			t.Errorf("%d calls of 5 s in 10.5 s", calls)
+		if calls != 2 {
+			t.Errorf("%d calls of 5 s each in 10.5 s, want those at 1 and 6 s", calls)
 		}
 	})
 }
