--- a/adapter/forward/culprits.go
+++ b/adapter/forward/culprits.go
@@ -19,24 +19,18 @@
 	// there is laid to that: its attempt ends right after the engines of its
 	// chain were asked.
 	sameLoss = 2 * time.Second
-	// maxLost bounds the runs that are remembered as lost.
+	// maxLost bounds the runs that are remembered as lost, to about 1 MB.
 	maxLost = 4096
-	// maxVerdicts bounds the verdicts that are held.
+	// maxVerdicts bounds the verdicts that are held, each for two upstreams that
+	// crashed, to about 0.1 MB.
 	maxVerdicts = 1024
 )
 
-// Verdict tells that requests of a fingerprint crash the upstreams that run
-// them, and for how long they are refused from now on.
-type Verdict struct {
-	Fingerprint quarantine.Fingerprint
-	For         time.Duration
-}
-
 // run is one attempt of a request at the upstreams of its chain.
 type run struct {
 	print     quarantine.Fingerprint
 	service   ids.Service
-	upstreams []*directory.Upstream
+	upstreams []ids.Upstream
 	// lostAt is when its connection was lost, zero before.
 	lostAt time.Time
 	// blamed tells that a death was laid to it. One attempt stands for one
@@ -95,10 +89,10 @@
 	r.lostAt = c.opts.Now()
 	c.forgetLost(r.lostAt)
 	c.lost = append(c.lost, r)
-	for _, u := range r.upstreams {
-		c.lostAt[u.ID] = append(c.lostAt[u.ID], r)
-		if dead, ok := c.deadAt[u.ID]; ok && r.lostAt.Sub(dead) <= sameLoss {
-			c.charge(r.lostAt, u.ID, r.service)
+	for _, id := range r.upstreams {
+		c.lostAt[id] = append(c.lostAt[id], r)
+		if dead, ok := c.deadAt[id]; ok && r.lostAt.Sub(dead) <= sameLoss {
+			c.charge(r.lostAt, id, r.service)
 		}
 	}
 }
@@ -108,39 +102,15 @@
 	for len(c.lost) > 0 && (len(c.lost) >= maxLost || now.Sub(c.lost[0].lostAt) > lostFor) {
 		old := c.lost[0]
 		c.lost = c.lost[1:]
-		for _, u := range old.upstreams {
-			rest := slices.DeleteFunc(c.lostAt[u.ID], func(r *run) bool { return r == old })
+		for _, id := range old.upstreams {
+			rest := slices.DeleteFunc(c.lostAt[id], func(r *run) bool { return r == old })
 			if len(rest) == 0 {
-				delete(c.lostAt, u.ID)
+				delete(c.lostAt, id)
 				continue
 			}
-			c.lostAt[u.ID] = rest
-		}
-	}
-}
-
-// seen tells of an upstream that is new: one that stood at its address before
-// has ended.
-func (c *culprits) seen(now *directory.Upstream) {
-	for _, u := range c.lostNear(now) {
-		c.died(u)
-	}
-}
-
-// lostNear gives the other upstreams at an address where runs were lost.
-func (c *culprits) lostNear(now *directory.Upstream) []*directory.Upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.forgetLost(c.opts.Now())
-	var before []*directory.Upstream
-	for _, r := range c.lost {
-		for _, u := range r.upstreams {
-			if u.Address == now.Address && u.ID != now.ID && !u.Leaving && !slices.Contains(before, u) {
-				before = append(before, u)
-			}
+			c.lostAt[id] = rest
 		}
 	}
-	return before
 }
 
 // died blames an upstream's death on the runs that were lost there. It may be
@@ -185,7 +155,7 @@
 
 // refused reports whether requests of a fingerprint are refused; news is set
 // when this node has just found so by itself.
-func (c *culprits) refused(service ids.Service, print quarantine.Fingerprint) (refused bool, news *Verdict) {
+func (c *culprits) refused(service ids.Service, print quarantine.Fingerprint) (refused bool, news *quarantine.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Now()
@@ -198,13 +168,13 @@
 	if !found || told {
 		return found, nil
 	}
-	verdict := Verdict{Fingerprint: print, For: until.Sub(now)}
+	verdict := quarantine.Verdict{Fingerprint: print, For: until.Sub(now)}
 	c.keep(now, verdict, true)
 	return true, &verdict
 }
 
 // told takes a peer's verdict.
-func (c *culprits) told(v Verdict) {
+func (c *culprits) told(v quarantine.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep(c.opts.Now(), v, false)
@@ -212,7 +182,7 @@
 
 // keep holds a verdict until its time is over; without room the new one is
 // left out, and found by the node itself if need be.
-func (c *culprits) keep(now time.Time, v Verdict, own bool) {
+func (c *culprits) keep(now time.Time, v quarantine.Verdict, own bool) {
 	if len(c.verdicts) >= maxVerdicts {
 		for print, verdict := range c.verdicts {
 			if !now.Before(verdict.until) {
--- a/adapter/forward/culprits_test.go
+++ b/adapter/forward/culprits_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/core/ids"
-	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 )
@@ -88,7 +89,7 @@
 	all := fragile(t, "plain", poison, 2)
 	r := newRig(t, all...)
 	print := quarantine.FingerprintOf([]byte("plain"), []byte("acme"), []byte("GET"), []byte(poison), nil)
-	r.Told(Verdict{Fingerprint: print, For: time.Minute})
+	r.Told(quarantine.Verdict{Fingerprint: print, For: time.Minute})
 	if resp, _ := r.ask(t, "GET", poison, "r1", ""); resp.StatusCode() != 503 || runs(all, poison) != 0 {
 		t.Errorf("answer %d after %d runs", resp.StatusCode(), runs(all, poison))
 	}
@@ -97,25 +98,31 @@
 	}
 }
 
-func TestStreamThatCrashesEnginesIsRefused(t *testing.T) {
-	const poison = "/stream/poison"
+// crashingEngines starts engines that hold the whole model, before a server that
+// finds each of them dead when it asks.
+func crashingEngines(t *testing.T, answer script) (*rig, []*fake) {
+	t.Helper()
 	var all []*fake
 	for i := range 5 {
-		f := newFake(t, fmt.Sprint("e", i), "model", func(conn net.Conn, req *fasthttp.Request) bool {
-			if string(req.Header.RequestURI()) == poison {
-				return false
-			}
-			return eventsFrom(conn, req, 0, 3, true)
-		})
-		f.Layers, f.Card = layered.Range{From: 0, To: 10}, "card"
-		all = append(all, f)
+		all = append(all, stageFake(t, fmt.Sprint("e", i), 0, 10, answer))
 	}
 	r := newRig(t, all...)
 	r.calls.mu.Lock()
+	defer r.calls.mu.Unlock()
 	for _, f := range all {
 		r.calls.refused[f.ID] = true
 	}
-	r.calls.mu.Unlock()
+	return r, all
+}
+
+func TestStreamThatCrashesEnginesIsRefused(t *testing.T) {
+	const poison = "/stream/poison"
+	r, all := crashingEngines(t, func(conn net.Conn, req *fasthttp.Request) bool {
+		if string(req.Header.RequestURI()) == poison {
+			return false
+		}
+		return eventsFrom(conn, req, 0, 3, true)
+	})
 	r.ask(t, "POST", poison, "r1", "p")
 	if got := runs(all, poison); got != 2 {
 		t.Fatalf("first arrival ran %d times", got)
@@ -143,7 +150,7 @@
 func (e *evidence) lose(print string, upstreams ...string) {
 	r := &run{print: quarantine.Fingerprint(print), service: "s"}
 	for _, u := range upstreams {
-		r.upstreams = append(r.upstreams, &directory.Upstream{ID: ids.Upstream(u), Service: "s", Address: "at " + u})
+		r.upstreams = append(r.upstreams, ids.Upstream(u))
 	}
 	e.runLost(r)
 }
@@ -178,18 +185,23 @@
 	}
 }
 
-func TestNewUpstreamAtTheAddressProvesADeath(t *testing.T) {
-	e := newEvidence()
-	for i, u := range []string{"u1", "u2"} {
-		e.lose("a", u)
-		e.seen(&directory.Upstream{ID: "other", Service: "s", Address: "elsewhere"})
-		if e.holds("a") {
-			t.Errorf("refused after %d deaths", i)
-		}
-		e.seen(&directory.Upstream{ID: ids.Upstream(u + "-next"), Service: "s", Address: "at " + u})
+func TestUpstreamThatIsGoneProvesADeath(t *testing.T) {
+	r := newRig(t)
+	e := &evidence{culprits: r.culprits}
+	gone := func(id string, leaving bool) {
+		r.Gone(&directory.Upstream{ID: ids.Upstream(id), Service: "s", Leaving: leaving})
+	}
+	e.lose("a", "u1")
+	e.lose("a", "u2")
+	e.lose("a", "u3")
+	gone("u1", false)
+	gone("u2", true)
+	if e.holds("a") {
+		t.Error("one that left in order counts as a death")
 	}
+	gone("u3", false)
 	if !e.holds("a") {
-		t.Error("two upstreams were replaced at their addresses after they were lost, and it is not refused")
+		t.Error("two upstreams went without notice after it was lost there, and it is not refused")
 	}
 }
 
@@ -265,7 +277,7 @@
 func TestVerdictsAreBounded(t *testing.T) {
 	e := newEvidence()
 	for i := range 2 * maxVerdicts {
-		e.told(Verdict{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i)), For: time.Minute})
+		e.told(quarantine.Verdict{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i)), For: time.Minute})
 	}
 	if len(e.verdicts) != maxVerdicts {
 		t.Errorf("%d verdicts are held", len(e.verdicts))
@@ -274,7 +286,7 @@
 	if e.holds("0") {
 		t.Error("a verdict outlives its time")
 	}
-	e.told(Verdict{Fingerprint: "late", For: time.Minute})
+	e.told(quarantine.Verdict{Fingerprint: "late", For: time.Minute})
 	if !e.holds("late") || len(e.verdicts) != 1 {
 		t.Errorf("%d verdicts are held after the old ones ended", len(e.verdicts))
 	}
@@ -282,22 +294,11 @@
 
 func TestStreamThatRanIsNotBlamed(t *testing.T) {
 	const path = "/stream/long"
-	var all []*fake
-	for i := range 5 {
-		f := newFake(t, fmt.Sprint("e", i), "model", func(conn net.Conn, req *fasthttp.Request) bool {
-			from := after(req)
-			eventsFrom(conn, req, from, from+3, false)
-			return false
-		})
-		f.Layers, f.Card = layered.Range{From: 0, To: 10}, "card"
-		all = append(all, f)
-	}
-	r := newRig(t, all...)
-	r.calls.mu.Lock()
-	for _, f := range all {
-		r.calls.refused[f.ID] = true
-	}
-	r.calls.mu.Unlock()
+	r, all := crashingEngines(t, func(conn net.Conn, req *fasthttp.Request) bool {
+		from := after(req)
+		eventsFrom(conn, req, from, from+3, false)
+		return false
+	})
 	r.ask(t, "POST", path, "r1", "p")
 	if runs(all, path) < 2 {
 		t.Fatalf("ran %d times", runs(all, path))
@@ -309,3 +310,16 @@
 		t.Error("a stream is blamed for engines that had given events of it")
 	}
 }
+
+func TestEnginesThatStayAreNotLost(t *testing.T) {
+	r := newRig(t)
+	engine := func(id string, revision int64) chain.Hop {
+		return chain.Hop{Engine: &directory.Upstream{ID: ids.Upstream(id), Revision: revision}}
+	}
+	w := &streamWait{s: &stream{x: &exchange{server: r.Server}}}
+	// The entry of the first has changed between the two chains.
+	w.left(chain.Chain{engine("a", 1), engine("b", 1)}, chain.Chain{engine("a", 2), engine("c", 1)})
+	if diff := cmp.Diff([]ids.Upstream{"b"}, r.culprits.lost[0].upstreams); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -197,7 +197,7 @@
 
 // lost notes that the request was running at these upstreams when their
 // connection broke.
-func (x *exchange) lost(upstreams ...*directory.Upstream) {
+func (x *exchange) lost(upstreams ...ids.Upstream) {
 	x.server.culprits.runLost(&run{print: x.print, service: x.service, upstreams: upstreams})
 }
 
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -21,6 +21,7 @@
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -184,6 +185,8 @@
 
 func (c *counts) Took(string, time.Duration) {}
 
+func (c *counts) Timer(string) func(time.Duration) { return func(time.Duration) {} }
+
 func (c *counts) get(name string) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -199,19 +202,19 @@
 	table   atomic.Pointer[routing.Table]
 	mu      sync.Mutex
 	dir     *directory.Directory
-	told    []Verdict
+	told    []quarantine.Verdict
 	known   chan struct{}
 }
 
 // note is told of verdicts.
-func (r *rig) note(v Verdict) {
+func (r *rig) note(v quarantine.Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.told = append(r.told, v)
 }
 
 // verdicts gives those told so far.
-func (r *rig) verdicts() []Verdict {
+func (r *rig) verdicts() []quarantine.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.told)
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -20,6 +20,7 @@
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/retry"
 	"mimosaarch.example/decide/routing"
 )
@@ -97,7 +98,7 @@
 	Metrics Metrics
 	// Verdict is told of requests that were found to crash upstreams, so that
 	// other nodes hear of them; it must not wait. Any goroutine calls it.
-	Verdict func(Verdict)
+	Verdict func(quarantine.Verdict)
 	// Seed starts the random draws among equals.
 	Seed uint64
 }
@@ -134,4 +135,6 @@
 type Metrics interface {
 	Add(name string, n int64)
 	Took(name string, d time.Duration)
+	// Timer gives Took for one name, for what is counted often.
+	Timer(name string) func(d time.Duration)
 }
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -78,7 +78,7 @@
 	if !failed.midRun() {
 		return
 	}
-	x.lost(u)
+	x.lost(u.ID)
 	go x.server.confirm(u)
 }
 
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -9,6 +9,7 @@
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/condition"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -22,9 +23,6 @@
 	// probeFresh is how long a probe's outcome answers for the next: a stage
 	// that dies stalls many streams at once, and one probe tells all of them.
 	probeFresh = 250 * time.Millisecond
-	// slowPace is the pace from which on an engine counts as stalled: a stream of
-	// usual events on it exceeds the pauses that routes allow.
-	slowPace = 3.0
 )
 
 // prober asks the engines of chains that stalled.
@@ -73,7 +71,7 @@
 		switch {
 		case probes[i].dead:
 			dead = append(dead, h.Engine)
-		case probes[i].pace >= slowPace:
+		case probes[i].pace >= condition.SlowPace:
 			slow = append(slow, h.Engine)
 		}
 	}
@@ -142,7 +140,7 @@
 	out.full = isFull(report)
 	p.picks.answered(u)
 	p.picks.paced(u, report.Pace)
-	if report.Pace >= slowPace {
+	if report.Pace >= condition.SlowPace {
 		p.opts.Log.Info().Str("event", "upstream_slow").Str("upstream", string(u.ID)).Float64("pace", report.Pace).Send()
 	}
 }
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -13,6 +13,7 @@
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 )
 
 // Server takes callers' connections. Any goroutine may call its methods.
@@ -22,6 +23,8 @@
 	picks    *picker
 	culprits *culprits
 	probe    *prober
+	// pauses takes the pause before each event of a stream.
+	pauses func(time.Duration)
 
 	// stopping: answers end their connections. closing: idle ones are closed.
 	stopping, closing atomic.Bool
@@ -37,6 +40,7 @@
 func New(o Options) *Server {
 	s := &Server{opts: o, clients: make(map[*client]struct{}), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
 	s.pool = upconn.NewPool(boottime.Now, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
+	s.pauses = o.Metrics.Timer("stream.pause")
 	s.culprits = newCulprits(o)
 	s.picks = newPicker(o, s.culprits)
 	s.probe = newProber(o, s.picks)
@@ -141,11 +145,8 @@
 // again: zones that were out of reach are tried at once.
 func (s *Server) Reached() { s.picks.reached() }
 
-// Seen tells that an upstream has come into the directory.
-func (s *Server) Seen(u *directory.Upstream) { s.culprits.seen(u) }
-
 // Told takes a peer's verdict on requests that crash upstreams.
-func (s *Server) Told(v Verdict) { s.culprits.told(v) }
+func (s *Server) Told(v quarantine.Verdict) { s.culprits.told(v) }
 
 // confirm connects to an upstream that broke a connection off: one that has
 // crashed refuses.
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -56,10 +56,9 @@
 	s     *stream
 	ctx   context.Context
 	chain chain.Chain
-	// counted is the request as the chain's engines count it, until off is set.
-	counted chain.Request
-	off     bool
-	begun   bool
+	// off tells that the request was taken off its chain.
+	off   bool
+	begun bool
 	// restUntil is until when the chain is left alone.
 	restUntil time.Time
 	// reroutes is how often the chain was changed since the last event.
@@ -80,7 +79,7 @@
 			Str("chain", w.chain.String()).Int64("after_event", w.s.seq.last).Send()
 	}
 	if w.begun {
-		x.server.opts.Metrics.Took("stream.pause", pause)
+		x.server.pauses(pause)
 		w.s.gap += time.Duration(gapWeight * float64(pause-w.s.gap))
 	}
 	w.begun, w.ran = true, true
@@ -194,7 +193,7 @@
 		return
 	}
 	kept := now.Engines()
-	gone := slices.DeleteFunc(old.Engines(), func(u *directory.Upstream) bool { return slices.Contains(kept, u) })
+	gone := slices.DeleteFunc(old.Engines(), func(id ids.Upstream) bool { return slices.Contains(kept, id) })
 	if len(gone) > 0 {
 		w.s.x.lost(gone...)
 	}
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -93,7 +93,7 @@
 	first := c[0].Engine
 	x.log("chain").Str("chain", c.String()).Str("upstream", string(first.ID)).Str("route", x.route.Name).
 		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
-	w := &streamWait{s: s, ctx: ctx, chain: c, counted: s.req, begun: s.x.written}
+	w := &streamWait{s: s, ctx: ctx, chain: c, begun: s.x.written}
 	defer s.uncount(w)
 	a, failed := x.begin(ctx, first, x.compose(first, s.headers(c)), w.wait)
 	if failed == nil {
@@ -116,7 +116,7 @@
 		s.x.server.picks.replicaEnded(w.chain[0].Engine.ID, 0, false)
 		return
 	}
-	s.x.server.picks.chainEnded(w.chain, w.counted)
+	s.x.server.picks.chainEnded(w.chain, s.req)
 }
 
 // choose picks the chain: of engines that hold layers, or of one upstream where
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -363,7 +363,7 @@
 	probe := newProber(o, picks)
 	d := directory.New()
 	for _, id := range []ids.Upstream{"slow", "usual"} {
-		d.Put(directory.Upstream{ID: id, Service: "model", Revision: 1})
+		d.Put(directory.Upstream{ID: id, Service: "model", Address: string(id), Revision: 1})
 	}
 	view := d.View()
 	picks.paced(view.Get("slow"), 12)
--- a/adapter/orders/options.go
+++ b/adapter/orders/options.go
@@ -119,9 +119,6 @@
 	if o.Count == nil {
 		o.Count = func(Counter, int64) {}
 	}
-	if o.Candidate == nil {
-		o.Candidate = func() bool { return true }
-	}
 	return o
 }
 
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -145,7 +145,13 @@
 
 // New makes a Placer.
 func New(o Options) *Placer {
-	return &Placer{opts: o, under: make(map[ids.Upstream]pending), known: make(map[ids.Service]map[ids.Upstream]bool), holeSince: make(map[zoneOf]time.Time), rest: make(map[ids.Service]question)}
+	return &Placer{
+		opts:      o,
+		under:     make(map[ids.Upstream]pending),
+		known:     make(map[ids.Service]map[ids.Upstream]bool),
+		holeSince: make(map[zoneOf]time.Time),
+		rest:      make(map[ids.Service]question),
+	}
 }
 
 // Run does the duty until ctx ends, and waits for its calls.
--- a/adapter/placer/placer_test.go
+++ b/adapter/placer/placer_test.go
@@ -48,7 +48,7 @@
 	defer f.mu.Unlock()
 	f.rev++
 	f.dir.Put(directory.Upstream{
-		ID: ids.Upstream(id), Service: "s", Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+		ID: ids.Upstream(id), Service: "s", Address: id, Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
 	})
 }
 
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -94,20 +94,13 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
-// Verdict tells that requests of a fingerprint crash the upstreams that run
-// them, and for how long from now on they are refused, in ms.
-type Verdict struct {
-	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
-	ForMs       int64                  `json:"for_ms"`
-}
-
 // Source answers peers. Any goroutine may call it.
 type Source interface {
 	// News gives what is newer than the asker's, and waits for it as long as
 	// the asker allows.
 	News(ctx context.Context, have Have) News
 	// Judged takes a peer's verdict.
-	Judged(v Verdict)
+	Judged(v quarantine.Verdict)
 }
 
 // Serve answers peers until l is closed, whose error it gives.
@@ -139,7 +132,7 @@
 			have.WaitMs = min(have.WaitMs, MaxWait.Milliseconds())
 			return source.News(ctx, have), nil
 		case r.Method == methodVerdict:
-			var v Verdict
+			var v quarantine.Verdict
 			if err := json.Unmarshal(*r.Params, &v); err != nil {
 				return nil, invalid(err)
 			}
@@ -175,7 +168,7 @@
 }
 
 // Tell tells the peer at an address of a verdict. The error is a *CallError.
-func Tell(ctx context.Context, peer string, v Verdict) error {
+func Tell(ctx context.Context, peer string, v quarantine.Verdict) error {
 	return call(ctx, peer, callTimeout, methodVerdict, v, nil)
 }
 
@@ -204,4 +197,4 @@
 func (nothing) News(context.Context, Have) News { return News{} }
 
 // Judged implements Source.
-func (nothing) Judged(Verdict) {}
+func (nothing) Judged(quarantine.Verdict) {}
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -17,10 +19,10 @@
 type shelf struct {
 	config routing.Config
 	list   []directory.Upstream
-	judged chan Verdict
+	judged chan quarantine.Verdict
 }
 
-func (s *shelf) Judged(v Verdict) { s.judged <- v }
+func (s *shelf) Judged(v quarantine.Verdict) { s.judged <- v }
 
 func (s *shelf) News(_ context.Context, have Have) News {
 	var n News
@@ -70,8 +72,8 @@
 }
 
 func TestVerdictsAreTold(t *testing.T) {
-	s := &shelf{judged: make(chan Verdict, 1)}
-	want := Verdict{Fingerprint: "f", ForMs: 5000}
+	s := &shelf{judged: make(chan quarantine.Verdict, 1)}
+	want := quarantine.Verdict{Fingerprint: "f", For: 5 * time.Second}
 	if err := Tell(t.Context(), serve(t, s), want); err != nil {
 		t.Fatal(err)
 	}
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -29,11 +29,11 @@
 // Chain is the stages of a request in order.
 type Chain []Hop
 
-// Engines gives the engines in order.
-func (c Chain) Engines() []*directory.Upstream {
-	out := make([]*directory.Upstream, len(c))
+// Engines names the engines in order.
+func (c Chain) Engines() []ids.Upstream {
+	out := make([]ids.Upstream, len(c))
 	for i, h := range c {
-		out[i] = h.Engine
+		out[i] = h.Engine.ID
 	}
 	return out
 }
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -7,6 +7,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/condition"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -208,21 +209,16 @@
 	return r.passes(m) * (hopMs + wait*b.pace(now, e.ID))
 }
 
-const (
-	// slowPace is the pace from which on an engine makes answers late: a batch
-	// in which a prompt is read takes longer there than pauses may.
-	slowPace = 3.0
-	// slowFactor is by how much such an engine is dearer than its time alone.
-	// With five engines of 33 at a pace of 12 for 9 s, the worth of that day's
-	// answers was 0.46 with 1, 0.47 with 2 and 0.49 with 4 and 8.
-	slowFactor = 4.0
-)
+// slowFactor is by how much an engine that makes answers late is dearer than its
+// time alone. With five engines of 33 at a pace of 12 for 9 s, the worth of that
+// day's answers was 0.46 with 1, 0.47 with 2 and 0.49 with 4 and 8.
+const slowFactor = 4.0
 
 // pace gives by how much an engine is slower than usual, and more for one that
 // makes answers late.
 func (b *Book) pace(now time.Time, id ids.Upstream) float64 {
 	pace := b.conditions.Pace(now, id)
-	if pace < slowPace {
+	if pace < condition.SlowPace {
 		return pace
 	}
 	return pace * slowFactor
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -15,6 +15,8 @@
 type Table struct {
 	upstreams map[ids.Upstream]*belief
 	zones     map[ids.Zone]*zoneBelief
+	// slow are those whose reports are kept up to date.
+	slow map[ids.Upstream]*belief
 }
 
 // zoneBelief is about the way to an availability zone.
@@ -44,7 +46,11 @@
 
 // New makes a Table that believes every upstream well.
 func New() *Table {
-	return &Table{upstreams: make(map[ids.Upstream]*belief), zones: make(map[ids.Zone]*zoneBelief)}
+	return &Table{
+		upstreams: make(map[ids.Upstream]*belief),
+		slow:      make(map[ids.Upstream]*belief),
+		zones:     make(map[ids.Zone]*zoneBelief),
+	}
 }
 
 // Durations of beliefs.
@@ -62,14 +68,19 @@
 	// full: requests end many times in that time.
 	fullFor = 300 * time.Millisecond
 	// paceFor is how long a reported pace is believed, unless a newer report
-	// comes. One that is forgotten early costs each node the streams it sends
-	// to find out anew.
+	// comes. With 2 s each node sent streams to find out anew, and five slow
+	// engines were reported 661 times by these in nine seconds.
 	paceFor = 10 * time.Second
 	// paceCheck is the age from which the report of a slow upstream is due to be
 	// asked for again, so that one which has recovered is used again.
 	paceCheck = 1500 * time.Millisecond
-	// slowPace is the pace from which on reports are kept up to date.
-	slowPace = 1.5
+	// watchPace is the pace from which on reports are kept up to date: above the
+	// usual 1, below SlowPace, chosen without a run.
+	watchPace = 1.5
+	// SlowPace is the pace from which on an engine counts as stalled and makes
+	// answers late: a batch in which a prompt is read takes longer there than
+	// the pauses that routes allow.
+	SlowPace = 3.0
 )
 
 // of gives the belief about an upstream.
@@ -176,17 +187,24 @@
 	b := t.of(id)
 	b.pace = max(pace, 1)
 	b.pacedAt, b.askedAt = now, now
+	if b.pace >= watchPace {
+		t.slow[id] = b
+	} else {
+		delete(t.slow, id)
+	}
 }
 
 // Due gives the slow upstreams whose report is old, each once in that time.
 func (t *Table) Due(now time.Time) []ids.Upstream {
 	var due []ids.Upstream
-	for id, b := range t.upstreams {
-		if b.pace < slowPace || now.Sub(b.pacedAt) >= paceFor || now.Sub(b.askedAt) < paceCheck {
-			continue
+	for id, b := range t.slow {
+		switch {
+		case now.Sub(b.pacedAt) >= paceFor:
+			delete(t.slow, id)
+		case now.Sub(b.askedAt) >= paceCheck:
+			b.askedAt = now
+			due = append(due, id)
 		}
-		b.askedAt = now
-		due = append(due, id)
 	}
 	return due
 }
@@ -210,4 +228,7 @@
 }
 
 // Forget drops the belief about an upstream that is gone.
-func (t *Table) Forget(id ids.Upstream) { delete(t.upstreams, id) }
+func (t *Table) Forget(id ids.Upstream) {
+	delete(t.upstreams, id)
+	delete(t.slow, id)
+}
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -21,7 +21,8 @@
 type Upstream struct {
 	ID      ids.Upstream
 	Service ids.Service
-	// Address is IP and port. It may go to another upstream later.
+	// Address is IP and port, never empty. It may go to another upstream once
+	// this one has ended.
 	Address string
 	Zone    ids.Zone
 	// Slots is how many requests it works on at once.
@@ -290,26 +291,24 @@
 // heartbeat.
 func (d *Directory) arrive(changes []Change, u *Upstream) []Change {
 	others := d.at[u.Address]
-	if u.Address == "" || len(others) == 0 {
-		d.at[u.Address] = append(others, u.ID)
-		d.note(u.ID)
-		return append(changes, Change{Seen, u})
-	}
-	now := d.byID[others[len(others)-1]]
-	if now.Revision >= u.Revision || slices.Contains(d.recent, u.ID) {
-		d.at[u.Address] = slices.Insert(others, 0, u.ID)
-		return changes
+	if len(others) > 0 {
+		there := d.byID[others[len(others)-1]]
+		if there.Revision >= u.Revision || slices.Contains(d.recent, u.ID) {
+			d.at[u.Address] = slices.Insert(others, 0, u.ID)
+			return changes
+		}
+		d.note(there.ID)
+		changes = append(changes, Change{Gone, there})
 	}
 	d.at[u.Address] = append(others, u.ID)
-	d.note(now.ID)
 	d.note(u.ID)
-	return append(changes, Change{Gone, now}, Change{Seen, u})
+	return append(changes, Change{Seen, u})
 }
 
 // present reports whether an entry is the one in force at its address.
 func (d *Directory) present(u *Upstream) bool {
 	there := d.at[u.Address]
-	return u.Address == "" || there[len(there)-1] == u.ID
+	return there[len(there)-1] == u.ID
 }
 
 // remove takes an entry out, or lets it stand for a while after an outage.
@@ -330,17 +329,16 @@
 	delete(d.byID, u.ID)
 	delete(d.missing, u.ID)
 	rest := slices.DeleteFunc(d.at[u.Address], func(id ids.Upstream) bool { return id == u.ID })
+	d.at[u.Address] = rest
 	if len(rest) == 0 {
 		delete(d.at, u.Address)
-	} else {
-		d.at[u.Address] = rest
 	}
 	if !present {
 		return changes
 	}
 	d.note(u.ID)
 	changes = append(changes, Change{Gone, u})
-	if u.Address == "" || len(rest) == 0 {
+	if len(rest) == 0 {
 		return changes
 	}
 	back := d.byID[rest[len(rest)-1]]
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -167,6 +167,26 @@
 	}
 }
 
+// follow has one directory take over what changed in another since a mark, checks
+// that both show the same, and gives the next mark.
+func follow(t *testing.T, from, to *Directory, mark uint64) uint64 {
+	t.Helper()
+	view := from.View()
+	changed, gone, ok := view.Since(mark)
+	if !ok {
+		t.Fatalf("changes since %d unknown at %d", mark, view.Mark)
+	}
+	var list []Upstream
+	for _, u := range changed {
+		list = append(list, *u)
+	}
+	to.Update(start, list, gone, view.Revision)
+	if diff := cmp.Diff(names(from), names(to)); diff != "" {
+		t.Fatalf("at mark %d: %s", view.Mark, diff)
+	}
+	return view.Mark
+}
+
 func TestFollowerOfChangesHasTheSameView(t *testing.T) {
 	from, to := New(), New()
 	mark := uint64(0)
@@ -180,20 +200,7 @@
 		if i%5 != 0 {
 			continue
 		}
-		view := from.View()
-		changed, gone, ok := view.Since(mark)
-		if !ok {
-			t.Fatalf("step %d: changes since %d unknown at %d", i, mark, view.Mark)
-		}
-		var list []Upstream
-		for _, u := range changed {
-			list = append(list, *u)
-		}
-		to.Update(start, list, gone, view.Revision)
-		mark = view.Mark
-		if diff := cmp.Diff(names(from), names(to)); diff != "" {
-			t.Fatalf("step %d: %s", i, diff)
-		}
+		mark = follow(t, from, to, mark)
 	}
 	if _, _, ok := from.View().Since(0); ok {
 		t.Error("changes are remembered without bound")
@@ -295,19 +302,6 @@
 			u.Address = fmt.Sprint("at", i*7%23%5)
 			from.Put(u)
 		}
-		view := from.View()
-		changed, gone, ok := view.Since(mark)
-		if !ok {
-			t.Fatalf("step %d: changes since %d unknown", i, mark)
-		}
-		var list []Upstream
-		for _, u := range changed {
-			list = append(list, *u)
-		}
-		to.Update(start, list, gone, view.Revision)
-		mark = view.Mark
-		if diff := cmp.Diff(names(from), names(to)); diff != "" {
-			t.Fatalf("step %d: %s", i, diff)
-		}
+		mark = follow(t, from, to, mark)
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/placement"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 	"mimosaarch.example/node/telemetry"
 )
@@ -102,7 +103,7 @@
 	keeper    *leader.Keeper
 	placer    *placer.Placer
 
-	verdicts chan forward.Verdict
+	verdicts chan quarantine.Verdict
 	// known is closed once the first configuration and directory are there.
 	known chan struct{}
 
@@ -113,7 +114,7 @@
 func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New()}
 	n.known = make(chan struct{})
-	n.verdicts = make(chan forward.Verdict, maxVerdicts)
+	n.verdicts = make(chan quarantine.Verdict, maxVerdicts)
 	n.news = newNotice()
 	n.watchers = newWatchers(settings, boottime.Now)
 	n.configs = &configs{log: log, news: n.news}
@@ -133,7 +134,7 @@
 		Verdict: n.judged,
 		Seed:    settings.Seed,
 	})
-	n.upstreams.seen, n.upstreams.gone, n.upstreams.reached = n.server.Seen, n.server.Gone, n.server.Reached
+	n.upstreams.gone, n.upstreams.reached = n.server.Gone, n.server.Reached
 	n.keeper = leader.New(leader.Options{
 		Lease: lease.Options{
 			Holder:     holder(settings),
--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -19,7 +19,7 @@
 func fleetOf(n int) []directory.Upstream {
 	var out []directory.Upstream
 	for i := range n {
-		out = append(out, directory.Upstream{ID: ids.Upstream(fmt.Sprintf("u-%04d", i)), Service: "s", Revision: int64(i + 1)})
+		out = append(out, directory.Upstream{ID: ids.Upstream(fmt.Sprintf("u-%04d", i)), Service: "s", Address: fmt.Sprint("at ", i), Revision: int64(i + 1)})
 	}
 	return out
 }
@@ -27,7 +27,7 @@
 // knowing makes the directory of a process that listed the upstreams.
 func knowing(holder string, list []directory.Upstream) *upstreams {
 	u := newUpstreams(holder, zerolog.Nop(), newNotice())
-	u.seen, u.gone = func(*directory.Upstream) {}, func(*directory.Upstream) {}
+	u.gone = func(*directory.Upstream) {}
 	u.reached = func() {}
 	if list != nil {
 		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: int64(len(list))})
@@ -115,7 +115,7 @@
 	if left := len(to.view.Load().All()); left != 3 {
 		t.Errorf("%d of 3 upstreams are left as the first peer is heard", left)
 	}
-	back := directory.Upstream{ID: "u-0001", Service: "s", Revision: 10}
+	back := directory.Upstream{ID: "u-0001", Service: "s", Address: "at 1", Revision: 10}
 	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: 10})
 	take(to, from)
 	to.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -128,7 +128,7 @@
 	store    listwatch.Source[T]
 	watchers *watchers
 	// have tells what the node has; changes turns a peer's news.
-	have    func(since int64) relay.Have
+	have    func() relay.Have
 	changes func(since int64, news relay.News) listwatch.Changes[T]
 	// contact is told when the store or a peer answered.
 	contact *contact
@@ -150,7 +150,7 @@
 
 // Watch implements listwatch.Source.
 func (s *shared[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
-	if news, ok := s.ask(ctx, s.have(since)); ok {
+	if news, ok := s.ask(ctx, s.have()); ok {
 		return s.changes(since, news), nil
 	}
 	changes, err := s.store.Watch(ctx, since, wait)
@@ -185,7 +185,7 @@
 		watchers: n.watchers,
 		contact:  &n.configs.contact,
 		took:     n.metrics.Took,
-		have: func(int64) relay.Have {
+		have: func() relay.Have {
 			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
 		changes: func(since int64, news relay.News) listwatch.Changes[routing.Config] {
@@ -205,7 +205,7 @@
 		watchers: n.watchers,
 		contact:  &n.upstreams.contact,
 		took:     n.metrics.Took,
-		have:     func(int64) relay.Have { return n.upstreams.have() },
+		have:     n.upstreams.have,
 		changes: func(since int64, news relay.News) listwatch.Changes[directory.Upstream] {
 			changes := listwatch.Changes[directory.Upstream]{Revision: max(since, news.Revision)}
 			if news.Revision > 0 {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -155,8 +155,8 @@
 	holder string
 	log    zerolog.Logger
 	news   *notice
-	// seen and gone are told of upstreams that came and went.
-	seen, gone func(*directory.Upstream)
+	// gone is told of upstreams that went.
+	gone func(*directory.Upstream)
 	// reached is told when the store is heard of again after it was lost.
 	reached func()
 	view    atomic.Pointer[directory.View]
@@ -230,19 +230,18 @@
 // tell adds to the news what an asker does not have.
 func (u *upstreams) tell(news *relay.News, have relay.Have) {
 	view := u.view.Load()
+	var changed []*directory.Upstream
 	if have.Base.Holder == u.holder {
-		if changed, gone, ok := view.Since(have.Base.Mark); ok {
-			if len(changed)+len(gone) > 0 || view.Revision > have.Revision {
-				news.Upstreams, news.Gone, news.Delta = values(changed), gone, true
-				news.Revision, news.Base = view.Revision, relay.Base{Holder: u.holder, Mark: view.Mark}
-			}
-			return
-		}
+		changed, news.Gone, news.Delta = view.Since(have.Base.Mark)
 	}
-	if view.Revision <= have.Revision {
+	if view.Revision <= have.Revision && len(changed)+len(news.Gone) == 0 {
 		return
 	}
 	news.Revision, news.Base = view.Revision, relay.Base{Holder: u.holder, Mark: view.Mark}
+	if news.Delta {
+		news.Upstreams = values(changed)
+		return
+	}
 	for _, one := range view.All() {
 		news.Present = append(news.Present, one.ID)
 		if one.Revision > have.Revision {
@@ -301,10 +300,7 @@
 		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", string(c.Upstream.ID)).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
 			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
-		switch c.Kind {
-		case directory.Seen:
-			u.seen(c.Upstream)
-		case directory.Gone:
+		if c.Kind == directory.Gone {
 			u.gone(c.Upstream)
 		}
 	}
--- a/node/entry/verdicts.go
+++ b/node/entry/verdicts.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"time"
 
-	"mimosaarch.example/adapter/forward"
 	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/decide/quarantine"
 )
 
 // maxVerdicts is the most verdicts that wait to be told; further ones are
@@ -13,7 +12,7 @@
 const maxVerdicts = 64
 
 // judged takes a verdict of the own server's, to be told to all other nodes.
-func (n *Node) judged(v forward.Verdict) {
+func (n *Node) judged(v quarantine.Verdict) {
 	select {
 	case n.verdicts <- v:
 	default:
@@ -22,9 +21,9 @@
 }
 
 // Judged implements relay.Source.
-func (n *Node) Judged(v relay.Verdict) {
-	n.log.Info().Str("event", "quarantine_heard").Str("fingerprint", string(v.Fingerprint)).Int64("for_ms", v.ForMs).Send()
-	n.server.Told(forward.Verdict{Fingerprint: v.Fingerprint, For: time.Duration(v.ForMs) * time.Millisecond})
+func (n *Node) Judged(v quarantine.Verdict) {
+	n.log.Info().Str("event", "quarantine_heard").Str("fingerprint", string(v.Fingerprint)).Dur("for_ms", v.For).Send()
+	n.server.Told(v)
 }
 
 // tellVerdicts tells the other nodes of verdicts until ctx ends. One that does
@@ -35,9 +34,8 @@
 		case <-ctx.Done():
 			return
 		case v := <-n.verdicts:
-			told := relay.Verdict{Fingerprint: v.Fingerprint, ForMs: v.For.Milliseconds()}
 			for _, m := range n.watchers.others() {
-				if err := relay.Tell(ctx, m.Peer, told); err != nil {
+				if err := relay.Tell(ctx, m.Peer, v); err != nil {
 					n.log.Debug().Str("event", "peer_silent").Err(err).Send()
 				}
 			}
--- a/node/entry/verdicts_test.go
+++ b/node/entry/verdicts_test.go
@@ -8,28 +8,28 @@
 
 	"github.com/rs/zerolog"
 
-	"mimosaarch.example/adapter/forward"
 	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/node/telemetry"
 )
 
 // listener is a node that notes verdicts.
-type listener struct{ heard chan relay.Verdict }
+type listener struct{ heard chan quarantine.Verdict }
 
 func (listener) News(context.Context, relay.Have) relay.News { return relay.News{} }
 
-func (l listener) Judged(v relay.Verdict) { l.heard <- v }
+func (l listener) Judged(v quarantine.Verdict) { l.heard <- v }
 
 func TestVerdictsReachAllOtherNodes(t *testing.T) {
 	settings := Settings{VM: "a-00", Zone: "a"}
 	n := &Node{
 		log: zerolog.Nop(), metrics: telemetry.New(), watchers: newWatchers(settings, time.Now),
-		verdicts: make(chan forward.Verdict, maxVerdicts),
+		verdicts: make(chan quarantine.Verdict, maxVerdicts),
 	}
 	members := append(zone("a", 3), zone("b", 2)...)
 	// The own node has nobody at its address, and one other is gone.
 	members[0].Peer, members[1].Peer = "127.0.0.1:1", "127.0.0.1:1"
-	heard := make(chan relay.Verdict, len(members))
+	heard := make(chan quarantine.Verdict, len(members))
 	for i := 2; i < len(members); i++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -40,19 +40,19 @@
 		go func() { _ = relay.Serve(t.Context(), l, listener{heard}) }()
 	}
 	n.watchers.set(members)
-	n.judged(forward.Verdict{Fingerprint: "f", For: time.Minute})
+	n.judged(quarantine.Verdict{Fingerprint: "f", For: time.Minute})
 	go n.tellVerdicts(t.Context())
 	for range 3 {
-		if v := <-heard; v.Fingerprint != "f" || v.ForMs != time.Minute.Milliseconds() {
+		if v := <-heard; v.Fingerprint != "f" || v.For != time.Minute {
 			t.Errorf("heard %+v", v)
 		}
 	}
 }
 
 func TestVerdictsWithoutRoomAreCounted(t *testing.T) {
-	n := &Node{metrics: telemetry.New(), verdicts: make(chan forward.Verdict, 1)}
-	n.judged(forward.Verdict{})
-	n.judged(forward.Verdict{})
+	n := &Node{metrics: telemetry.New(), verdicts: make(chan quarantine.Verdict, 1)}
+	n.judged(quarantine.Verdict{})
+	n.judged(quarantine.Verdict{})
 	if n.metrics.Registry().Get("verdicts.dropped") == nil {
 		t.Error("a dropped verdict is not counted")
 	}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -90,9 +90,11 @@
 func (t *Telemetry) Failure(kind string) { t.count(ErrorPrefix + kind) }
 
 // Took notes how long a duty's step took.
-func (t *Telemetry) Took(name string, d time.Duration) {
-	timer := metrics.GetOrRegisterTimer(name, t.registry)
-	timer.Update(d)
+func (t *Telemetry) Took(name string, d time.Duration) { t.Timer(name)(d) }
+
+// Timer gives Took for one name, which is looked up once.
+func (t *Telemetry) Timer(name string) func(d time.Duration) {
+	return metrics.GetOrRegisterTimer(name, t.registry).Update
 }
 
 // Add adds to a counter.
