--- a/adapter/forward/culprits.go
+++ b/adapter/forward/culprits.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 type run struct {
 	print     quarantine.Fingerprint
 	service   ids.Service
-	upstreams []ids.Upstream
+	upstreams []ids.Life
 	// lostAt is when its connection was lost, zero before.
 	lostAt time.Time
 	// blamed tells that a death was laid to it. One attempt stands for one
@@ -46,8 +47,8 @@
 	mu       sync.Mutex
 	blamers  map[ids.Service]*quarantine.Blamer
 	lost     []*run
-	lostAt   map[ids.Upstream][]*run
-	deadAt   map[ids.Upstream]time.Time
+	lostAt   map[ids.Life][]*run
+	deadAt   map[ids.Life]time.Time
 	verdicts map[quarantine.Fingerprint]held
 }
 
@@ -63,8 +64,8 @@
 	return &culprits{
 		opts:     o,
 		blamers:  make(map[ids.Service]*quarantine.Blamer),
-		lostAt:   make(map[ids.Upstream][]*run),
-		deadAt:   make(map[ids.Upstream]time.Time),
+		lostAt:   make(map[ids.Life][]*run),
+		deadAt:   make(map[ids.Life]time.Time),
 		verdicts: make(map[quarantine.Fingerprint]held),
 	}
 }
@@ -133,7 +134,7 @@
 }
 
 // charge lays a death to the runs that were lost there.
-func (c *culprits) charge(now time.Time, id ids.Upstream, service ids.Service) {
+func (c *culprits) charge(now time.Time, id ids.Life, service ids.Service) {
 	var prints []quarantine.Fingerprint
 	for _, r := range c.lostAt[id] {
 		if !r.blamed && r.service == service {
@@ -143,7 +144,7 @@
 	}
 	// Deaths that nothing is blamed for count as well: they speak for a cause
 	// outside.
-	c.blamer(service).Died(now, id, "", prints)
+	c.blamer(service).Died(now, id.Upstream, strconv.FormatInt(id.Born, 10), prints)
 }
 
 // served notes that a request was answered whole.
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -56,7 +56,7 @@
 	// sends counts sends that reached an upstream, or may have; ran are the
 	// upstreams of those that are not proved not to have run.
 	sends int
-	ran   map[ids.Upstream]bool
+	ran   map[ids.Life]bool
 	// written tells that part of the answer is with the caller; events counts
 	// those of a stream, the first of which came after first.
 	written bool
@@ -197,7 +197,7 @@
 
 // lost notes that the request was running at these upstreams when their
 // connection broke.
-func (x *exchange) lost(upstreams ...ids.Upstream) {
+func (x *exchange) lost(upstreams ...ids.Life) {
 	x.server.culprits.runLost(&run{print: x.print, service: x.service, upstreams: upstreams})
 }
 
@@ -313,7 +313,7 @@
 	}
 	x.server.opts.Metrics.Took("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
-		Str("upstream", string(u.ID)).Int64("config", x.version).Int("sends", x.sends).Int("events", x.events).
+		Str("upstream", u.ID.String()).Int64("config", x.version).Int("sends", x.sends).Int("events", x.events).
 		Dur("first_ms", x.first).Dur("took_ms", took).Send()
 }
 
@@ -328,7 +328,7 @@
 	h := &x.server.opts.Headers
 	out := append([]byte(nil), x.head...)
 	out = appendHeader(out, h.DeadlineMs, strconv.FormatInt(max(x.leftMs(), 1), 10))
-	out = appendHeader(out, h.ExpectUpstream, string(u.ID))
+	out = appendHeader(out, h.ExpectUpstream, string(u.ID.Upstream))
 	if extra != nil {
 		out = extra(out)
 	}
@@ -350,23 +350,21 @@
 // noteRun notes an upstream on which the request may have run. None is taken
 // back for not answering: it may be cut off from this node alone, or refuse
 // connections since it has too many.
-func (x *exchange) noteRun(id ids.Upstream) {
+func (x *exchange) noteRun(id ids.Life) {
 	if x.ran == nil {
-		x.ran = make(map[ids.Upstream]bool)
+		x.ran = make(map[ids.Life]bool)
 	}
 	x.ran[id] = true
 }
 
 // bound gives the upstreams to which further sends are bound, nil for none: those
-// on which the request ran, with also if it is not empty, once they are as many
+// on which the request ran, with those it may run on next, once they are as many
 // as its route allows.
-func (x *exchange) bound(also ids.Upstream) map[ids.Upstream]bool {
-	ran := maps.Clone(x.ran)
-	if also != "" {
-		if ran == nil {
-			ran = make(map[ids.Upstream]bool)
-		}
-		ran[also] = true
+func (x *exchange) bound(also ...ids.Life) map[ids.Life]bool {
+	ran := make(map[ids.Life]bool, len(x.ran)+len(also))
+	maps.Copy(ran, x.ran)
+	for _, id := range also {
+		ran[id] = true
 	}
 	if len(ran) < x.route.Attempts() {
 		return nil
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	f := &fake{listener: l, gone: make(chan struct{}, 16)}
-	f.Upstream = directory.Upstream{ID: ids.Upstream(id), Service: ids.Service(service), Address: l.Addr().String(), Zone: "z", Slots: 4, Revision: 1}
+	f.Upstream = directory.Upstream{ID: ids.Life{Upstream: ids.Upstream(id)}, Service: ids.Service(service), Address: l.Addr().String(), Zone: "z", Slots: 4, Revision: 1}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -139,9 +139,11 @@
 
 // calls are the engines' own calls.
 type calls struct {
-	mu       sync.Mutex
-	dead     map[ids.Upstream]bool
-	refused  map[ids.Upstream]bool
+	mu   sync.Mutex
+	dead map[ids.Life]bool
+	// born are the starts that upstreams report.
+	born     map[ids.Upstream]int64
+	refused  map[ids.Life]bool
 	rerouted []string
 	refuse   error
 	onRoute  func()
@@ -157,7 +159,7 @@
 	if c.dead[u.ID] {
 		return layered.Report{}, &GoneError{Cause: context.DeadlineExceeded}
 	}
-	return layered.Report{Pace: 1, KVTotal: 100}, nil
+	return layered.Report{Born: c.born[u.ID.Upstream], Pace: 1, KVTotal: 100}, nil
 }
 
 // Reroute implements Engines.
@@ -260,7 +262,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{counts: &counts{n: make(map[string]int64)}, calls: &calls{dead: make(map[ids.Upstream]bool), refused: make(map[ids.Upstream]bool)}, dir: directory.New(), known: make(chan struct{})}
+	r := &rig{counts: &counts{n: make(map[string]int64)}, calls: &calls{dead: make(map[ids.Life]bool), refused: make(map[ids.Life]bool)}, dir: directory.New(), known: make(chan struct{})}
 	r.table.Store(table)
 	for _, f := range fakes {
 		r.dir.Put(f.Upstream)
@@ -274,6 +276,11 @@
 			defer r.mu.Unlock()
 			return r.dir.View()
 		},
+		Restarted: func(life ids.Life) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.dir.Restarted(life)
+		},
 	})
 	r.SetNodes(1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -99,6 +99,9 @@
 	// Verdict is told of requests that were found to crash upstreams, so that
 	// other nodes hear of them; it must not wait. Any goroutine calls it.
 	Verdict func(quarantine.Verdict)
+	// Restarted is told of a process that says it began later than the life
+	// that the directory knows. Any goroutine calls it.
+	Restarted func(ids.Life)
 	// Seed starts the random draws among equals.
 	Seed uint64
 }
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -113,7 +113,7 @@
 }
 
 // due gives the slow upstreams whose report should be asked for again.
-func (p *picker) due() []ids.Upstream {
+func (p *picker) due() []ids.Life {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.conditions.Due(p.opts.Now())
@@ -181,7 +181,7 @@
 
 // replica chooses the upstream of a plain request and counts it there; nil if
 // none may take it.
-func (p *picker) replica(list []*directory.Upstream, avoid map[ids.Upstream]bool, draw float64) *directory.Upstream {
+func (p *picker) replica(list []*directory.Upstream, avoid map[ids.Life]bool, draw float64) *directory.Upstream {
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -194,7 +194,7 @@
 }
 
 // replicaEnded takes a request off its upstream.
-func (p *picker) replicaEnded(id ids.Upstream, took time.Duration, failed bool) {
+func (p *picker) replicaEnded(id ids.Life, took time.Duration, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.replicas.Ended(p.opts.Now(), id, took, failed)
@@ -213,7 +213,7 @@
 	}
 	if news {
 		p.opts.Metrics.Add("upstream.suspected", 1)
-		p.opts.Log.Info().Str("event", "upstream_suspected").Str("upstream", string(u.ID)).
+		p.opts.Log.Info().Str("event", "upstream_suspected").Str("upstream", u.ID.String()).
 			Str("address", u.Address).Str("reason", string(reason)).Send()
 	}
 }
@@ -224,7 +224,7 @@
 	news := p.conditions.Answered(u.ID, u.Zone)
 	p.mu.Unlock()
 	if news {
-		p.opts.Log.Info().Str("event", "upstream_back").Str("upstream", string(u.ID)).Str("address", u.Address).Send()
+		p.opts.Log.Info().Str("event", "upstream_back").Str("upstream", u.ID.String()).Str("address", u.Address).Send()
 	}
 }
 
@@ -271,11 +271,11 @@
 	p.conditions.Refused(p.opts.Now(), u.ID)
 	p.mu.Unlock()
 	p.opts.Metrics.Add("upstream.refusing", 1)
-	p.opts.Log.Info().Str("event", "upstream_refusing").Str("upstream", string(u.ID)).Str("address", u.Address).Send()
+	p.opts.Log.Info().Str("event", "upstream_refusing").Str("upstream", u.ID.String()).Str("address", u.Address).Send()
 }
 
 // forget drops what is known of an upstream that is gone.
-func (p *picker) forget(id ids.Upstream) {
+func (p *picker) forget(id ids.Life) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conditions.Forget(id)
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -30,7 +30,7 @@
 
 // plain serves a request whose answer is passed on in one piece.
 func (x *exchange) plain(ctx context.Context) {
-	avoid := make(map[ids.Upstream]bool)
+	avoid := make(map[ids.Life]bool)
 	for refusals := 0; ; {
 		u := x.server.picks.replica(x.server.opts.View().Of(x.service), avoid, x.draw())
 		if u == nil {
@@ -107,7 +107,7 @@
 // sendPlain sends the request to one upstream and reads the whole answer.
 func (x *exchange) sendPlain(ctx context.Context, u *directory.Upstream, first bool) (*upconn.Answer, []byte, *failure) {
 	start := x.server.opts.Now()
-	x.log("sent").Str("upstream", string(u.ID)).Str("address", u.Address).Str("route", x.route.Name).
+	x.log("sent").Str("upstream", u.ID.String()).Str("address", u.Address).Str("route", x.route.Name).
 		Int64("directory", x.server.opts.View().Revision).Send()
 	priority := func(out []byte) []byte {
 		return appendHeader(out, x.server.opts.Headers.Priority, strconv.Itoa(level(x.route.PriorityOf(x.account))))
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -31,7 +31,7 @@
 	picks *picker
 
 	mu     sync.Mutex
-	latest map[ids.Upstream]*probe
+	latest map[ids.Life]*probe
 }
 
 // probe is one question to an engine.
@@ -46,7 +46,7 @@
 
 // newProber makes a prober.
 func newProber(o Options, picks *picker) *prober {
-	return &prober{opts: o, picks: picks, latest: make(map[ids.Upstream]*probe)}
+	return &prober{opts: o, picks: picks, latest: make(map[ids.Life]*probe)}
 }
 
 // refresh asks slow engines again whose reports are old, so that requests need
@@ -79,10 +79,12 @@
 }
 
 // judge finds out why an engine is at fault for a refusal. One that answers is
-// full, or no longer holds what the directory says.
+// full, or no longer holds what the directory says; one that is another than
+// expected may have started again, which its report tells.
 func (p *prober) judge(ctx context.Context, u *directory.Upstream, reason outcome.Reason) {
 	if reason != outcome.UpstreamBusy {
 		p.picks.failed(u, reason)
+		p.one(ctx, u)
 		return
 	}
 	probe := p.one(ctx, u)
@@ -127,6 +129,10 @@
 	defer done()
 	p.opts.Metrics.Add("upstream.probes", 1)
 	report, err := p.opts.Engines.Probe(limit, u)
+	if now := report.Life(u.ID); err == nil && now != u.ID {
+		err = &directory.RestartedError{Known: u.ID, Now: now}
+		p.opts.Restarted(now)
+	}
 	if err != nil && p.opts.Now().Sub(out.at) > probeTimeout+probeSlack {
 		// The node itself stood still; that says nothing about the engine.
 		return
@@ -141,6 +147,6 @@
 	p.picks.answered(u)
 	p.picks.paced(u, report.Pace)
 	if report.Pace >= condition.SlowPace {
-		p.opts.Log.Info().Str("event", "upstream_slow").Str("upstream", string(u.ID)).Float64("pace", report.Pace).Send()
+		p.opts.Log.Info().Str("event", "upstream_slow").Str("upstream", u.ID.String()).Float64("pace", report.Pace).Send()
 	}
 }
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -174,5 +174,5 @@
 
 // target names an upstream for the pool.
 func target(u *directory.Upstream) upconn.Target {
-	return upconn.Target{ID: ids.Upstream(u.ID), Address: u.Address}
+	return upconn.Target{ID: ids.Life(u.ID), Address: u.Address}
 }
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -24,7 +24,7 @@
 	seq   sequence
 	// shunned are engines that broke off though they live; they are taken
 	// again only if no chain is left without them.
-	shunned map[ids.Upstream]bool
+	shunned map[ids.Life]bool
 	// last is when the latest event came.
 	last time.Time
 	// gap is the mean pause between events.
@@ -34,8 +34,8 @@
 
 // stream serves a request that is answered by events.
 func (x *exchange) stream(ctx context.Context, table *routing.Table) {
-	s := &stream{x: x, gap: x.route.PauseObjective / firstGapParts, shunned: make(map[ids.Upstream]bool)}
-	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Upstream]bool)}
+	s := &stream{x: x, gap: x.route.PauseObjective / firstGapParts, shunned: make(map[ids.Life]bool)}
+	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Life]bool)}
 	if service := table.Service(x.service); service != nil {
 		s.model = service.Model
 	}
@@ -91,7 +91,7 @@
 		return failed
 	}
 	first := c[0].Engine
-	x.log("chain").Str("chain", c.String()).Str("upstream", string(first.ID)).Str("route", x.route.Name).
+	x.log("chain").Str("chain", c.String()).Str("upstream", first.ID.String()).Str("route", x.route.Name).
 		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
 	w := &streamWait{s: s, ctx: ctx, chain: c, begun: s.x.written}
 	defer s.uncount(w)
@@ -132,7 +132,7 @@
 	}
 	view := x.server.opts.View()
 	x.server.probe.refresh(ctx, view)
-	s.req.FirstOf = x.bound("")
+	s.req.FirstOf = x.bound()
 	careful := s.req
 	careful.Avoid = maps.Clone(s.req.Avoid)
 	maps.Copy(careful.Avoid, s.shunned)
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -183,7 +183,7 @@
 	twin := stageFake(t, "c", 5, 10, whole(2))
 	twin.Zone = "far"
 	r := newRig(t, first, second, twin)
-	r.calls.dead["b"] = true
+	r.calls.dead[life("b")] = true
 	r.calls.onRoute = func() {
 		if !released.Swap(true) {
 			close(go1)
@@ -216,7 +216,7 @@
 	other := stageFake(t, "b", 0, 10, whole(4))
 	other.Zone = "far"
 	r := newRig(t, dead, other)
-	r.calls.dead["a"] = true
+	r.calls.dead[life("a")] = true
 	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
 	if !complete {
 		t.Error("not whole")
@@ -231,7 +231,7 @@
 		return eventsFrom(conn, req, 1, 2, true)
 	})
 	r := newRig(t, slow)
-	r.calls.dead["a"] = true
+	r.calls.dead[life("a")] = true
 	c := r.dial(t)
 	c.send("POST", "/stream/x", "r1", "p")
 	eventually(t, "the engine is asked", func() bool { return r.counts.get("upstream.probes") > 1 })
@@ -304,7 +304,7 @@
 	b.Zone, c.Zone = "far", "far"
 	r := newRig(t, a, b, c)
 	// The engine is asked over a connection of its own, and refuses that.
-	r.calls.refused["a"] = true
+	r.calls.refused[life("a")] = true
 	if _, complete := r.ask(t, "POST", "/stream/x", "r1", "p"); complete {
 		t.Error("whole, though each broke off")
 	}
@@ -354,7 +354,7 @@
 
 func TestSlowEnginesAreAskedAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
-	engines := &calls{dead: make(map[ids.Upstream]bool), refused: make(map[ids.Upstream]bool)}
+	engines := &calls{dead: make(map[ids.Life]bool), refused: make(map[ids.Life]bool)}
 	o := Options{
 		Engines: engines, Log: zerolog.Nop(), Metrics: &counts{n: make(map[string]int64)},
 		Now: func() time.Time { return now },
@@ -362,23 +362,23 @@
 	picks := newPicker(o, newCulprits(o))
 	probe := newProber(o, picks)
 	d := directory.New()
-	for _, id := range []ids.Upstream{"slow", "usual"} {
-		d.Put(directory.Upstream{ID: id, Service: "model", Address: string(id), Revision: 1})
+	for _, id := range []ids.Life{life("slow"), life("usual")} {
+		d.Put(directory.Upstream{ID: id, Service: "model", Address: string(id.Upstream), Revision: 1})
 	}
 	view := d.View()
-	picks.paced(view.Get("slow"), 12)
-	picks.paced(view.Get("usual"), 1)
+	picks.paced(view.Get(life("slow")), 12)
+	picks.paced(view.Get(life("usual")), 1)
 	probe.refresh(t.Context(), view)
 	if len(probe.latest) != 0 {
 		t.Fatal("asked again at once")
 	}
 	now = now.Add(2 * time.Second)
 	probe.refresh(t.Context(), view)
-	if len(probe.latest) != 1 || probe.latest["slow"] == nil {
+	if len(probe.latest) != 1 || probe.latest[life("slow")] == nil {
 		t.Fatalf("asked %d engines", len(probe.latest))
 	}
-	<-probe.latest["slow"].done
-	if pace := picks.conditions.Pace(now, "slow"); pace != 1 {
+	<-probe.latest[life("slow")].done
+	if pace := picks.conditions.Pace(now, life("slow")); pace != 1 {
 		t.Errorf("one that has recovered counts as slow by %v", pace)
 	}
 }
--- a/adapter/listwatch/listwatch.go
+++ b/adapter/listwatch/listwatch.go
@@ -27,14 +27,20 @@
 
 // List is a whole collection as of Revision.
 type List[T any] struct {
-	Items    []T
-	Revision int64
+	Items []T
+	// Malformed names the objects that are there but cannot be read.
+	Malformed []Removal
+	Revision  int64
 }
 
-// Removal tells that the object of a name was removed at Revision.
+// Removal tells that the object of a name was removed at Revision, or can no
+// longer be read since then.
 type Removal struct {
 	Name     string
 	Revision int64
+	// Malformed tells why an object that is still there cannot be read, nil for
+	// one that was removed.
+	Malformed error
 }
 
 // Event is one change: Put is set, or else Removed is.
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -80,6 +80,9 @@
 	Log    zerolog.Logger
 	// Count adds to a counter.
 	Count func(name string, n int64)
+	// Restarted is told of an engine that says it began later than the life that
+	// the directory knows. Any goroutine calls it.
+	Restarted func(ids.Life)
 }
 
 // Times of the duty.
@@ -117,10 +120,10 @@
 
 	mu sync.Mutex
 	// under is what engines were told and have not shown yet.
-	under map[ids.Upstream]pending
+	under map[ids.Life]pending
 	// known are the engines of each service at the last look; grownAt is when
 	// one was new.
-	known   map[ids.Service]map[ids.Upstream]bool
+	known   map[ids.Service]map[ids.Life]bool
 	grownAt time.Time
 	// holeSince tells since when zones lack layers. Run's alone.
 	holeSince map[zoneOf]time.Time
@@ -147,8 +150,8 @@
 func New(o Options) *Placer {
 	return &Placer{
 		opts:      o,
-		under:     make(map[ids.Upstream]pending),
-		known:     make(map[ids.Service]map[ids.Upstream]bool),
+		under:     make(map[ids.Life]pending),
+		known:     make(map[ids.Service]map[ids.Life]bool),
 		holeSince: make(map[zoneOf]time.Time),
 		rest:      make(map[ids.Service]question),
 	}
@@ -239,7 +242,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait := settleFirst
-	known := make(map[ids.Upstream]bool, len(engines))
+	known := make(map[ids.Life]bool, len(engines))
 	for _, u := range engines {
 		known[u.ID] = true
 		if !p.known[service][u.ID] {
@@ -279,14 +282,14 @@
 // send gives one order in a goroutine of its own.
 func (p *Placer) send(ctx context.Context, m *layered.Model, u *directory.Upstream, layers layered.Range) {
 	if !m.Fits(m.Cards[u.Card], layers.Len()) {
-		p.opts.Log.Error().Str("event", "order_too_large").Str("upstream", string(u.ID)).Str("layers", layers.String()).Send()
+		p.opts.Log.Error().Str("event", "order_too_large").Str("upstream", u.ID.String()).Str("layers", layers.String()).Send()
 		return
 	}
 	p.set(u.ID, pending{layers: layers, sending: true})
 	p.calls.Go(func() {
 		result, err := p.give(ctx, u, layers)
 		p.opts.Count("orders."+string(result), 1)
-		p.opts.Log.Info().Str("event", "order").Str("upstream", string(u.ID)).Str("address", u.Address).
+		p.opts.Log.Info().Str("event", "order").Str("upstream", u.ID.String()).Str("address", u.Address).
 			Str("layers", layers.String()).Str("held", u.Layers.String()).
 			Int64("entry_revision", u.Revision).Str("result", string(result)).AnErr("error", err).Send()
 		wait := unfitPause
@@ -302,7 +305,7 @@
 }
 
 // set notes an order.
-func (p *Placer) set(id ids.Upstream, o pending) {
+func (p *Placer) set(id ids.Life, o pending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.under[id] = o
@@ -323,6 +326,10 @@
 	if err != nil {
 		return Unfit, err
 	}
+	if now := report.Life(u.ID); now != u.ID {
+		p.opts.Restarted(now)
+		return Unfit, &directory.RestartedError{Known: u.ID, Now: now}
+	}
 	if report.Busy {
 		return Unfit, nil
 	}
--- a/adapter/placer/placer_test.go
+++ b/adapter/placer/placer_test.go
@@ -26,39 +26,51 @@
 	dir    *directory.Directory
 	rev    int64
 	orders []string
-	busy   map[ids.Upstream]bool
+	busy   map[ids.Life]bool
 	result Result
 	status lease.Status
 	lapsed lease.Status
 	downs  int
 	// hangs makes reports fail.
 	hangs bool
+	// born are the starts that engines report.
+	born map[ids.Upstream]int64
 }
 
 func newFleet() *fleet {
 	return &fleet{
-		dir: directory.New(), busy: make(map[ids.Upstream]bool), result: Begun,
+		dir: directory.New(), busy: make(map[ids.Life]bool), result: Begun,
 		status: lease.Status{Held: true, Left: time.Hour, Fence: 9},
 	}
 }
 
 // engine adds an engine or changes what it holds.
-func (f *fleet) engine(id string, from, to int) {
+func (f *fleet) engine(id string, from, to int) { f.life(id, 0, from, to) }
+
+// life is engine for a process whose start is told.
+func (f *fleet) life(id string, born int64, from, to int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rev++
 	f.dir.Put(directory.Upstream{
-		ID: ids.Upstream(id), Service: "s", Address: id, Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+		ID: ids.Life{Upstream: ids.Upstream(id), Born: born}, Service: "s", Address: id, Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
 	})
 }
 
-func (f *fleet) Probe(context.Context, *directory.Upstream) (layered.Report, error) {
+// restarted takes what an engine says of its start.
+func (f *fleet) restarted(life ids.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dir.Restarted(life)
+}
+
+func (f *fleet) Probe(_ context.Context, u *directory.Upstream) (layered.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.hangs {
 		return layered.Report{}, &LeaseError{}
 	}
-	return layered.Report{Orders: 4}, nil
+	return layered.Report{Born: f.born[u.ID.Upstream], Orders: 4}, nil
 }
 
 func (f *fleet) Place(_ context.Context, u *directory.Upstream, o Order) (Result, error) {
@@ -117,7 +129,7 @@
 				return f.dir.View()
 			},
 			Engines: f, Lease: f, Fenced: fenced, Now: time.Now, Log: zerolog.Nop(),
-			Count: func(string, int64) {},
+			Count: func(string, int64) {}, Restarted: f.restarted,
 		})
 		go p.Run(ctx)
 		story()
@@ -224,7 +236,7 @@
 	q := func(to int, move bool) question {
 		return question{
 			model: m, move: map[ids.Zone]bool{"z": move},
-			state: []placement.Engine{{ID: "e", Holds: layered.Range{To: to}}},
+			state: []placement.Engine{{ID: ids.Life{Upstream: "e"}, Holds: layered.Range{To: to}}},
 		}
 	}
 	p := New(Options{})
--- a/adapter/upconn/upconn_test.go
+++ b/adapter/upconn/upconn_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"mimosaarch.example/core/ids"
 )
 
 // serve answers the connections of a listener, one after the other, with bytes.
@@ -26,7 +28,7 @@
 			answer(conn)
 		}
 	}()
-	return Target{ID: "u", Address: l.Addr().String()}
+	return Target{ID: ids.Life{Upstream: "u"}, Address: l.Addr().String()}
 }
 
 // text writes bytes and closes the connection.
@@ -130,7 +132,7 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	_, err = NewPool(time.Now, nil).Get(t.Context(), Target{ID: "u", Address: address})
+	_, err = NewPool(time.Now, nil).Get(t.Context(), Target{ID: ids.Life{Upstream: "u"}, Address: address})
 	var dialed *DialError
 	if !errors.As(err, &dialed) || !dialed.Refused {
 		t.Errorf("error %v", err)
@@ -167,7 +169,7 @@
 	}
 	third := connect(t, p, target, forever)
 	p.Put(third, 0)
-	p.Forget("u")
+	p.Forget(life("u"))
 	if c := p.Kept(target); c != nil {
 		t.Error("a forgotten upstream's connection is given")
 	}
@@ -181,7 +183,7 @@
 	p := NewPool(func() time.Time { return now }, nil)
 	hold := func(net.Conn) {}
 	a, b := serve(t, hold), serve(t, hold)
-	a.ID, b.ID = "a", "b"
+	a.ID, b.ID = life("a"), life("b")
 	p.Put(connect(t, p, a, forever), 0)
 	now = now.Add(defaultIdle + time.Second)
 	p.Put(connect(t, p, b, forever), 0)
@@ -199,3 +201,6 @@
 		}
 	}
 }
+
+// life is the one life of an upstream whose start is not told.
+func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -3,7 +3,11 @@
 // of layers that engines hold.
 package layered
 
-import "fmt"
+import (
+	"fmt"
+
+	"mimosaarch.example/core/ids"
+)
 
 // Range is the layers From up to, not including, To. The zero Range is empty.
 type Range struct {
@@ -105,8 +109,19 @@
 	return tokens / m.ReadPerMs * card.ReadFactor * m.share(layers)
 }
 
+// Life gives the life that a report speaks for: the one known, or a later one if
+// its sender has started again.
+func (r Report) Life(known ids.Life) ids.Life {
+	if known.Born == 0 {
+		return known
+	}
+	return ids.Life{Upstream: known.Upstream, Born: max(known.Born, r.Born)}
+}
+
 // Report is what an engine reports of itself, some hundred ms old.
 type Report struct {
+	// Born is the Unix time of its start in ms, 0 where it does not tell.
+	Born int64
 	// Pace over 1 means that it takes so many times as long as usual.
 	Pace float64
 	// Active and Queued count its requests.
--- a/decide/chain/book.go
+++ b/decide/chain/book.go
@@ -11,7 +11,7 @@
 // Book is this node's knowledge of the engines. Make it with New.
 type Book struct {
 	conditions *condition.Table
-	engines    map[ids.Upstream]*state
+	engines    map[ids.Life]*state
 	// fleet is by how much the own load is multiplied to guess everybody's.
 	fleet float64
 }
@@ -65,21 +65,21 @@
 
 // New makes a Book that shares beliefs with others.
 func New(conditions *condition.Table) *Book {
-	return &Book{conditions: conditions, engines: make(map[ids.Upstream]*state), fleet: 1}
+	return &Book{conditions: conditions, engines: make(map[ids.Life]*state), fleet: 1}
 }
 
 // SetFleet tells how many nodes share the engines.
 func (b *Book) SetFleet(nodes int) { b.fleet = float64(max(nodes, 1)) }
 
 // Forget drops what is known of an engine that is gone.
-func (b *Book) Forget(id ids.Upstream) {
+func (b *Book) Forget(id ids.Life) {
 	if s := b.engines[id]; s != nil && s.now.streams <= 0 {
 		delete(b.engines, id)
 	}
 }
 
 // of gives the state of an engine.
-func (b *Book) of(id ids.Upstream) *state {
+func (b *Book) of(id ids.Life) *state {
 	s := b.engines[id]
 	if s == nil {
 		s = &state{}
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -30,8 +30,8 @@
 type Chain []Hop
 
 // Engines names the engines in order.
-func (c Chain) Engines() []ids.Upstream {
-	out := make([]ids.Upstream, len(c))
+func (c Chain) Engines() []ids.Life {
+	out := make([]ids.Life, len(c))
 	for i, h := range c {
 		out[i] = h.Engine.ID
 	}
@@ -51,7 +51,7 @@
 }
 
 // Has reports whether an engine is part of the chain.
-func (c Chain) Has(id ids.Upstream) bool {
+func (c Chain) Has(id ids.Life) bool {
 	return slices.ContainsFunc(c, func(h Hop) bool { return h.Engine.ID == id })
 }
 
--- a/decide/chain/chain_test.go
+++ b/decide/chain/chain_test.go
@@ -28,7 +28,7 @@
 
 func engine(id, zone, card string, from, to int) directory.Upstream {
 	return directory.Upstream{
-		ID: ids.Upstream(id), Service: "s", Address: id, Zone: ids.Zone(zone), Card: card,
+		ID: ids.Life{Upstream: ids.Upstream(id)}, Service: "s", Address: id, Zone: ids.Zone(zone), Card: card,
 		Layers: layered.Range{From: from, To: to}, Revision: 1,
 	}
 }
@@ -116,7 +116,7 @@
 		}
 		again := request
 		again.First = &c[0]
-		again.Avoid = map[ids.Upstream]bool{c[len(c)-1].Engine.ID: true}
+		again.Avoid = map[ids.Life]bool{c[len(c)-1].Engine.ID: true}
 		if other, err := b.Choose(start, model(), v, again); err == nil {
 			if err := Check(other, 80); err != nil {
 				t.Fatalf("seed %d, around %s: %v", seed, c, err)
@@ -182,12 +182,12 @@
 	conditions := condition.New()
 	b := New(conditions)
 	v := view(engine("a", "z1", "fast", 0, 80), engine("b", "z1", "fast", 0, 80))
-	conditions.Paced(start, "a", 5)
+	conditions.Paced(start, life("a"), 5)
 	if got := choose(t, b, v, request); got != "b=0-80" {
 		t.Errorf("with a slow: %s", got)
 	}
-	conditions.Paced(start, "a", 1)
-	conditions.Full(start, "a")
+	conditions.Paced(start, life("a"), 1)
+	conditions.Full(start, life("a"))
 	if got := choose(t, b, v, request); got != "b=0-80" {
 		t.Errorf("with a full: %s", got)
 	}
@@ -196,11 +196,11 @@
 func TestFirstStageMayBeBound(t *testing.T) {
 	v := view(engine("a", "z1", "slow", 0, 40), engine("b", "z1", "fast", 0, 40), engine("c", "z1", "fast", 40, 80))
 	bound := request
-	bound.FirstOf = map[ids.Upstream]bool{"a": true}
+	bound.FirstOf = map[ids.Life]bool{{Upstream: "a"}: true}
 	if got := choose(t, New(condition.New()), v, bound); got != "a=0-40,c=40-80" {
 		t.Errorf("chain %s", got)
 	}
-	bound.FirstOf = map[ids.Upstream]bool{"c": true}
+	bound.FirstOf = map[ids.Life]bool{{Upstream: "c"}: true}
 	var none *NoChainError
 	if _, err := New(condition.New()).Choose(start, model(), v, bound); !errors.As(err, &none) {
 		t.Errorf("error %v", err)
@@ -241,9 +241,9 @@
 	conditions := condition.New()
 	b := New(conditions)
 	v := view(engine("a", "z1", "fast", 0, 80), engine("b", "z1", "fast", 0, 80))
-	conditions.Paced(start, "b", 4)
+	conditions.Paced(start, life("b"), 4)
 	streams := 0
-	for c, _ := b.Choose(start, model(), v, request); c.Has("a"); c, _ = b.Choose(start, model(), v, request) {
+	for c, _ := b.Choose(start, model(), v, request); c.Has(life("a")); c, _ = b.Choose(start, model(), v, request) {
 		b.Began(start, c, request)
 		if streams++; streams > 10_000 {
 			t.Fatal("a slow engine is never taken")
@@ -254,3 +254,6 @@
 		t.Errorf("a slow engine is taken after %d streams on a good one", streams)
 	}
 }
+
+// life is the one life of an upstream whose start is not told.
+func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -19,12 +19,12 @@
 	// Prompt and Answer are the expected sizes, in tokens.
 	Prompt, Answer float64
 	// Avoid are engines that the request already failed on.
-	Avoid map[ids.Upstream]bool
+	Avoid map[ids.Life]bool
 	// First, where set, stays the first stage: the request runs there already,
 	// and only the stages after it are chosen.
 	First *Hop
 	// FirstOf, where set, are the engines one of which must be the first stage.
-	FirstOf map[ids.Upstream]bool
+	FirstOf map[ids.Life]bool
 }
 
 // fixed reports whether an engine is the given first stage.
@@ -216,7 +216,7 @@
 
 // pace gives by how much an engine is slower than usual, and more for one that
 // makes answers late.
-func (b *Book) pace(now time.Time, id ids.Upstream) float64 {
+func (b *Book) pace(now time.Time, id ids.Life) float64 {
 	pace := b.conditions.Pace(now, id)
 	if pace < condition.SlowPace {
 		return pace
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -13,17 +13,17 @@
 
 // Table holds the beliefs. Make it with New.
 type Table struct {
-	upstreams map[ids.Upstream]*belief
+	upstreams map[ids.Life]*belief
 	zones     map[ids.Zone]*zoneBelief
 	// slow are those whose reports are kept up to date.
-	slow map[ids.Upstream]*belief
+	slow map[ids.Life]*belief
 }
 
 // zoneBelief is about the way to an availability zone.
 type zoneBelief struct {
 	// silent are the upstreams there that could not be reached since one
 	// answered.
-	silent       map[ids.Upstream]bool
+	silent       map[ids.Life]bool
 	suspectUntil time.Time
 	strikes      int
 }
@@ -47,8 +47,8 @@
 // New makes a Table that believes every upstream well.
 func New() *Table {
 	return &Table{
-		upstreams: make(map[ids.Upstream]*belief),
-		slow:      make(map[ids.Upstream]*belief),
+		upstreams: make(map[ids.Life]*belief),
+		slow:      make(map[ids.Life]*belief),
 		zones:     make(map[ids.Zone]*zoneBelief),
 	}
 }
@@ -84,7 +84,7 @@
 )
 
 // of gives the belief about an upstream.
-func (t *Table) of(id ids.Upstream) *belief {
+func (t *Table) of(id ids.Life) *belief {
 	b := t.upstreams[id]
 	if b == nil {
 		b = &belief{pace: 1}
@@ -95,7 +95,7 @@
 
 // Failed tells that an upstream did not answer at now. It reports whether that
 // is news.
-func (t *Table) Failed(now time.Time, id ids.Upstream) bool {
+func (t *Table) Failed(now time.Time, id ids.Life) bool {
 	b := t.of(id)
 	if now.Before(b.suspectUntil) {
 		return false
@@ -110,10 +110,10 @@
 
 // Unreachable tells that an upstream's VM did not answer a connection at all,
 // as behind a cut. It reports whether its zone counts as cut off from now on.
-func (t *Table) Unreachable(now time.Time, id ids.Upstream, zone ids.Zone) bool {
+func (t *Table) Unreachable(now time.Time, id ids.Life, zone ids.Zone) bool {
 	z := t.zones[zone]
 	if z == nil {
-		z = &zoneBelief{silent: make(map[ids.Upstream]bool)}
+		z = &zoneBelief{silent: make(map[ids.Life]bool)}
 		t.zones[zone] = z
 	}
 	z.silent[id] = true
@@ -145,10 +145,10 @@
 }
 
 // Full tells that an upstream refused for want of room.
-func (t *Table) Full(now time.Time, id ids.Upstream) { t.of(id).fullUntil = now.Add(fullFor) }
+func (t *Table) Full(now time.Time, id ids.Life) { t.of(id).fullUntil = now.Add(fullFor) }
 
 // IsFull reports whether an upstream refused for want of room just now.
-func (t *Table) IsFull(now time.Time, id ids.Upstream) bool {
+func (t *Table) IsFull(now time.Time, id ids.Life) bool {
 	b := t.upstreams[id]
 	return b != nil && now.Before(b.fullUntil)
 }
@@ -159,7 +159,7 @@
 // Refused tells that an upstream refused though it has room, as one does that is
 // draining before the directory says so. It gets nothing for a while, longer
 // each time.
-func (t *Table) Refused(now time.Time, id ids.Upstream) {
+func (t *Table) Refused(now time.Time, id ids.Life) {
 	b := t.of(id)
 	if now.Sub(b.refusedAt) > refusalsFor {
 		b.refusals = 0
@@ -171,7 +171,7 @@
 
 // Answered tells that an upstream of a zone answered. It reports whether that
 // ends a suspicion of the upstream.
-func (t *Table) Answered(id ids.Upstream, zone ids.Zone) bool {
+func (t *Table) Answered(id ids.Life, zone ids.Zone) bool {
 	delete(t.zones, zone)
 	b := t.upstreams[id]
 	if b == nil || b.strikes == 0 {
@@ -183,7 +183,7 @@
 }
 
 // Paced takes a reported pace: how many times as long as usual an upstream takes.
-func (t *Table) Paced(now time.Time, id ids.Upstream, pace float64) {
+func (t *Table) Paced(now time.Time, id ids.Life, pace float64) {
 	b := t.of(id)
 	b.pace = max(pace, 1)
 	b.pacedAt, b.askedAt = now, now
@@ -195,8 +195,8 @@
 }
 
 // Due gives the slow upstreams whose report is old, each once in that time.
-func (t *Table) Due(now time.Time) []ids.Upstream {
-	var due []ids.Upstream
+func (t *Table) Due(now time.Time) []ids.Life {
+	var due []ids.Life
 	for id, b := range t.slow {
 		switch {
 		case now.Sub(b.pacedAt) >= paceFor:
@@ -210,7 +210,7 @@
 }
 
 // Suspected reports whether an upstream of a zone should get nothing at now.
-func (t *Table) Suspected(now time.Time, id ids.Upstream, zone ids.Zone) bool {
+func (t *Table) Suspected(now time.Time, id ids.Life, zone ids.Zone) bool {
 	b := t.upstreams[id]
 	if b != nil && (now.Before(b.suspectUntil) || now.Before(b.refusedUntil)) {
 		return true
@@ -219,7 +219,7 @@
 }
 
 // Pace gives by how much an upstream is slower than usual, at least 1.
-func (t *Table) Pace(now time.Time, id ids.Upstream) float64 {
+func (t *Table) Pace(now time.Time, id ids.Life) float64 {
 	b := t.upstreams[id]
 	if b == nil || now.Sub(b.pacedAt) >= paceFor {
 		return 1
@@ -228,7 +228,7 @@
 }
 
 // Forget drops the belief about an upstream that is gone.
-func (t *Table) Forget(id ids.Upstream) {
+func (t *Table) Forget(id ids.Life) {
 	delete(t.upstreams, id)
 	delete(t.slow, id)
 }
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -8,7 +8,7 @@
 package directory
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,7 +19,7 @@
 // Upstream is one process of a service, from its start to its end. A process
 // that starts again is another Upstream.
 type Upstream struct {
-	ID      ids.Upstream
+	ID      ids.Life
 	Service ids.Service
 	// Address is IP and port, never empty. It may go to another upstream once
 	// this one has ended.
@@ -39,6 +39,15 @@
 	Revision int64
 }
 
+// RestartedError tells that a process is not the one that was meant: it has
+// started again under its name.
+type RestartedError struct{ Known, Now ids.Life }
+
+// Error implements error.
+func (e *RestartedError) Error() string {
+	return "upstream " + e.Known.String() + " has started again as " + e.Now.String()
+}
+
 // ReturnGrace is how long after an outage of the registry an entry that is
 // missing is still believed: living upstreams are entered again within about
 // two seconds of its return, and one that left in truth must get nothing new
@@ -52,10 +61,11 @@
 	// Mark counts the changes of the Directory that gave the view.
 	Mark     uint64
 	services map[ids.Service][]*Upstream
-	byID     map[ids.Upstream]*Upstream
-	// recent names the upstreams of the last changes, the newest last, which is
-	// the change that Mark counts.
-	recent []ids.Upstream
+	// byID also holds the entries whose service is not configured.
+	byID map[ids.Upstream]*Upstream
+	// recent are the last changes, the newest last, which is the one that Mark
+	// counts.
+	recent []noted
 }
 
 // Of gives the upstreams of a service in the order of their names, with those
@@ -67,15 +77,19 @@
 	return v.services[service]
 }
 
-// Get gives an upstream; nil if it is not there.
-func (v *View) Get(id ids.Upstream) *Upstream {
+// Get gives an upstream; nil if it is not there, or another life of it is.
+func (v *View) Get(id ids.Life) *Upstream {
 	if v == nil {
 		return nil
 	}
-	return v.byID[id]
+	u := v.byID[id.Upstream]
+	if u == nil || u.ID != id {
+		return nil
+	}
+	return u
 }
 
-// Len gives the number of upstreams.
+// Len gives the number of entries.
 func (v *View) Len() int {
 	if v == nil {
 		return 0
@@ -83,7 +97,8 @@
 	return len(v.byID)
 }
 
-// All gives every upstream in the order of their names.
+// All gives every entry in the order of their names, also those whose service
+// is not configured.
 func (v *View) All() []*Upstream {
 	if v == nil {
 		return nil
@@ -92,7 +107,7 @@
 	for _, u := range v.byID {
 		all = append(all, u)
 	}
-	slices.SortFunc(all, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b *Upstream) int { return a.ID.Compare(b.ID) })
 	return all
 }
 
@@ -104,7 +119,8 @@
 		return nil, nil, false
 	}
 	told := make(map[ids.Upstream]bool)
-	for _, id := range v.recent[uint64(len(v.recent))-(v.Mark-mark):] {
+	for _, change := range v.recent[uint64(len(v.recent))-(v.Mark-mark):] {
+		id := change.life.Upstream
 		if told[id] {
 			continue
 		}
@@ -152,7 +168,11 @@
 	// mark counts all changes; recent names the upstreams of the last ones.
 	// Views share it, so it is only appended to, or replaced.
 	mark   uint64
-	recent []ids.Upstream
+	recent []noted
+	// services are those that are configured, nil before that is known; aside
+	// holds the entries of others, which name no upstream and take no address.
+	services map[ids.Service]bool
+	aside    map[ids.Upstream]*Upstream
 }
 
 // maxRecent is how many changes are remembered at most, and half of it at
@@ -165,12 +185,44 @@
 		byID:    make(map[ids.Upstream]*Upstream),
 		at:      make(map[string][]ids.Upstream),
 		missing: make(map[ids.Upstream]time.Time),
+		aside:   make(map[ids.Upstream]*Upstream),
 	}
 }
 
+// Configured tells which services there are. Entries of any other are set aside
+// until theirs is configured: their writer may be mistaken, also about the
+// address.
+func (d *Directory) Configured(services []ids.Service) []Change {
+	d.services = make(map[ids.Service]bool, len(services))
+	for _, s := range services {
+		d.services[s] = true
+	}
+	var changes []Change
+	for _, u := range sorted(d.byID) {
+		if !d.services[u.Service] {
+			changes = d.drop(changes, u)
+			d.setAside(u)
+		}
+	}
+	for _, u := range sorted(d.aside) {
+		if d.services[u.Service] {
+			changes = d.put(changes, u)
+		}
+	}
+	return changes
+}
+
+// sorted gives the upstreams of a map in the order of their names.
+func sorted(byID map[ids.Upstream]*Upstream) []*Upstream {
+	return slices.SortedFunc(maps.Values(byID), func(a, b *Upstream) int { return a.ID.Compare(b.ID) })
+}
+
 // Returned tells that the registry answers again after an outage.
 func (d *Directory) Returned(now time.Time) { d.graceUntil = now.Add(ReturnGrace) }
 
+// Mark counts the changes of entries.
+func (d *Directory) Mark() uint64 { return d.mark }
+
 // Revision gives the newest revision seen.
 func (d *Directory) Revision() int64 { return d.revision }
 
@@ -178,7 +230,7 @@
 func (d *Directory) Replace(now time.Time, list []Upstream, revision int64) []Change {
 	present := make([]ids.Upstream, len(list))
 	for i := range list {
-		present[i] = list[i].ID
+		present[i] = list[i].ID.Upstream
 	}
 	return d.Merge(now, list, present, revision)
 }
@@ -199,6 +251,11 @@
 			changes = d.remove(changes, now, u)
 		}
 	}
+	for id, u := range d.aside {
+		if !there[id] {
+			d.forgetAside(u)
+		}
+	}
 	return changes
 }
 
@@ -210,6 +267,7 @@
 		return nil
 	}
 	for _, id := range gone {
+		d.forgetAside(d.aside[id])
 		if u := d.byID[id]; u != nil {
 			changes = d.remove(changes, now, u)
 		}
@@ -240,6 +298,9 @@
 // Remove takes the removal of an entry at a revision.
 func (d *Directory) Remove(now time.Time, id ids.Upstream, revision int64) []Change {
 	d.revision = max(d.revision, revision)
+	if u := d.aside[id]; u != nil && u.Revision <= revision {
+		d.forgetAside(u)
+	}
 	u := d.byID[id]
 	if u == nil || u.Revision > revision {
 		return nil
@@ -247,6 +308,47 @@
 	return d.remove(nil, now, u)
 }
 
+// Void takes an entry that names no upstream at a revision, for another writer
+// has spoilt it. What it named gets nothing new from now on, whatever became of
+// it: unlike a missing entry, this one is no effect of an outage.
+func (d *Directory) Void(id ids.Upstream, revision int64) []Change {
+	d.revision = max(d.revision, revision)
+	d.forgetAside(d.aside[id])
+	u := d.byID[id]
+	if u == nil || u.Revision > revision {
+		return nil
+	}
+	return d.drop(nil, u)
+}
+
+// Restarted tells that a process says of itself that it began later than the
+// life that the directory knows under its name. It holds nothing.
+func (d *Directory) Restarted(life ids.Life) []Change {
+	old := d.byID[life.Upstream]
+	if old == nil || old.ID.Born == 0 || !life.Later(old.ID) {
+		return nil
+	}
+	now := *old
+	now.ID, now.Leaving, now.Busy, now.Layers = life, false, false, layered.Range{}
+	return d.put(nil, &now)
+}
+
+// setAside keeps an entry whose service is not configured. Views hold it for
+// peers, which may know more.
+func (d *Directory) setAside(u *Upstream) {
+	d.aside[u.ID.Upstream] = u
+	d.note(u.ID, false)
+}
+
+// forgetAside drops an entry that was set aside, if there is one.
+func (d *Directory) forgetAside(u *Upstream) {
+	if u == nil {
+		return
+	}
+	delete(d.aside, u.ID.Upstream)
+	d.note(u.ID, false)
+}
+
 // Expire removes the missing entries whose grace is over.
 func (d *Directory) Expire(now time.Time) []Change {
 	var changes []Change
@@ -258,28 +360,44 @@
 	return changes
 }
 
-// put adds or changes an entry. A leaving upstream stays leaving.
+// put adds or changes an entry. A leaving upstream stays leaving for the life
+// that it leaves; a later life has nothing of the one before, and an earlier one
+// has ended.
 func (d *Directory) put(changes []Change, u *Upstream) []Change {
-	delete(d.missing, u.ID)
-	old := d.byID[u.ID]
-	if old != nil && old.Revision >= u.Revision {
+	id := u.ID.Upstream
+	if d.services != nil && !d.services[u.Service] {
+		changes = append(changes, d.Void(id, u.Revision)...)
+		d.setAside(u)
 		return changes
 	}
-	if old != nil && old.Leaving {
-		u.Leaving = true
+	d.forgetAside(d.aside[id])
+	old := d.byID[id]
+	if old != nil && old.Revision >= u.Revision && !u.ID.Later(old.ID) {
+		return changes
+	}
+	if old != nil && u.ID.Born == 0 {
+		u.ID.Born = old.ID.Born
+	}
+	if old != nil && old.ID.Later(u.ID) {
+		return changes
 	}
-	if old != nil && old.Address != u.Address {
+	delete(d.missing, id)
+	restarted := old != nil && u.ID.Later(old.ID) && old.ID.Born != 0
+	if old != nil && (restarted || old.Address != u.Address) {
 		changes = d.drop(changes, old)
 		old = nil
 	}
-	d.byID[u.ID] = u
+	if old != nil && old.Leaving {
+		u.Leaving = true
+	}
+	d.byID[id] = u
 	switch {
 	case old == nil:
 		return d.arrive(changes, u)
 	case !d.present(u):
 		return changes
 	}
-	d.note(u.ID)
+	d.note(u.ID, true)
 	if u.Leaving && !old.Leaving {
 		return append(changes, Change{Left, u})
 	}
@@ -293,29 +411,29 @@
 	others := d.at[u.Address]
 	if len(others) > 0 {
 		there := d.byID[others[len(others)-1]]
-		if there.Revision >= u.Revision || slices.Contains(d.recent, u.ID) {
-			d.at[u.Address] = slices.Insert(others, 0, u.ID)
+		if there.Revision >= u.Revision || slices.Contains(d.recent, noted{u.ID, true}) {
+			d.at[u.Address] = slices.Insert(others, 0, u.ID.Upstream)
 			return changes
 		}
-		d.note(there.ID)
+		d.note(there.ID, true)
 		changes = append(changes, Change{Gone, there})
 	}
-	d.at[u.Address] = append(others, u.ID)
-	d.note(u.ID)
+	d.at[u.Address] = append(others, u.ID.Upstream)
+	d.note(u.ID, true)
 	return append(changes, Change{Seen, u})
 }
 
 // present reports whether an entry is the one in force at its address.
 func (d *Directory) present(u *Upstream) bool {
 	there := d.at[u.Address]
-	return there[len(there)-1] == u.ID
+	return there[len(there)-1] == u.ID.Upstream
 }
 
 // remove takes an entry out, or lets it stand for a while after an outage.
 func (d *Directory) remove(changes []Change, now time.Time, u *Upstream) []Change {
 	if now.Before(d.graceUntil) && !u.Leaving && d.present(u) {
-		if _, waiting := d.missing[u.ID]; !waiting {
-			d.missing[u.ID] = now.Add(ReturnGrace)
+		if _, waiting := d.missing[u.ID.Upstream]; !waiting {
+			d.missing[u.ID.Upstream] = now.Add(ReturnGrace)
 		}
 		return changes
 	}
@@ -326,9 +444,9 @@
 // it was the other that had ended.
 func (d *Directory) drop(changes []Change, u *Upstream) []Change {
 	present := d.present(u)
-	delete(d.byID, u.ID)
-	delete(d.missing, u.ID)
-	rest := slices.DeleteFunc(d.at[u.Address], func(id ids.Upstream) bool { return id == u.ID })
+	delete(d.byID, u.ID.Upstream)
+	delete(d.missing, u.ID.Upstream)
+	rest := slices.DeleteFunc(d.at[u.Address], func(id ids.Upstream) bool { return id == u.ID.Upstream })
 	d.at[u.Address] = rest
 	if len(rest) == 0 {
 		delete(d.at, u.Address)
@@ -336,22 +454,29 @@
 	if !present {
 		return changes
 	}
-	d.note(u.ID)
+	d.note(u.ID, true)
 	changes = append(changes, Change{Gone, u})
 	if len(rest) == 0 {
 		return changes
 	}
 	back := d.byID[rest[len(rest)-1]]
-	d.note(back.ID)
+	d.note(back.ID, true)
 	return append(changes, Change{Seen, back})
 }
 
+// noted is a change of an entry; inForce tells that it was that of an upstream
+// at its address, and not one set aside.
+type noted struct {
+	life    ids.Life
+	inForce bool
+}
+
 // note remembers a change.
-func (d *Directory) note(id ids.Upstream) {
+func (d *Directory) note(id ids.Life, inForce bool) {
 	if len(d.recent) == maxRecent {
 		d.recent = slices.Clone(d.recent[maxRecent/2:])
 	}
-	d.recent = append(d.recent, id)
+	d.recent = append(d.recent, noted{id, inForce})
 	d.mark++
 }
 
@@ -371,8 +496,9 @@
 		v.byID[id] = u
 		v.services[u.Service] = append(v.services[u.Service], u)
 	}
+	maps.Copy(v.byID, d.aside)
 	for _, list := range v.services {
-		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, func(a, b *Upstream) int { return a.ID.Compare(b.ID) })
 	}
 	return v
 }
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -16,14 +16,14 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func upstream(id string, revision int64) Upstream {
-	return Upstream{ID: ids.Upstream(id), Service: "s", Address: id + ":1", Revision: revision}
+	return Upstream{ID: ids.Life{Upstream: ids.Upstream(id)}, Service: "s", Address: id + ":1", Revision: revision}
 }
 
 // names gives the upstreams of the view, with those leaving marked.
 func names(d *Directory) []string {
 	var out []string
 	for _, u := range d.View().Of("s") {
-		name := string(u.ID)
+		name := string(u.ID.Upstream)
 		if u.Leaving {
 			name += "!"
 		}
@@ -36,7 +36,7 @@
 func kinds(changes []Change) []string {
 	var out []string
 	for _, c := range changes {
-		out = append(out, string(c.Kind)+" "+string(c.Upstream.ID))
+		out = append(out, string(c.Kind)+" "+string(c.Upstream.ID.Upstream))
 	}
 	return out
 }
@@ -119,11 +119,11 @@
 	d.Put(upstream("a", 1))
 	before := d.View()
 	d.Remove(start, "a", 2)
-	if before.Get("a") == nil || len(before.All()) != 1 {
+	if before.Get(life("a")) == nil || len(before.All()) != 1 {
 		t.Error("a view changed after it was given")
 	}
 	var none *View
-	if none.Get("a") != nil || none.Of("s") != nil || none.All() != nil {
+	if none.Get(life("a")) != nil || none.Of("s") != nil || none.All() != nil {
 		t.Error("no view knows upstreams")
 	}
 }
@@ -137,7 +137,7 @@
 	}
 	out := []string{}
 	for _, u := range changed {
-		out = append(out, "+"+string(u.ID))
+		out = append(out, "+"+string(u.ID.Upstream))
 	}
 	for _, id := range gone {
 		out = append(out, "-"+string(id))
@@ -305,3 +305,6 @@
 		mark = follow(t, from, to, mark)
 	}
 }
+
+// life is the one life of an upstream whose start is not told.
+func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -85,6 +85,16 @@
 	Change string `json:"change"`
 }
 
+// maxDuration is the longest lease that is believed: twenty times the longest
+// that a holder here asks for, so that a duration in another unit or of another
+// writer does not hold up all orders.
+const maxDuration = 5 * time.Minute
+
+// sound reports whether a holder can have written the record.
+func (r Record) sound() bool {
+	return r.Term > 0 && r.DurationNs > 0 && r.Duration() <= maxDuration
+}
+
 // Duration gives the lease's duration.
 func (r Record) Duration() time.Duration { return time.Duration(r.DurationNs) }
 
--- a/decide/lease/step.go
+++ b/decide/lease/step.go
@@ -85,6 +85,9 @@
 		return
 	}
 	l.busy = false
+	if answer.Kind == Found && !answer.Record.sound() {
+		answer.Kind = Unreadable
+	}
 	switch answer.Kind {
 	case Found:
 		l.settle = false
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -22,7 +22,7 @@
 
 // Engine is an engine as the plan sees it.
 type Engine struct {
-	ID   ids.Upstream
+	ID   ids.Life
 	Zone ids.Zone
 	Card string
 	// Holds is what it holds or was told to hold; empty for nothing.
@@ -33,7 +33,7 @@
 
 // Order tells an engine what to hold.
 type Order struct {
-	Engine ids.Upstream
+	Engine ids.Life
 	Layers layered.Range
 }
 
@@ -107,7 +107,7 @@
 // yet, the part of memory for weights is the one with the fastest first chain.
 func planZone(m *layered.Model, engines []Engine, o Options) []Order {
 	slices.SortFunc(engines, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(m.Cards[a.Card].StepFactor, m.Cards[b.Card].StepFactor), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(m.Cards[a.Card].StepFactor, m.Cards[b.Card].StepFactor), a.ID.Compare(b.ID))
 	})
 	best := fill(m, engines, o)
 	if slices.ContainsFunc(engines, func(e Engine) bool { return !e.Holds.Empty() }) {
@@ -130,7 +130,7 @@
 // firstChainMs is the time of a pass through the first whole chain of a plan,
 // in ms: of the orders in their sequence, as far as they tile the model.
 func firstChainMs(m *layered.Model, engines []Engine, orders []Order) float64 {
-	cards := make(map[ids.Upstream]layered.Card, len(engines))
+	cards := make(map[ids.Life]layered.Card, len(engines))
 	for _, e := range engines {
 		cards[e.ID] = m.Cards[e.Card]
 	}
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -33,7 +33,7 @@
 		n    int
 	}{{"large", large}, {"medium", medium}, {"small", small}} {
 		for i := range k.n {
-			out = append(out, Engine{ID: ids.Upstream(fmt.Sprintf("%s-%s-%d", name, k.card, i)), Zone: ids.Zone(name), Card: k.card})
+			out = append(out, Engine{ID: ids.Life{Upstream: ids.Upstream(fmt.Sprintf("%s-%s-%d", name, k.card, i))}, Zone: ids.Zone(name), Card: k.card})
 		}
 	}
 	return out
@@ -86,7 +86,7 @@
 			move[engines[i].Zone] = r.IntN(2) == 0
 		}
 		orders := Plan(m, engines, Options{Move: move})
-		seen := make(map[ids.Upstream]bool)
+		seen := make(map[ids.Life]bool)
 		for _, o := range orders {
 			e := find(engines, o.Engine)
 			switch {
@@ -110,7 +110,7 @@
 	}
 }
 
-func find(engines []Engine, id ids.Upstream) Engine {
+func find(engines []Engine, id ids.Life) Engine {
 	for _, e := range engines {
 		if e.ID == id {
 			return e
@@ -139,11 +139,11 @@
 func TestNeighboursWidenOverASmallHole(t *testing.T) {
 	m := model()
 	engines := []Engine{
-		{ID: "l", Zone: "a", Card: "large", Holds: layered.Range{From: 0, To: 24}},
-		{ID: "m", Zone: "a", Card: "large", Holds: layered.Range{From: 28, To: 52}},
-		{ID: "n", Zone: "a", Card: "large", Holds: layered.Range{From: 52, To: 80}},
+		{ID: ids.Life{Upstream: "l"}, Zone: "a", Card: "large", Holds: layered.Range{From: 0, To: 24}},
+		{ID: ids.Life{Upstream: "m"}, Zone: "a", Card: "large", Holds: layered.Range{From: 28, To: 52}},
+		{ID: ids.Life{Upstream: "n"}, Zone: "a", Card: "large", Holds: layered.Range{From: 52, To: 80}},
 	}
-	want := []Order{{"l", layered.Range{From: 0, To: 28}}}
+	want := []Order{{life("l"), layered.Range{From: 0, To: 28}}}
 	if diff := cmp.Diff(want, Plan(m, engines, Options{})); diff != "" {
 		t.Error(diff)
 	}
@@ -153,7 +153,7 @@
 	m := model()
 	var engines []Engine
 	for i, r := range []layered.Range{{From: 0, To: 12}, {From: 0, To: 12}, {From: 24, To: 36}, {From: 36, To: 80}} {
-		engines = append(engines, Engine{ID: ids.Upstream(fmt.Sprint(i)), Zone: "a", Card: "small", Holds: r})
+		engines = append(engines, Engine{ID: ids.Life{Upstream: ids.Upstream(fmt.Sprint(i))}, Zone: "a", Card: "small", Holds: r})
 	}
 	if orders := Plan(m, engines, Options{}); len(orders) > 0 {
 		t.Errorf("moved without leave: %v", orders)
@@ -165,7 +165,7 @@
 }
 
 func TestUnknownCardsGetNothing(t *testing.T) {
-	engines := []Engine{{ID: "x", Zone: "a", Card: "unheard"}}
+	engines := []Engine{{ID: ids.Life{Upstream: "x"}, Zone: "a", Card: "unheard"}}
 	if orders := Plan(model(), engines, Options{}); len(orders) > 0 {
 		t.Errorf("orders %v", orders)
 	}
@@ -183,7 +183,7 @@
 		}
 		engines = engines[:size]
 		for i := range engines {
-			engines[i].ID = ids.Upstream(fmt.Sprintf("%05d", i))
+			engines[i].ID = ids.Life{Upstream: ids.Upstream(fmt.Sprintf("%05d", i))}
 		}
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for b.Loop() {
@@ -202,3 +202,6 @@
 		t.Errorf("some layers are held by %d engines of three zones, want one more than zones", least)
 	}
 }
+
+// life is the one life of an upstream whose start is not told.
+func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
--- a/decide/replica/replica.go
+++ b/decide/replica/replica.go
@@ -35,7 +35,7 @@
 // New.
 type Book struct {
 	conditions *condition.Table
-	upstreams  map[ids.Upstream]*state
+	upstreams  map[ids.Life]*state
 	fleet      float64
 }
 
@@ -48,14 +48,14 @@
 
 // New makes a Book that shares beliefs with others.
 func New(conditions *condition.Table) *Book {
-	return &Book{conditions: conditions, upstreams: make(map[ids.Upstream]*state), fleet: 1}
+	return &Book{conditions: conditions, upstreams: make(map[ids.Life]*state), fleet: 1}
 }
 
 // SetFleet tells how many nodes share the upstreams.
 func (b *Book) SetFleet(nodes int) { b.fleet = float64(max(nodes, 1)) }
 
 // of gives the state of an upstream.
-func (b *Book) of(id ids.Upstream) *state {
+func (b *Book) of(id ids.Life) *state {
 	s := b.upstreams[id]
 	if s == nil {
 		s = &state{meanMs: usualMs}
@@ -65,11 +65,11 @@
 }
 
 // Began counts a request at an upstream.
-func (b *Book) Began(id ids.Upstream) { b.of(id).active++ }
+func (b *Book) Began(id ids.Life) { b.of(id).active++ }
 
 // Ended takes a request off an upstream and notes how long its answer took.
 // Those that say nothing of the upstream have no time.
-func (b *Book) Ended(now time.Time, id ids.Upstream, took time.Duration, failed bool) {
+func (b *Book) Ended(now time.Time, id ids.Life, took time.Duration, failed bool) {
 	s := b.of(id)
 	s.active--
 	if took <= 0 && !failed {
@@ -87,7 +87,7 @@
 }
 
 // Forget drops what is known of an upstream that is gone.
-func (b *Book) Forget(id ids.Upstream) {
+func (b *Book) Forget(id ids.Life) {
 	if s := b.upstreams[id]; s != nil && s.active <= 0 {
 		delete(b.upstreams, id)
 	}
@@ -96,7 +96,7 @@
 // Choose gives the upstream for a request, nil if none may take it. Upstreams
 // in avoid are left out; suspected ones are taken only if no other is left.
 // draw is uniform over 0 to 1 and decides among equals.
-func (b *Book) Choose(now time.Time, list []*directory.Upstream, zone ids.Zone, avoid map[ids.Upstream]bool, draw float64) *directory.Upstream {
+func (b *Book) Choose(now time.Time, list []*directory.Upstream, zone ids.Zone, avoid map[ids.Life]bool, draw float64) *directory.Upstream {
 	var best *directory.Upstream
 	bestCost := math.Inf(1)
 	for i, u := range list {
--- a/decide/routing/routing.go
+++ b/decide/routing/routing.go
@@ -173,6 +173,15 @@
 // Services gives all services; the slice must not be changed.
 func (t *Table) Services() []Service { return t.config.Services }
 
+// ServiceNames gives the names of all services.
+func (t *Table) ServiceNames() []ids.Service {
+	names := make([]ids.Service, len(t.config.Services))
+	for i, s := range t.config.Services {
+		names[i] = s.Name
+	}
+	return names
+}
+
 // Service gives one service; nil if there is none of that name.
 func (t *Table) Service(name ids.Service) *Service { return t.services[name] }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -43,7 +44,7 @@
 	// Join enters the own node, or replaces its entry.
 	Join(ctx context.Context, m Member) error
 	// List gives all entries, which may be some seconds old.
-	List(ctx context.Context) ([]Member, error)
+	List(ctx context.Context) (listwatch.List[Member], error)
 }
 
 // Engines makes all calls to engines that are not callers' requests.
@@ -121,19 +122,23 @@
 	n.upstreams = newUpstreams(holder(settings), log, n.news)
 	n.peers = newPeers(settings, &timedMembers{ports.Members, n.metrics.Took}, n, log)
 	n.server = forward.New(forward.Options{
-		Headers: ports.Headers,
-		Zone:    settings.Zone,
-		Known:   n.known,
-		Table:   n.configs.table.Load,
-		View:    n.upstreams.view.Load,
-		Engines: ports.Engines,
-		Budget:  settings.Budget,
-		Now:     boottime.Now,
-		Log:     log,
-		Metrics: n.metrics,
-		Verdict: n.judged,
-		Seed:    settings.Seed,
+		Headers:   ports.Headers,
+		Zone:      settings.Zone,
+		Known:     n.known,
+		Table:     n.configs.table.Load,
+		View:      n.upstreams.view.Load,
+		Engines:   ports.Engines,
+		Budget:    settings.Budget,
+		Now:       boottime.Now,
+		Log:       log,
+		Metrics:   n.metrics,
+		Verdict:   n.judged,
+		Restarted: n.upstreams.restarted,
+		Seed:      settings.Seed,
 	})
+	n.configs.inForce = n.upstreams.configured
+	n.configs.malformed = func(bad listwatch.Removal) { n.malformed("configuration", bad) }
+	n.upstreams.malformed = func(bad listwatch.Removal) { n.malformed("upstream", bad) }
 	n.upstreams.gone, n.upstreams.reached = n.server.Gone, n.server.Reached
 	n.keeper = leader.New(leader.Options{
 		Lease: lease.Options{
@@ -148,20 +153,37 @@
 		Log:   log,
 	})
 	n.placer = placer.New(placer.Options{
-		Table:   n.configs.table.Load,
-		View:    n.upstreams.view.Load,
-		Engines: ports.Engines,
-		Lease:   n.keeper,
-		Plan:    settings.Plan,
-		Fenced:  settings.Fenced,
-		Now:     boottime.Now,
-		Log:     log,
-		Count:   n.metrics.Add,
+		Table:     n.configs.table.Load,
+		View:      n.upstreams.view.Load,
+		Engines:   ports.Engines,
+		Lease:     n.keeper,
+		Plan:      settings.Plan,
+		Fenced:    settings.Fenced,
+		Now:       boottime.Now,
+		Log:       log,
+		Count:     n.metrics.Add,
+		Restarted: n.upstreams.restarted,
 	})
 	n.gauges()
 	return n
 }
 
+// reasoned is a fault that names itself for a counter.
+type reasoned interface{ Reason() string }
+
+// malformed notes an entry that cannot be read. It stands for nothing; the
+// others of its list hold.
+func (n *Node) malformed(kind string, bad listwatch.Removal) {
+	reason := "unreadable"
+	var fault reasoned
+	if errors.As(bad.Malformed, &fault) {
+		reason = fault.Reason()
+	}
+	n.metrics.Add("malformed."+kind+"."+reason, 1)
+	n.log.Error().Str("event", "object_malformed").Str("kind", kind).Str("name", bad.Name).Int64("revision", bad.Revision).
+		Str("reason", reason).AnErr("error", bad.Malformed).Send()
+}
+
 // Ready reports whether callers may be sent here.
 func (n *Node) Ready() bool {
 	select {
--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -19,7 +19,7 @@
 func fleetOf(n int) []directory.Upstream {
 	var out []directory.Upstream
 	for i := range n {
-		out = append(out, directory.Upstream{ID: ids.Upstream(fmt.Sprintf("u-%04d", i)), Service: "s", Address: fmt.Sprint("at ", i), Revision: int64(i + 1)})
+		out = append(out, directory.Upstream{ID: ids.Life{Upstream: ids.Upstream(fmt.Sprintf("u-%04d", i))}, Service: "s", Address: fmt.Sprint("at ", i), Revision: int64(i + 1)})
 	}
 	return out
 }
@@ -63,7 +63,7 @@
 	if len(news.Present) != 0 || len(news.Upstreams) != 0 || len(news.Gone) != 1 {
 		t.Errorf("news of one removal name %d present, %d changed, %d gone", len(news.Present), len(news.Upstreams), len(news.Gone))
 	}
-	if to.view.Load().Get("u-0007") != nil || len(to.view.Load().All()) != 2999 {
+	if to.view.Load().Get(life("u-0007")) != nil || len(to.view.Load().All()) != 2999 {
 		t.Error("the removal did not take effect")
 	}
 	if again := take(to, from); again.Revision != 0 {
@@ -89,14 +89,14 @@
 	from.Returned()
 	from.Listed(listwatch.List[directory.Upstream]{Items: fleetOf(2), Revision: 9})
 	take(to, from)
-	if to.view.Load().Get("u-0002") == nil {
+	if to.view.Load().Get(life("u-0002")) == nil {
 		t.Fatal("a missing upstream is not believed for a while")
 	}
 	from.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
 		return d.Expire(now.Add(2 * directory.ReturnGrace))
 	})
 	take(to, from)
-	if to.view.Load().Get("u-0002") != nil {
+	if to.view.Load().Get(life("u-0002")) != nil {
 		t.Error("the end of the grace, which has no revision of the store's, was not told")
 	}
 }
@@ -115,13 +115,13 @@
 	if left := len(to.view.Load().All()); left != 3 {
 		t.Errorf("%d of 3 upstreams are left as the first peer is heard", left)
 	}
-	back := directory.Upstream{ID: "u-0001", Service: "s", Address: "at 1", Revision: 10}
+	back := directory.Upstream{ID: ids.Life{Upstream: "u-0001"}, Service: "s", Address: "at 1", Revision: 10}
 	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: 10})
 	take(to, from)
 	to.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
 		return d.Expire(now.Add(2 * directory.ReturnGrace))
 	})
-	if view := to.view.Load(); view.Get("u-0001") == nil || view.Get("u-0000") != nil {
+	if view := to.view.Load(); view.Get(life("u-0001")) == nil || view.Get(life("u-0000")) != nil {
 		t.Error("after the grace the one that came back is there, and only the other is not")
 	}
 	to.Returned()
@@ -132,3 +132,6 @@
 		t.Error("the next loss has no grace")
 	}
 }
+
+// life is the one life of an upstream whose start is not told.
+func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
--- a/node/entry/measure.go
+++ b/node/entry/measure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaarch.example/adapter/leader"
+	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/decide/lease"
 )
@@ -59,7 +60,7 @@
 }
 
 // List implements Members.
-func (t *timedMembers) List(ctx context.Context) ([]Member, error) {
+func (t *timedMembers) List(ctx context.Context) (listwatch.List[Member], error) {
 	began := boottime.Now()
 	defer func() { t.took(storeMembers, boottime.Now().Sub(began)) }()
 	return t.members.List(ctx)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -94,11 +94,15 @@
 // list reads the list of nodes.
 func (p *peers) list(ctx context.Context) {
 	p.listedAt = time.Now()
-	members, err := p.members.List(ctx)
+	list, err := p.members.List(ctx)
 	if err != nil {
 		p.log.Info().Str("event", "members_unread").Err(err).Send()
 		return
 	}
+	for _, bad := range list.Malformed {
+		p.node.malformed("node", bad)
+	}
+	members := list.Items
 	if len(members) != len(p.known) {
 		p.log.Info().Str("event", "members").Int("nodes", len(members)).Send()
 	}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -92,13 +92,20 @@
 	// revision is the store's up to which changes are known.
 	revision atomic.Int64
 	table    atomic.Pointer[routing.Table]
-	newest   atomic.Pointer[routing.Config]
-	lost     atomic.Bool
-	mu       sync.Mutex
+	// inForce is told of the services of each configuration that comes in force.
+	inForce func([]ids.Service)
+	// malformed is told of configurations that cannot be read.
+	malformed func(listwatch.Removal)
+	newest    atomic.Pointer[routing.Config]
+	lost      atomic.Bool
+	mu        sync.Mutex
 }
 
 // Listed implements listwatch.Sink.
 func (c *configs) Listed(list listwatch.List[routing.Config]) {
+	for _, bad := range list.Malformed {
+		c.malformed(bad)
+	}
 	for i := range list.Items {
 		c.offer(&list.Items[i], "store")
 	}
@@ -108,8 +115,11 @@
 // Changed implements listwatch.Sink.
 func (c *configs) Changed(changes listwatch.Changes[routing.Config]) {
 	for _, e := range changes.Events {
-		if e.Put != nil {
+		switch {
+		case e.Put != nil:
 			c.offer(e.Put, "store")
+		case e.Removed.Malformed != nil:
+			c.malformed(e.Removed)
 		}
 	}
 	c.revision.Store(changes.Revision)
@@ -135,6 +145,7 @@
 	}
 	c.newest.Store(config)
 	c.table.Store(table)
+	c.inForce(table.ServiceNames())
 	c.news.give()
 	c.log.Info().Str("event", "configuration").Str("from", from).Int64("version", config.Version).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
@@ -159,8 +170,10 @@
 	gone func(*directory.Upstream)
 	// reached is told when the store is heard of again after it was lost.
 	reached func()
-	view    atomic.Pointer[directory.View]
-	lost    atomic.Bool
+	// malformed is told of entries that cannot be read.
+	malformed func(listwatch.Removal)
+	view      atomic.Pointer[directory.View]
+	lost      atomic.Bool
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -180,7 +193,12 @@
 // Listed implements listwatch.Sink.
 func (u *upstreams) Listed(list listwatch.List[directory.Upstream]) {
 	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
-		return d.Replace(now, list.Items, list.Revision)
+		var all []directory.Change
+		for _, bad := range list.Malformed {
+			u.malformed(bad)
+			all = append(all, d.Void(ids.Upstream(bad.Name), bad.Revision)...)
+		}
+		return append(all, d.Replace(now, list.Items, list.Revision)...)
 	})
 }
 
@@ -189,10 +207,15 @@
 	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
 		var all []directory.Change
 		for _, e := range changes.Events {
-			if e.Put != nil {
+			id := ids.Upstream(e.Removed.Name)
+			switch {
+			case e.Put != nil:
 				all = append(all, d.Put(*e.Put)...)
-			} else {
-				all = append(all, d.Remove(now, ids.Upstream(e.Removed.Name), e.Removed.Revision)...)
+			case e.Removed.Malformed != nil:
+				u.malformed(e.Removed)
+				all = append(all, d.Void(id, e.Removed.Revision)...)
+			default:
+				all = append(all, d.Remove(now, id, e.Removed.Revision)...)
 			}
 		}
 		return all
@@ -243,13 +266,23 @@
 		return
 	}
 	for _, one := range view.All() {
-		news.Present = append(news.Present, one.ID)
+		news.Present = append(news.Present, one.ID.Upstream)
 		if one.Revision > have.Revision {
 			news.Upstreams = append(news.Upstreams, *one)
 		}
 	}
 }
 
+// restarted takes what a process says of its own start.
+func (u *upstreams) restarted(life ids.Life) {
+	u.change("report", func(d *directory.Directory, _ time.Time) []directory.Change { return d.Restarted(life) })
+}
+
+// configured takes the services of the configuration in force.
+func (u *upstreams) configured(services []ids.Service) {
+	u.change("configuration", func(d *directory.Directory, _ time.Time) []directory.Change { return d.Configured(services) })
+}
+
 // values copies upstreams out of a view.
 func values(list []*directory.Upstream) []directory.Upstream {
 	var out []directory.Upstream
@@ -289,15 +322,15 @@
 func (u *upstreams) change(from string, apply func(*directory.Directory, time.Time) []directory.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before := u.directory.Revision()
+	before, mark := u.directory.Revision(), u.directory.Mark()
 	changes := apply(u.directory, boottime.Now())
-	if len(changes) == 0 && u.directory.Revision() == before {
+	if u.directory.Mark() == mark && u.directory.Revision() == before {
 		return
 	}
 	u.view.Store(u.directory.View())
 	u.news.give()
 	for _, c := range changes {
-		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", string(c.Upstream.ID)).
+		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", c.Upstream.ID.String()).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
 			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
 		if c.Kind == directory.Gone {
