Late answers tell why; mimosactl losses sums up what callers lost

Cause: the logs told that a pause was long, not why, and nobody could say which mechanism lost what at which moment.

Ruled out: guessing the cause from the lines around it, outside the node: what the stages answered is known only to the stream that waits.

Change: a stream notes why it is late (slow, dead or busy stage, reroute, retry, not asked), logs it with its answer and counts it. `mimosactl losses` reads all nodes' logs: causes, moments, zones, services, stages left, and what is not explained.

No policy changed.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -60,8 +60,10 @@
 	// written tells that part of the answer is with the caller; events counts
 	// those of a stream, the first of which came after first.
 	written bool
-	events  int
-	first   time.Duration
+	// late tells why the answer is late, empty while it is not.
+	late   lateness
+	events int
+	first  time.Duration
 }
 
 // newExchange takes a request that was read whole.
@@ -274,7 +276,7 @@
 	x.client.closeAfter = true
 	x.count("broken_off." + string(reason))
 	x.log("broken_off").Str("reason", string(reason)).Str("detail", detail).Str("route", x.route.Name).
-		Int("sends", x.sends).Dur("took_ms", x.server.opts.Now().Sub(x.arrived)).Send()
+		Str("service", string(x.service)).Int("sends", x.sends).Dur("took_ms", x.server.opts.Now().Sub(x.arrived)).Send()
 }
 
 // ended handles the end of the request's own context. It reports whether the
@@ -307,6 +309,9 @@
 // done logs the whole answer of an upstream.
 func (x *exchange) done(status int, u *directory.Upstream) {
 	took := x.server.opts.Now().Sub(x.arrived)
+	if x.route.Kind != routing.Streaming && x.route.Objective > 0 && took > x.route.Objective {
+		x.lateFor(latePlain)
+	}
 	x.count("outcome.answered")
 	if status < serverError {
 		x.server.culprits.served(x.service, x.print)
@@ -314,7 +319,7 @@
 	x.server.opts.Metrics.Took("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
 		Str("upstream", u.ID.String()).Int64("config", x.version).Int("sends", x.sends).Int("events", x.events).
-		Dur("first_ms", x.first).Dur("took_ms", took).Send()
+		Str("late", string(x.late)).Dur("first_ms", x.first).Dur("took_ms", took).Send()
 }
 
 // kindNames are indexed by routing.Kind.
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -66,6 +66,8 @@
 	// ran tells that an event came through the present chain: its engines have
 	// begun to run the request and live.
 	ran bool
+	// found is what the stages said when they were asked since the last event.
+	found lateness
 }
 
 // progress tells that an event came.
@@ -73,9 +75,14 @@
 	x := w.s.x
 	now := x.server.opts.Now()
 	pause := now.Sub(w.s.last)
+	if !w.begun && x.route.Objective > 0 && now.Sub(x.arrived) > x.route.Objective {
+		x.lateFor(w.why(true))
+	}
 	if w.begun && x.route.PauseObjective > 0 && pause > x.route.PauseObjective {
+		why := w.why(!w.ran && w.reroutes == 0)
+		x.lateFor(why)
 		x.count("stream.long_pause")
-		x.log("long_pause").Dur("pause_ms", pause).Int("reroutes", w.reroutes).Int("sends", x.sends).
+		x.log("long_pause").Str("why", string(why)).Dur("pause_ms", pause).Int("reroutes", w.reroutes).Int("sends", x.sends).
 			Str("chain", w.chain.String()).Int64("after_event", w.s.seq.last).Send()
 	}
 	if w.begun {
@@ -84,7 +91,7 @@
 	}
 	w.begun, w.ran = true, true
 	w.s.last = now
-	w.reroutes = 0
+	w.reroutes, w.found = 0, ""
 }
 
 // patience gives the usual wait.
@@ -117,6 +124,7 @@
 		return patience, nil
 	}
 	dead, slow := x.server.probe.ask(w.ctx, w.chain)
+	w.found = answered(dead, slow)
 	silent := waited >= patienceFactor*patience
 	if len(dead)+len(slow) == 0 && !silent {
 		return patience, nil
@@ -137,6 +145,17 @@
 	return 0, &upconn.SilentError{For: waited}
 }
 
+// answered tells what stages said that were asked.
+func answered(dead, slow []*directory.Upstream) lateness {
+	switch {
+	case len(dead) > 0:
+		return lateDead
+	case len(slow) > 0:
+		return lateSlow
+	}
+	return lateBusy
+}
+
 // without gives the request with engines to avoid.
 func (w *streamWait) without(bad []*directory.Upstream) chain.Request {
 	req := w.s.req
--- a/mimosactl/app/app.go
+++ b/mimosactl/app/app.go
@@ -51,6 +51,7 @@
 		e.status(),
 		e.explain(),
 		e.trace(),
+		e.losses(),
 		e.send(),
 		e.load(),
 		e.bench(),
--- a/mimosactl/app/trace.go
+++ b/mimosactl/app/trace.go
@@ -47,7 +47,7 @@
 
 // Execute implements flags.Commander.
 func (c *traceCommand) Execute([]string) error {
-	in, name, done, err := c.open()
+	in, name, done, err := openLogs(c.Args.Files)
 	if err != nil {
 		return err
 	}
@@ -62,9 +62,10 @@
 	return c.env.print(trace.Lines, func(w io.Writer) { printTrace(w, trace) })
 }
 
-// open gives the logs one after the other.
-func (c *traceCommand) open() (in io.Reader, name string, done func(), err error) {
-	if len(c.Args.Files) == 0 {
+// openLogs gives the logs in files one after the other, or standard input for
+// none.
+func openLogs(paths []string) (in io.Reader, name string, done func(), err error) {
+	if len(paths) == 0 {
 		return os.Stdin, "standard input", func() {}, nil
 	}
 	var readers []io.Reader
@@ -74,7 +75,7 @@
 			_ = f.Close() // it was only read
 		}
 	}
-	for _, path := range c.Args.Files {
+	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
 			done()
@@ -83,7 +84,7 @@
 		files = append(files, f)
 		readers = append(readers, f)
 	}
-	return io.MultiReader(readers...), strings.Join(c.Args.Files, ", "), done, nil
+	return io.MultiReader(readers...), strings.Join(paths, ", "), done, nil
 }
 
 // printTrace prints a line for each line of the trace, with the time since the
--- a/mimosactl/logtrace/logtrace.go
+++ b/mimosactl/logtrace/logtrace.go
@@ -47,27 +47,37 @@
 func Read(r io.Reader, request string) (*Trace, error) {
 	t := &Trace{Request: request}
 	var beliefs []Line
+	skipped, err := Each(r, func(line Line) {
+		switch line.Request {
+		case request:
+			t.Lines = append(t.Lines, line)
+		case "":
+			beliefs = append(beliefs, line)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	t.Skipped = skipped
+	t.join(beliefs)
+	return t, nil
+}
+
+// Each gives every line of a log in its order, and counts lines that are no JSON
+// objects of an event.
+func Each(r io.Reader, take func(Line)) (skipped int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
 	for place := 0; scanner.Scan(); place++ {
 		line, ok := parse(scanner.Bytes())
 		if !ok {
-			t.Skipped++
+			skipped++
 			continue
 		}
 		line.place = place
-		switch {
-		case line.Request == request:
-			t.Lines = append(t.Lines, line)
-		case line.Request == "":
-			beliefs = append(beliefs, line)
-		}
+		take(line)
 	}
-	if err := scanner.Err(); err != nil {
-		return nil, err
-	}
-	t.join(beliefs)
-	return t, nil
+	return skipped, scanner.Err()
 }
 
 // parse reads one line.
