Full engines are left out where another chain has room

Cause: a stage that refused for want of room cost eight times its time, some 900 ms, while a chain over two other zones costs 2,000, so that requests went on to the full stage and were refused. Trimming now waits for layers that are held, not only ordered.

--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -51,22 +51,43 @@
 	// request's. A cut between zones breaks every stream across it, while a
 	// chain that is somewhat slower costs its caller nothing.
 	awayFactor = 1.5
-	// fullAt is the part of an engine's KV room from which on it costs more;
-	// at full it costs fullFactor times as much. Engines that run out of room
-	// throw out running requests.
-	fullAt     = 0.75
-	fullFactor = 8.0
+	// fullAt is the part of an engine's KV room from which on it costs more; at
+	// full that is fullMs, in ms. An engine without room throws out a running
+	// request, which is read again and late by then, or refuses the new one, whose
+	// caller comes back after 400 ms at best. That is worth a chain over two other
+	// zones.
+	fullAt = 0.85
+	fullMs = 600.0
 )
 
 // Choose gives the chain for a request; the error is a *NoChainError.
 func (b *Book) Choose(now time.Time, m *layered.Model, view *directory.View, r Request) (Chain, error) {
 	all := view.Of(r.Service)
 	usable := make([]*directory.Upstream, 0, len(all))
+	roomy := make([]*directory.Upstream, 0, len(all))
 	for _, e := range all {
-		if !e.Leaving && !e.Layers.Empty() && !r.Avoid[e.ID] && !b.doubtful(now, e) {
-			usable = append(usable, e)
+		if e.Leaving || e.Layers.Empty() || r.Avoid[e.ID] || b.doubtful(now, e) {
+			continue
+		}
+		usable = append(usable, e)
+		if !b.conditions.IsFull(now, e.ID) || r.fixed(e) {
+			roomy = append(roomy, e)
 		}
 	}
+	if c := b.cheapest(now, m, roomy, r); c != nil {
+		return c, nil
+	}
+	// Better an engine that refused for want of room just now than none: it may
+	// have room again.
+	if c := b.cheapest(now, m, usable, r); c != nil {
+		return c, nil
+	}
+	return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
+}
+
+// cheapest gives the cheapest chain of engines; nil if there is none. Chains over
+// several zones are looked at where no zone has one with room.
+func (b *Book) cheapest(now time.Time, m *layered.Model, usable []*directory.Upstream, r Request) Chain {
 	best, bestCost := Chain(nil), math.Inf(1)
 	for _, zone := range zonesOf(usable) {
 		c, cost := b.shortest(now, m, usable, r, zone)
@@ -77,15 +98,12 @@
 			best, bestCost = c, cost
 		}
 	}
-	if best == nil || b.hasFull(now, best) {
+	if best == nil || b.crowded(now, m, best) {
 		if c, cost := b.shortest(now, m, usable, r, ""); c != nil && cost < bestCost {
 			best = c
 		}
 	}
-	if best == nil {
-		return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
-	}
-	return best, nil
+	return best
 }
 
 // doubtful reports whether an engine gets no work for what it did last.
@@ -103,10 +121,23 @@
 	return cost
 }
 
-// hasFull reports whether an engine of a chain refused for want of room just
-// now.
-func (b *Book) hasFull(now time.Time, c Chain) bool {
-	return slices.ContainsFunc(c, func(h Hop) bool { return b.conditions.IsFull(now, h.Engine.ID) })
+// crowded reports whether an engine of a chain is short of room.
+func (b *Book) crowded(now time.Time, m *layered.Model, c Chain) bool {
+	return slices.ContainsFunc(c, func(h Hop) bool { return b.occupied(now, m, h.Engine) > fullAt })
+}
+
+// occupied gives the part of an engine's KV room that is taken, by a guess from
+// this node's own streams.
+func (b *Book) occupied(now time.Time, m *layered.Model, e *directory.Upstream) float64 {
+	s := b.engines[e.ID]
+	if s == nil {
+		return 0
+	}
+	room := m.Room(m.Cards[e.Card], e.Layers.Len()) * float64(e.Layers.Len())
+	if room <= 0 {
+		return 0
+	}
+	return s.guess(now).tokenLayers * b.fleet / room
 }
 
 // zonesOf gives the zones of engines in order.
@@ -211,7 +242,8 @@
 		writers += s.guess(now).streams * b.fleet
 	}
 	wait := m.WaitMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
-	return r.passes(m) * (hopMs + wait*b.pace(now, e.ID))
+	crowd := max(b.occupied(now, m, e)-fullAt, 0) / (1 - fullAt) * fullMs
+	return r.passes(m)*(hopMs+wait*b.pace(now, e.ID)) + crowd
 }
 
 // slowFactor is by how much an engine that makes answers late is dearer than its
@@ -235,20 +267,12 @@
 	if !known {
 		card = layered.Card{StepFactor: 1, ReadFactor: 1}
 	}
-	writers, occupied := 1.0, 0.0
+	writers := 1.0
 	if s := b.engines[e.ID]; s != nil {
-		guess := s.guess(now)
-		writers += guess.streams * b.fleet
-		if room := m.Room(card, e.Layers.Len()) * float64(e.Layers.Len()); room > 0 {
-			occupied = guess.tokenLayers * b.fleet / room
-		}
+		writers += s.guess(now).streams * b.fleet
 	}
 	cost := m.ReadMs(card, 1, r.Prompt) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())
-	crowd := 1 + max(occupied-fullAt, 0)/(1-fullAt)*(fullFactor-1)
-	if b.conditions.IsFull(now, e.ID) {
-		crowd = max(crowd, fullFactor)
-	}
-	return cost * b.pace(now, e.ID) * crowd
+	return cost * b.pace(now, e.ID)
 }
 
 // trace follows the ways back from the last boundary. Where an engine comes
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -177,7 +177,7 @@
 		return orders
 	}
 	if slices.Min(covered) > 0 {
-		return trim(m, engines, covered, o)
+		return trim(m, engines, o)
 	}
 	if whole := retile(m, engines, o); len(whole) > 0 {
 		return whole
--- a/decide/placement/retile.go
+++ b/decide/placement/retile.go
@@ -129,8 +129,10 @@
 // requests again. Engines that take over layers keep their own meanwhile: an
 // engine loads nothing until what passes through layers that it gives up has
 // ended, which took up to 17 s where eight of 39 engines were lost.
-func trim(m *layered.Model, engines []Engine, covered []int, o Options) []Order {
+func trim(m *layered.Model, engines []Engine, o Options) []Order {
 	o.WeightPart += stretch
+	// Engines under way do not hold yet what they were told.
+	covered := coverage(m, slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Fixed }))
 	for _, e := range engines {
 		over := e.Holds.Len() - capacity(m, e, o)
 		if e.Fixed || over <= 0 {
