--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -22,6 +22,8 @@
 	opts     Options
 	culprits *culprits
 
+	startedAt time.Time
+
 	mu         sync.Mutex
 	nodes      int
 	conditions *condition.Table
@@ -36,6 +38,7 @@
 	return &picker{
 		opts:       o,
 		culprits:   c,
+		startedAt:  o.Now(),
 		conditions: conditions,
 		chains:     chain.New(conditions),
 		replicas:   replica.New(conditions),
@@ -50,14 +53,14 @@
 	p.nodes = n
 	p.chains.SetFleet(n)
 	p.replicas.SetFleet(n)
-	for _, b := range p.budgets {
-		b.SetPolicy(p.policy())
-	}
 }
 
 // policy is the node's part of the retry budget.
 func (p *picker) policy() fleet.RetryPolicy {
 	ratio, perSecond := p.opts.Budget.share(p.nodes)
+	if p.opts.Now().Sub(p.startedAt) < retry.BudgetWindow {
+		perSecond *= startPart
+	}
 	return fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond}
 }
 
@@ -68,6 +71,7 @@
 		b = retry.NewBudget(p.policy())
 		p.budgets[service] = b
 	}
+	b.SetPolicy(p.policy())
 	return b
 }
 
