--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -170,7 +170,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.opts.Now()
-	r.First = &now[0]
+	r.First, r.Kept = &now[0], now
 	other, err := p.chains.Choose(at, m, view, r)
 	if err != nil || !p.tiles(other, m.Layers) {
 		return nil
