--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -117,17 +117,11 @@
 	Window time.Duration
 }
 
-const (
-	// slackPart is the part of its budget that a node uses: sends are counted here
-	// as they leave and at upstreams as they arrive, and a node that left the fleet
-	// may still be sending.
-	slackPart = 0.85
-	// startPart is the part of its slack that a node uses in its first window: the
-	// process before it may have used slackPart just now, so both together stay
-	// below 1.2, which would take all nodes to be killed right after they used up
-	// theirs, and to use it up again.
-	startPart = 0.35
-)
+// slackPart is the part of its slack that a node uses in steady state: the
+// budget fades exponentially, and a burst after a quiet time can spend the
+// whole allowance and a fading part of it again within one window, together
+// 1 + (1 - 1/e) times as much.
+const slackPart = 0.6
 
 // share gives a node's part of the budget among so many; 0 for a number that is
 // not known yet, which leaves only what the own requests allow.
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -22,8 +22,6 @@
 	opts     Options
 	culprits *culprits
 
-	startedAt time.Time
-
 	mu         sync.Mutex
 	nodes      int
 	conditions *condition.Table
@@ -38,7 +36,6 @@
 	return &picker{
 		opts:       o,
 		culprits:   c,
-		startedAt:  o.Now(),
 		conditions: conditions,
 		chains:     chain.New(conditions),
 		replicas:   replica.New(conditions),
@@ -53,14 +50,14 @@
 	p.nodes = n
 	p.chains.SetFleet(n)
 	p.replicas.SetFleet(n)
+	for _, b := range p.budgets {
+		b.SetPolicy(p.policy())
+	}
 }
 
 // policy is the node's part of the retry budget.
 func (p *picker) policy() fleet.RetryPolicy {
 	ratio, perSecond := p.opts.Budget.share(p.nodes)
-	if p.opts.Now().Sub(p.startedAt) < retry.BudgetWindow {
-		perSecond *= startPart
-	}
 	return fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond}
 }
 
@@ -71,7 +68,6 @@
 		b = retry.NewBudget(p.policy())
 		p.budgets[service] = b
 	}
-	b.SetPolicy(p.policy())
 	return b
 }
 
@@ -170,7 +166,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.opts.Now()
-	r.First, r.Kept = &now[0], now
+	r.First = &now[0]
 	other, err := p.chains.Choose(at, m, view, r)
 	if err != nil || !p.tiles(other, m.Layers) {
 		return nil
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -38,10 +38,6 @@
 	// patienceFactor of these waits ends an attempt even if all engines live:
 	// the connection itself may have gone silent.
 	patienceFactor = 12
-	// reroutedPatience is the same after a reroute. New stages first read all
-	// tokens, one request after the other: of 64 led around one dead stage at once
-	// the last had its next event after 1.5 s. Callers leave after 2 s.
-	reroutedPatience = 1900 * time.Millisecond
 	// defaultObjective and defaultPause stand for objectives that are not set.
 	defaultObjective = time.Second
 	defaultPause     = 500 * time.Millisecond
@@ -129,7 +125,7 @@
 	}
 	dead, slow := x.server.probe.ask(w.ctx, w.chain)
 	w.found = answered(dead, slow)
-	silent := waited >= patienceFactor*patience && (w.reroutes == 0 || waited >= reroutedPatience)
+	silent := waited >= patienceFactor*patience
 	if len(dead)+len(slow) == 0 && !silent {
 		return patience, nil
 	}
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -23,9 +23,6 @@
 	// First, where set, stays the first stage: the request runs there already,
 	// and only the stages after it are chosen.
 	First *Hop
-	// Kept are the stages that hold what the request has read and written so far;
-	// any other reads all of that first.
-	Kept Chain
 	// FirstOf, where set, are the engines one of which must be the first stage.
 	FirstOf map[ids.Life]bool
 }
@@ -38,19 +35,6 @@
 // mayBegin reports whether an engine may be the first stage.
 func (r Request) mayBegin(e *directory.Upstream) bool { return r.FirstOf == nil || r.FirstOf[e.ID] }
 
-// keeps reports whether an engine holds what the request has read of some layers.
-func (r Request) keeps(e *directory.Upstream, layers layered.Range) bool {
-	return slices.ContainsFunc(r.Kept, func(h Hop) bool { return h.Engine.ID == e.ID && h.Layers.Covers(layers) })
-}
-
-// hopMs is charged for the way into a stage in another zone than the one before.
-func (r Request) hopMs() float64 {
-	if r.First != nil {
-		return reroutedHopMs
-	}
-	return zoneHopMs
-}
-
 // tokens is the KV cache that a request needs on each stage.
 func (r Request) tokens() float64 { return r.Prompt + r.Answer }
 
@@ -63,10 +47,6 @@
 	// ms: all such chains share one pipe, for the activations of every token.
 	// They are chosen where no zone has a whole chain, or those are full.
 	zoneHopMs = 1000.0
-	// reroutedHopMs is the same for a request that runs already: what it has read
-	// crosses the pipe once, whichever stages after its first are new, and all new
-	// ones have to read it.
-	reroutedHopMs = 150.0
 	// awayFactor multiplies the cost of a chain in another zone than the
 	// request's. A cut between zones breaks every stream across it, while a
 	// chain that is somewhat slower costs its caller nothing.
@@ -241,13 +221,10 @@
 	perLayer := b.layerCost(now, m, r, e)
 	fixed := b.stageCost(now, m, r, e)
 	if prev := ways[i].hop.Engine; prev != nil && prev.Zone != e.Zone {
-		fixed += r.hopMs()
+		fixed += zoneHopMs
 	}
 	for j := i + 1; j < len(cuts) && cuts[j] <= e.Layers.To; j++ {
 		cost := ways[i].cost + fixed + perLayer*float64(cuts[j]-from)
-		if len(r.Kept) > 0 && r.keeps(e, layered.Range{From: from, To: cuts[j]}) {
-			cost -= b.readCost(now, m, r, e) * float64(cuts[j]-from)
-		}
 		if cost < ways[j].cost {
 			ways[j] = step{cost: cost, hop: Hop{e, layered.Range{From: from, To: cuts[j]}}, before: i}
 		}
@@ -294,17 +271,8 @@
 	if s := b.engines[e.ID]; s != nil {
 		writers += s.guess(now).streams * b.fleet
 	}
-	return b.readCost(now, m, r, e) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())*b.pace(now, e.ID)
-}
-
-// readCost is the time to read a request's prompt in one layer of an engine, in
-// ms.
-func (b *Book) readCost(now time.Time, m *layered.Model, r Request, e *directory.Upstream) float64 {
-	card, known := m.Cards[e.Card]
-	if !known {
-		card = layered.Card{StepFactor: 1, ReadFactor: 1}
-	}
-	return m.ReadMs(card, 1, r.Prompt) * b.pace(now, e.ID)
+	cost := m.ReadMs(card, 1, r.Prompt) + r.passes(m)*m.PassMs(card, 1, writers, r.tokens())
+	return cost * b.pace(now, e.ID)
 }
 
 // trace follows the ways back from the last boundary. Where an engine comes
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"time"
 
 	"mimosaarch.example/core/fleet"
@@ -8,17 +9,9 @@
 )
 
 // BudgetWindow is the time over which first attempts and retries are weighed
-// against each other.
+// against each other; older ones fade exponentially.
 const BudgetWindow = 10 * time.Second
 
-// Attempts are counted by spans of time. Retries count until a whole window after
-// the end of theirs, and first attempts no longer than a window after its start,
-// so that no window of any start holds more retries than allowed.
-const (
-	span  = BudgetWindow / spans
-	spans = 20
-)
-
 // maxReasons bounds the reasons counted apart; further ones are counted
 // under the empty reason.
 const maxReasons = 64
@@ -34,18 +27,12 @@
 // Not safe for concurrent use.
 type Budget struct {
 	ratio, least float64
-	// counts are those of the last spans; the one that ends in the present is at
-	// the index now modulo their number.
-	counts [spans + 1]counted
-	now    int64
-	// firsts and retries are the sums that weigh against each other.
-	firsts, retries int
-	stats           map[outcome.Reason]Stats
+	firsts       float64
+	retries      float64
+	last         time.Time
+	stats        map[outcome.Reason]Stats
 }
 
-// counted are the attempts of one span of time.
-type counted struct{ firsts, retries int }
-
 // NewBudget makes a Budget under a policy.
 func NewBudget(policy fleet.RetryPolicy) *Budget {
 	b := &Budget{stats: make(map[outcome.Reason]Stats)}
@@ -62,8 +49,7 @@
 
 // First counts the first attempt of a request.
 func (b *Budget) First(now time.Time) {
-	b.advance(now)
-	b.counts[b.now%int64(len(b.counts))].firsts++
+	b.fade(now)
 	b.firsts++
 }
 
@@ -73,16 +59,15 @@
 // AvailableOf is Available within a part of the allowance, 0 to 1, so that
 // retries which matter less leave the rest to those that matter more.
 func (b *Budget) AvailableOf(now time.Time, part float64) bool {
-	b.advance(now)
-	allowance := b.ratio*float64(b.firsts) + b.least*BudgetWindow.Seconds()
-	return float64(b.retries+1) <= allowance*part
+	b.fade(now)
+	allowance := b.ratio*b.firsts + b.least*BudgetWindow.Seconds()
+	return b.retries+1 <= allowance*part
 }
 
 // Allow takes one retry from the budget and counts the answer under reason.
 func (b *Budget) Allow(now time.Time, reason outcome.Reason) bool {
 	allowed := b.Available(now)
 	if allowed {
-		b.counts[b.now%int64(len(b.counts))].retries++
 		b.retries++
 	}
 	b.count(reason, allowed)
@@ -98,22 +83,16 @@
 	return out
 }
 
-// advance goes on to the span of now and drops what is too old. A clock that went
-// back counts as standing still.
-func (b *Budget) advance(now time.Time) {
-	at := now.UnixNano() / int64(span)
-	size := int64(len(b.counts))
-	if at-b.now >= size {
-		b.counts, b.firsts, b.retries, b.now = [spans + 1]counted{}, 0, 0, at
+// fade weighs down what was counted before now.
+func (b *Budget) fade(now time.Time) {
+	elapsed := now.Sub(b.last)
+	if elapsed <= 0 {
 		return
 	}
-	for b.now < at {
-		b.now++
-		oldest := &b.counts[b.now%size]
-		b.retries -= oldest.retries
-		*oldest = counted{}
-		b.firsts -= b.counts[(b.now+1)%size].firsts
-	}
+	keep := math.Exp(-elapsed.Seconds() / BudgetWindow.Seconds())
+	b.firsts *= keep
+	b.retries *= keep
+	b.last = now
 }
 
 // count notes one answer of Allow.
