--- a/decide/placement/retile.go
+++ b/decide/placement/retile.go
@@ -13,9 +13,6 @@
 	// retileStep is the step by which the part of memory for weights is raised
 	// until the engines that are left can hold the model.
 	retileStep = 0.04
-	// fullestPart is the part of a card's memory that weights may take while an
-	// engine holds its old layers beside new ones.
-	fullestPart = 0.9
 	// orderLayers is the cost of an order in layers loaded, so that few engines
 	// change: each serves nothing new in the layers that it gives up until another
 	// has loaded them.
@@ -111,7 +108,7 @@
 		if e.Holds.Covers(r) {
 			continue
 		}
-		layers := keepMore(e.Holds, r, capacity(m, e, Options{WeightPart: fullestPart}))
+		layers := keepMore(e.Holds, r, capacity(m, e, Options{WeightPart: widestPart}))
 		orders = append(orders, Order{Engine: e.ID, Layers: layers, AtOnce: !layers.Covers(e.Holds)})
 	}
 	slices.Reverse(orders)
