The first stage names the stage at which a request stalls

Change: the first stage's report is asked; only if it names none, all others are, once a second at most.

--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -23,6 +23,10 @@
 	// probeFresh is how long a probe's outcome answers for the next: a stage
 	// that dies stalls many streams at once, and one probe tells all of them.
 	probeFresh = 250 * time.Millisecond
+	// wideFresh is the same for stages that no first stage names. They are asked
+	// for their pace, which lasts seconds, and a chain has 12 to 25 stages: with
+	// 250 ms a fleet of 82 nodes asked 78,000 times in a day of trouble.
+	wideFresh = time.Second
 )
 
 // prober asks the engines of chains that stalled.
@@ -39,9 +43,10 @@
 	at   time.Time
 	done chan struct{}
 	// dead, pace and full are set once done is closed.
-	dead bool
-	pace float64
-	full bool
+	dead    bool
+	pace    float64
+	full    bool
+	stalled map[ids.Request]string
 }
 
 // newProber makes a prober.
@@ -54,17 +59,37 @@
 func (p *prober) refresh(ctx context.Context, view *directory.View) {
 	for _, id := range p.picks.due() {
 		if u := view.Get(id); u != nil {
-			p.one(ctx, u)
+			p.one(ctx, u, probeFresh)
 		}
 	}
 }
 
-// ask probes the engines of a chain that were not probed just now. dead are
-// those that did not answer, slow those whose reported pace counts as stalled.
-func (p *prober) ask(ctx context.Context, c chain.Chain) (dead, slow []*directory.Upstream) {
+// ask finds out why a request makes no progress on a chain: by the first stage,
+// which names the stage that does not answer it, or else by all. dead are those
+// that did not answer, slow those whose reported pace counts as stalled.
+func (p *prober) ask(ctx context.Context, request string, c chain.Chain) (dead, slow []*directory.Upstream) {
+	first := p.one(ctx, c[0].Engine, probeFresh)
+	<-first.done
+	if first.dead {
+		return []*directory.Upstream{c[0].Engine}, nil
+	}
+	if address := first.stalled[ids.Request(request)]; address != "" {
+		for _, h := range c {
+			if h.Engine.Address == address {
+				// Whether it answers here or not, it does not answer there.
+				p.one(ctx, h.Engine, probeFresh)
+				return []*directory.Upstream{h.Engine}, nil
+			}
+		}
+	}
+	return p.wide(ctx, c)
+}
+
+// wide probes all engines of a chain that were not probed lately.
+func (p *prober) wide(ctx context.Context, c chain.Chain) (dead, slow []*directory.Upstream) {
 	probes := make([]*probe, len(c))
 	for i, h := range c {
-		probes[i] = p.one(ctx, h.Engine)
+		probes[i] = p.one(ctx, h.Engine, wideFresh)
 	}
 	for i, h := range c {
 		<-probes[i].done
@@ -84,10 +109,10 @@
 func (p *prober) judge(ctx context.Context, u *directory.Upstream, reason outcome.Reason) {
 	if reason != outcome.UpstreamBusy {
 		p.picks.refused(u)
-		p.one(ctx, u)
+		p.one(ctx, u, probeFresh)
 		return
 	}
-	probe := p.one(ctx, u)
+	probe := p.one(ctx, u, probeFresh)
 	<-probe.done
 	switch {
 	case probe.dead:
@@ -107,12 +132,12 @@
 	return r.Queued > 0 || r.KVTotal <= 0 || r.KVUsed >= fullPart*r.KVTotal
 }
 
-// one gives the latest probe of an engine, begun now if there is no fresh one.
-func (p *prober) one(ctx context.Context, u *directory.Upstream) *probe {
+// one gives the latest probe of an engine, begun now if there is none so fresh.
+func (p *prober) one(ctx context.Context, u *directory.Upstream, within time.Duration) *probe {
 	now := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if latest := p.latest[u.ID]; latest != nil && now.Sub(latest.at) < probeFresh {
+	if latest := p.latest[u.ID]; latest != nil && now.Sub(latest.at) < within {
 		return latest
 	}
 	fresh := &probe{at: now, done: make(chan struct{})}
@@ -144,6 +169,7 @@
 	}
 	out.pace = report.Pace
 	out.full = isFull(report)
+	out.stalled = report.Stalled
 	p.picks.answered(u)
 	p.picks.paced(u, report.Pace)
 	if report.Pace >= condition.SlowPace {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -123,7 +123,7 @@
 	if waited == 0 || w.s.model == nil || x.server.opts.Now().Before(w.restUntil) {
 		return patience, nil
 	}
-	dead, slow := x.server.probe.ask(w.ctx, w.chain)
+	dead, slow := x.server.probe.ask(w.ctx, x.id, w.chain)
 	w.found = answered(dead, slow)
 	silent := waited >= patienceFactor*patience
 	if len(dead)+len(slow) == 0 && !silent {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -264,7 +264,7 @@
 // lookFor finds out which engine of a chain ended a stream: those that do not
 // answer, or else the first, which broke the connection off.
 func (s *stream) lookFor(ctx context.Context, c chain.Chain) {
-	dead, _ := s.x.server.probe.ask(ctx, c)
+	dead, _ := s.x.server.probe.wide(ctx, c)
 	for _, u := range dead {
 		s.req.Avoid[u.ID] = true
 	}
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -134,4 +134,7 @@
 	Layers Range
 	// KVUsed and KVTotal are its KV cache, in tokens times layers.
 	KVUsed, KVTotal float64
+	// Stalled gives, for requests of which it is the first stage and that wait for
+	// another one which does not answer it, the address of that one.
+	Stalled map[ids.Request]string
 }
