A way between zones costs more as its pipe fills

Ruled out: full engines avoided at any cost (that caused it).

Change: the model knows the bytes of a token and the pipe's rate; a node counts the prompts it sent across each pair of zones and raises the cost of a hop by the share taken. Full engines cost 3,000 ms in place of being left out.

--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -61,6 +61,11 @@
 	Prompt, Answer float64
 	// Cards are the kinds of accelerators by name.
 	Cards map[string]Card
+	// ActivationBytes is what one token hands on from stage to stage.
+	ActivationBytes float64
+	// PipeMbps is the rate of the way between two zones, which all share, 0 where
+	// it is not known.
+	PipeMbps float64
 }
 
 // mb is the number of bytes in a MB, as the platform counts them.
@@ -118,6 +123,18 @@
 	return ids.Life{Upstream: known.Upstream, Born: max(known.Born, r.Born)}
 }
 
+// PipeShare gives the part of the way between two zones that so many tokens a
+// second take.
+func (m *Model) PipeShare(tokensPerS float64) float64 {
+	if m.PipeMbps <= 0 {
+		return 0
+	}
+	return tokensPerS * m.ActivationBytes * bits / (m.PipeMbps * mb)
+}
+
+// bits is the number of bits in a byte.
+const bits = 8
+
 // Report is what an engine reports of itself, some hundred ms old.
 type Report struct {
 	// Born is the Unix time of its start in ms, 0 where it does not tell.
--- a/decide/chain/book.go
+++ b/decide/chain/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
 	"mimosaarch.example/decide/condition"
 )
 
@@ -12,6 +13,8 @@
 type Book struct {
 	conditions *condition.Table
 	engines    map[ids.Life]*state
+	// pipes are the ways between zones that this node's requests took.
+	pipes map[pair]*pipe
 	// fleet is by how much the own load is multiplied to guess everybody's.
 	fleet float64
 }
@@ -65,7 +68,7 @@
 
 // New makes a Book that shares beliefs with others.
 func New(conditions *condition.Table) *Book {
-	return &Book{conditions: conditions, engines: make(map[ids.Life]*state), fleet: 1}
+	return &Book{conditions: conditions, engines: make(map[ids.Life]*state), pipes: make(map[pair]*pipe), fleet: 1}
 }
 
 // SetFleet tells how many nodes share the engines.
@@ -89,7 +92,14 @@
 }
 
 // Began counts a request on its chain.
-func (b *Book) Began(now time.Time, c Chain, r Request) { b.count(now, c, r, 1) }
+func (b *Book) Began(now time.Time, c Chain, r Request) {
+	b.count(now, c, r, 1)
+	for i := 1; i < len(c); i++ {
+		if from, to := c[i-1].Engine.Zone, c[i].Engine.Zone; from != to {
+			b.pipe(from, to).add(now, r.Prompt)
+		}
+	}
+}
 
 // Ended takes a request off its chain; r must be what Began was told.
 func (b *Book) Ended(now time.Time, c Chain, r Request) { b.count(now, c, r, -1) }
@@ -103,3 +113,55 @@
 		s.now.tokenLayers += sign * r.tokens() * float64(h.Layers.Len())
 	}
 }
+
+// pair is two zones, the lesser name first.
+type pair [2]ids.Zone
+
+// pipe is the way between two zones.
+type pipe struct {
+	// tokensPerS is the mean rate of prompt tokens as of at.
+	tokensPerS float64
+	at         time.Time
+}
+
+// pipeOver is the time over which that mean is taken: a burst of 100 prompts a
+// second fills a pipe of 3,280 Mbit/s elevenfold, and lasts some seconds.
+const pipeOver = time.Second
+
+// pipe gives the way between two zones.
+func (b *Book) pipe(one, other ids.Zone) *pipe {
+	key := pair{min(one, other), max(one, other)}
+	p := b.pipes[key]
+	if p == nil {
+		p = &pipe{}
+		b.pipes[key] = p
+	}
+	return p
+}
+
+// fade brings the mean up to now.
+func (p *pipe) fade(now time.Time) {
+	p.tokensPerS *= math.Exp(-now.Sub(p.at).Seconds() / pipeOver.Seconds())
+	p.at = now
+}
+
+// add counts the prompt of a request.
+func (p *pipe) add(now time.Time, tokens float64) {
+	p.fade(now)
+	p.tokensPerS += tokens / pipeOver.Seconds()
+}
+
+// leastFree is the part of a pipe that counts as free at least.
+const leastFree = 0.05
+
+// hopCost is charged for the way into a stage in another zone than the one
+// before, in ms: more as the pipe between them fills up, by a guess from this
+// node's own requests.
+func (b *Book) hopCost(now time.Time, m *layered.Model, from, to ids.Zone) float64 {
+	p := b.pipes[pair{min(from, to), max(from, to)}]
+	if p == nil {
+		return zoneHopMs
+	}
+	p.fade(now)
+	return zoneHopMs / max(1-m.PipeShare(p.tokensPerS*b.fleet), leastFree)
+}
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -53,41 +53,24 @@
 	awayFactor = 1.5
 	// fullAt is the part of an engine's KV room from which on it costs more; at
 	// full that is fullMs, in ms. An engine without room throws out a running
-	// request, which is read again and late by then, or refuses the new one, whose
-	// caller comes back after 400 ms at best. That is worth a chain over two other
-	// zones.
+	// request, which is read again.
 	fullAt = 0.85
 	fullMs = 600.0
+	// refusedMs is charged for an engine that refused for want of room just now, in
+	// ms: it will refuse again, and the caller comes back after 400 ms at best. It
+	// is worth the way over another zone and back while the pipe is mostly free.
+	refusedMs = 3000.0
 )
 
 // Choose gives the chain for a request; the error is a *NoChainError.
 func (b *Book) Choose(now time.Time, m *layered.Model, view *directory.View, r Request) (Chain, error) {
 	all := view.Of(r.Service)
 	usable := make([]*directory.Upstream, 0, len(all))
-	roomy := make([]*directory.Upstream, 0, len(all))
 	for _, e := range all {
-		if e.Leaving || e.Layers.Empty() || r.Avoid[e.ID] || b.doubtful(now, e) {
-			continue
-		}
-		usable = append(usable, e)
-		if !b.conditions.IsFull(now, e.ID) || r.fixed(e) {
-			roomy = append(roomy, e)
+		if !e.Leaving && !e.Layers.Empty() && !r.Avoid[e.ID] && !b.doubtful(now, e) {
+			usable = append(usable, e)
 		}
 	}
-	if c := b.cheapest(now, m, roomy, r); c != nil {
-		return c, nil
-	}
-	// Better an engine that refused for want of room just now than none: it may
-	// have room again.
-	if c := b.cheapest(now, m, usable, r); c != nil {
-		return c, nil
-	}
-	return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
-}
-
-// cheapest gives the cheapest chain of engines; nil if there is none. Chains over
-// several zones are looked at where no zone has one with room.
-func (b *Book) cheapest(now time.Time, m *layered.Model, usable []*directory.Upstream, r Request) Chain {
 	best, bestCost := Chain(nil), math.Inf(1)
 	for _, zone := range zonesOf(usable) {
 		c, cost := b.shortest(now, m, usable, r, zone)
@@ -103,7 +86,10 @@
 			best = c
 		}
 	}
-	return best
+	if best == nil {
+		return nil, &NoChainError{Service: r.Service, Engines: len(all), Usable: len(usable)}
+	}
+	return best, nil
 }
 
 // doubtful reports whether an engine gets no work for what it did last.
@@ -123,7 +109,9 @@
 
 // crowded reports whether an engine of a chain is short of room.
 func (b *Book) crowded(now time.Time, m *layered.Model, c Chain) bool {
-	return slices.ContainsFunc(c, func(h Hop) bool { return b.occupied(now, m, h.Engine) > fullAt })
+	return slices.ContainsFunc(c, func(h Hop) bool {
+		return b.occupied(now, m, h.Engine) > fullAt || b.conditions.IsFull(now, h.Engine.ID)
+	})
 }
 
 // occupied gives the part of an engine's KV room that is taken, by a guess from
@@ -221,7 +209,7 @@
 	perLayer := b.layerCost(now, m, r, e)
 	fixed := b.stageCost(now, m, r, e)
 	if prev := ways[i].hop.Engine; prev != nil && prev.Zone != e.Zone {
-		fixed += zoneHopMs
+		fixed += b.hopCost(now, m, prev.Zone, e.Zone)
 	}
 	for j := i + 1; j < len(cuts) && cuts[j] <= e.Layers.To; j++ {
 		cost := ways[i].cost + fixed + perLayer*float64(cuts[j]-from)
@@ -243,6 +231,9 @@
 	}
 	wait := m.WaitMs(m.Cards[e.Card], e.Layers.Len(), writers, r.tokens())
 	crowd := max(b.occupied(now, m, e)-fullAt, 0) / (1 - fullAt) * fullMs
+	if b.conditions.IsFull(now, e.ID) {
+		crowd += refusedMs
+	}
 	return r.passes(m)*(hopMs+wait*b.pace(now, e.ID)) + crowd
 }
 
