--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -142,7 +142,9 @@
 	mu   sync.Mutex
 	dead map[ids.Life]bool
 	// born are the starts that upstreams report.
-	born     map[ids.Upstream]int64
+	born map[ids.Upstream]int64
+	// stalled are the stages that first stages name for their requests.
+	stalled  map[ids.Life]map[ids.Request]string
 	refused  map[ids.Life]bool
 	rerouted []string
 	refuse   error
@@ -159,7 +161,7 @@
 	if c.dead[u.ID] {
 		return layered.Report{}, &GoneError{Cause: context.DeadlineExceeded}
 	}
-	return layered.Report{Born: c.born[u.ID.Upstream], Pace: 1, KVTotal: 100}, nil
+	return layered.Report{Born: c.born[u.ID.Upstream], Pace: 1, KVTotal: 100, Stalled: c.stalled[u.ID]}, nil
 }
 
 // Reroute implements Engines.
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -382,3 +382,29 @@
 		t.Errorf("one that has recovered counts as slow by %v", pace)
 	}
 }
+
+// A stage that answers this node but not the stage before it stalls a stream just
+// as a dead one does; the first stage's report names it.
+func TestStreamIsLedAroundTheStageThatItsFirstNames(t *testing.T) {
+	released := make(chan struct{})
+	first := stageFake(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		<-released
+		return eventsFrom(conn, req, 1, 3, true)
+	})
+	second := stageFake(t, "b", 5, 10, whole(2))
+	twin := stageFake(t, "c", 5, 10, whole(2))
+	twin.Zone = "far"
+	r := newRig(t, first, second, twin)
+	r.calls.stalled = map[ids.Life]map[ids.Request]string{life("a"): {"r1": second.Address}}
+	r.calls.onRoute = func() { close(released) }
+	c := r.dial(t)
+	c.send("POST", "/stream/x", "r1", "p")
+	resp, complete := c.answer()
+	if !complete {
+		t.Fatalf("answer %q is not whole", resp.Body())
+	}
+	wantEvents(t, resp.Body(), 1, 3)
+	if want := "r1 " + first.Address + "=0-5," + twin.Address + "=5-10"; r.calls.rerouted[0] != want {
+		t.Errorf("rerouted %q, want %q", r.calls.rerouted[0], want)
+	}
+}
--- /dev/null
+++ b/adapter/placer/shortage_test.go
@@ -0,0 +1,134 @@
+package placer
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/routing"
+)
+
+// Layers of an engine that leaves are loaded elsewhere before it is gone, by
+// engines that hold others; those of one that crashed only after it could be
+// back.
+func TestZoneIsTiledAnewAtOnceForOneThatLeaves(t *testing.T) {
+	for _, test := range []struct {
+		leaves bool
+		within time.Duration
+	}{{true, 500 * time.Millisecond}, {false, moveAfter + time.Second}} {
+		f := newFleet()
+		play(t, f, true, func() {
+			f.engine("a", 0, 4)
+			f.engine("b", 4, 7)
+			f.engine("c", 7, 10)
+			f.engine("d", 0, 4)
+			time.Sleep(2 * time.Second)
+			f.given()
+			if test.leaves {
+				f.leave("b")
+			} else {
+				f.gone("b")
+			}
+			time.Sleep(test.within)
+			if got := f.given(); len(got) == 0 {
+				t.Errorf("leaves %v: no order within %v", test.leaves, test.within)
+			}
+		})
+	}
+}
+
+// An engine that has been silent for long counts as lost only where that leaves
+// fewer than half of the zones whole.
+func TestSilentEnginesCountAsLostOnlyInShortage(t *testing.T) {
+	f := newFleet()
+	play(t, f, true, func() {
+		f.engine("a", 0, 6)
+		f.engine("b", 6, 10)
+		f.engine("twin", 0, 6)
+		f.silence("b", lostAfter/2)
+		time.Sleep(2 * time.Second)
+		if got := f.given(); len(got) > 0 {
+			t.Errorf("orders for one that is silent for a moment: %v", got)
+		}
+		f.silence("b", lostAfter)
+		time.Sleep(urgentAfter + time.Second)
+		if got := f.given(); len(got) != 1 || !strings.Contains(got[0], "-10 ") {
+			t.Errorf("orders %v, want one for the layers of the silent engine", got)
+		}
+	})
+	f = newFleet()
+	play(t, f, true, func() {
+		for _, zone := range []string{"x", "y"} {
+			f.in(zone, "a-"+zone, 0, 6)
+			f.in(zone, "b-"+zone, 6, 10)
+			f.in(zone, "twin-"+zone, 0, 6)
+		}
+		f.silence("b-x", time.Minute)
+		time.Sleep(10 * time.Second)
+		if got := f.given(); len(got) > 0 {
+			t.Errorf("orders while another zone is whole: %v", got)
+		}
+	})
+}
+
+// in is engine in a zone.
+func (f *fleet) in(zone, id string, from, to int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	f.dir.Put(directory.Upstream{
+		ID: ids.Life{Upstream: ids.Upstream(id)}, Service: "s", Address: id, Zone: ids.Zone(zone), Card: "card",
+		Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+	})
+}
+
+// Streams that may not go on elsewhere are never ended by an order.
+func TestOrdersEndNoStreamThatCannotGoOn(t *testing.T) {
+	table := func(resumable bool) *routing.Table {
+		built, err := routing.Build(routing.Config{
+			Routes: []routing.Route{{
+				Name: "r", PathPrefix: "/", Kind: routing.Streaming, Resumable: resumable,
+				Splits: []routing.Split{{Service: "s", Weight: 1}},
+			}},
+			Services: []routing.Service{{Name: "s", Model: &layered.Model{Layers: 10}}, {Name: "other"}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return built
+	}
+	if resumes(table(false), "s") || !resumes(table(true), "s") || !resumes(table(false), "other") {
+		t.Error("the routes' word is not followed")
+	}
+}
+
+// leave has an engine's entry say that it leaves.
+func (f *fleet) leave(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	u := *f.dir.View().Get(ids.Life{Upstream: ids.Upstream(id)})
+	u.Leaving, u.Revision = true, f.rev
+	f.dir.Put(u)
+}
+
+// gone removes an engine's entry.
+func (f *fleet) gone(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	f.dir.Remove(time.Now(), ids.Upstream(id), f.rev)
+}
+
+// silence has an engine not have answered for that long.
+func (f *fleet) silence(id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent == nil {
+		f.silent = make(map[ids.Upstream]time.Duration)
+	}
+	f.silent[ids.Upstream(id)] = d
+}
--- a/decide/placement/retile_test.go
+++ b/decide/placement/retile_test.go
@@ -96,3 +96,40 @@
 		retile(m, engines, Options{WeightPart: DefaultWeightPart})
 	}
 }
+
+// Layers are given up only once another engine of the zone holds them, by an
+// engine that holds more than usual.
+func TestTrimWaitsForOthersToHold(t *testing.T) {
+	m := model()
+	full := Engine{ID: life("full"), Zone: "a", Card: "small", Holds: layered.Range{From: 0, To: 10}}
+	next := Engine{ID: life("next"), Zone: "a", Card: "medium", Holds: layered.Range{From: 8, To: 18}}
+	o := Options{WeightPart: DefaultWeightPart}
+	want := Order{Engine: full.ID, Layers: layered.Range{From: 0, To: 8}}
+	if got := trim(m, []Engine{full, next}, o); len(got) != 1 || got[0] != want {
+		t.Errorf("orders %v, want %v", got, want)
+	}
+	next.Fixed = true
+	if got := trim(m, []Engine{full, next}, o); len(got) > 0 {
+		t.Errorf("orders %v while the other engine only loads them", got)
+	}
+	next.Fixed, next.Holds.From = false, 10
+	if got := trim(m, []Engine{full, next}, o); len(got) > 0 {
+		t.Errorf("orders %v for layers that no other holds", got)
+	}
+}
+
+// Of a zone that is tiled anew, only engines that lose layers have what passes
+// through those end at once.
+func TestOnlyGivenUpLayersEndAtOnce(t *testing.T) {
+	m := model()
+	engines := zone("a", 1, 1, 8)
+	held := apply(engines, Plan(m, engines, Options{}))
+	for i := range held {
+		left := slices.Delete(slices.Clone(held), i, i+1)
+		for _, o := range Plan(m, left, moving("a")) {
+			if e := find(left, o.Engine); o.AtOnce && o.Layers.Covers(e.Holds) {
+				t.Errorf("%s keeps %s and takes %s, but ends what passes", o.Engine, e.Holds, o.Layers)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/mimosactl/losses/losses_test.go
@@ -0,0 +1,71 @@
+package losses
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// day is the log of two nodes, one of which starts again.
+const day = `built in 0.0 s
+   0.1 n1 {"vm":"n1","event":"started","zone":"z1","time":"2026-08-31T10:00:00Z"}
+{"vm":"n2","event":"started","zone":"z2","time":"2026-08-31T10:00:00Z"}
+{"vm":"n1","event":"chain","request":"a","chain":"1.1.1.1:1=0-4,1.1.1.2:1=4-8","time":"2026-08-31T10:00:01Z"}
+{"vm":"n1","event":"rerouted","request":"a","chain":"1.1.1.1:1=0-4,1.1.1.3:1=4-8","was":"1.1.1.1:1=0-4,1.1.1.2:1=4-8","time":"2026-08-31T10:00:01.2Z"}
+{"vm":"n1","event":"answered","request":"a","status":200,"service":"m","late":"reroute","time":"2026-08-31T10:00:02Z"}
+{"vm":"n1","event":"chain","request":"b","chain":"1.1.1.1:1=0-8","time":"2026-08-31T10:00:02Z"}
+{"vm":"n1","event":"answered","request":"b","status":200,"service":"m","late":"","time":"2026-08-31T10:00:03.5Z"}
+{"vm":"n2","event":"sent","request":"c","time":"2026-08-31T10:00:04Z"}
+{"vm":"n2","event":"refused","request":"d","status":503,"reason":"no_upstream","service":"m","time":"2026-08-31T10:00:04Z"}
+{"vm":"n2","event":"refused","request":"e","status":404,"reason":"unknown_service","time":"2026-08-31T10:00:04Z"}
+{"vm":"n2","event":"broken_off","request":"f","reason":"","service":"m","time":"2026-08-31T10:00:04Z"}
+{"vm":"n2","event":"answered","request":"g","status":500,"service":"p","time":"2026-08-31T10:00:04Z"}
+{"vm":"n2","event":"log_lines_dropped","lines":7,"time":"2026-08-31T10:00:05Z"}
+{"vm":"n2","event":"started","zone":"z2","time":"2026-08-31T10:00:06Z"}
+`
+
+func TestLossesAreSummedByCause(t *testing.T) {
+	s, err := Read(strings.NewReader(day), 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[Cause]int{
+		{Late, "reroute"}: 1, {Refused, "no_upstream"}: 1, {Cut, ""}: 1, {Failed, "upstream_failure"}: 1, {Cut, "process_ended"}: 1,
+	}
+	if diff := cmp.Diff(want, s.Causes); diff != "" {
+		t.Error(diff)
+	}
+	if s.Asked != 7 || s.Lost != 5 || s.Unexplained() != 1 || s.Skipped != 1 || s.Dropped != 7 {
+		t.Errorf("%+v", s)
+	}
+	if diff := cmp.Diff(map[string]int{"z1": 1, "z2": 4}, s.Zones); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(map[string]int{"1.1.1.2:1": 1}, s.Stages); diff != "" {
+		t.Error(diff)
+	}
+	total := 0
+	for i, m := range s.Moments {
+		if m.From != time.Duration(i)*2*time.Second {
+			t.Errorf("moment %d begins at %v", i, m.From)
+		}
+		for _, n := range m.ByKind {
+			total += n
+		}
+	}
+	if total != s.Lost {
+		t.Errorf("moments hold %d losses of %d", total, s.Lost)
+	}
+	if top := s.Top(); len(top) != 5 || top[0].Kind != Cut {
+		t.Errorf("top %v", top)
+	}
+}
+
+func TestEmptyLogIsNoLoss(t *testing.T) {
+	s, err := Read(strings.NewReader(""), time.Second)
+	if err != nil || s.Asked != 0 || len(s.Moments) != 0 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
