--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -11,7 +11,6 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
-	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 )
@@ -178,5 +177,5 @@
 
 // target names an upstream for the pool.
 func target(u *directory.Upstream) upconn.Target {
-	return upconn.Target{ID: ids.Life(u.ID), Address: u.Address}
+	return upconn.Target{ID: u.ID, Address: u.Address}
 }
