Streams are ended by orders only after losses, never for engines that leave

Change: orders of a new tiling end what passes only where fewer than half of the zones are whole and the zone lacks layers even with those of leaving engines counted.

--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -188,7 +188,11 @@
 	}
 	state, whole, urgent := p.situation(now, m, engines)
 	plan := p.opts.Plan
-	plan.Move = p.movable(now, service.Name, whole, leftZones(m, engines), urgent)
+	left := leftZones(m, engines)
+	plan.Move = p.movable(now, service.Name, whole, left, urgent)
+	if urgent && resumes(p.opts.Table(), service.Name) {
+		plan.AtOnce = lossZones(whole, left)
+	}
 	q := question{m, state, plan.Move}
 	if p.atRest(service.Name, q) {
 		return
@@ -197,11 +201,10 @@
 	if len(orders) == 0 {
 		p.rest[service.Name] = q
 	}
-	resumable := resumes(p.opts.Table(), service.Name)
 	for _, order := range orders {
 		for _, u := range engines {
 			if u.ID == order.Engine {
-				p.send(ctx, m, u, Order{Layers: order.Layers, AtOnce: order.AtOnce && resumable})
+				p.send(ctx, m, u, Order{Layers: order.Layers, AtOnce: order.AtOnce})
 			}
 		}
 	}
--- a/adapter/placer/shortage.go
+++ b/adapter/placer/shortage.go
@@ -90,6 +90,16 @@
 	return left
 }
 
+// lossZones gives the zones that lack layers, but not for engines that leave: a
+// planned stop must not cut anybody off.
+func lossZones(whole, left map[ids.Zone]bool) map[ids.Zone]bool {
+	lost := make(map[ids.Zone]bool)
+	for zone, ok := range whole {
+		lost[zone] = !ok && !left[zone]
+	}
+	return lost
+}
+
 // resumes reports whether all streams of a service may go on elsewhere, so that
 // none is lost where one ends.
 func resumes(table *routing.Table, service ids.Service) bool {
--- a/adapter/placer/shortage_test.go
+++ b/adapter/placer/shortage_test.go
@@ -132,3 +132,37 @@
 	}
 	f.silent[ids.Upstream(id)] = d
 }
+
+// An engine that leaves as planned never makes an order end streams, also where it
+// leaves no zone whole; one that is lost does.
+func TestPlannedLeavingEndsNoStreams(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		f := newFleet()
+		play(t, f, true, func() {
+			f.engine("a", 0, 4)
+			f.engine("b", 4, 7)
+			f.engine("c", 7, 10)
+			time.Sleep(2 * time.Second)
+			f.given()
+			if leaves {
+				f.leave("b")
+			} else {
+				f.gone("b")
+			}
+			time.Sleep(5 * time.Second)
+			if ended := f.endedStreams(); ended && leaves {
+				t.Error("an order ended streams for an engine that leaves")
+			}
+			if len(f.given()) == 0 {
+				t.Error("no order")
+			}
+		})
+	}
+}
+
+// endedStreams reports whether an order ended what passed through an engine.
+func (f *fleet) endedStreams() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.atOnce
+}
--- a/decide/placement/retile_test.go
+++ b/decide/placement/retile_test.go
@@ -126,10 +126,17 @@
 	held := apply(engines, Plan(m, engines, Options{}))
 	for i := range held {
 		left := slices.Delete(slices.Clone(held), i, i+1)
-		for _, o := range Plan(m, left, moving("a")) {
+		may := moving("a")
+		may.AtOnce = may.Move
+		for _, o := range Plan(m, left, may) {
 			if e := find(left, o.Engine); o.AtOnce && o.Layers.Covers(e.Holds) {
 				t.Errorf("%s keeps %s and takes %s, but ends what passes", o.Engine, e.Holds, o.Layers)
 			}
 		}
+		for _, o := range Plan(m, left, moving("a")) {
+			if o.AtOnce {
+				t.Errorf("%s ends what passes, without leave", o.Engine)
+			}
+		}
 	}
 }
