Streams midway wait for a chain; zones of leaving engines stay as they are until those are gone

And new tilings, made as soon as an engine was to leave, gave up layers that were still served.

Change: such a stream looks again each 150 ms until 1.6 s after its latest event, before callers leave; a zone counts as lacking layers only once the engine is gone. Neighbours still take over at once.

--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -45,7 +45,7 @@
 	}
 	for {
 		failed := s.attempt(ctx)
-		if failed == nil || x.ended(ctx) || !s.next(failed) {
+		if failed == nil || x.ended(ctx) || !s.next(ctx, failed) {
 			return
 		}
 	}
@@ -66,10 +66,13 @@
 }
 
 // next decides what follows a failed attempt; if nothing, it answers.
-func (s *stream) next(failed *failure) bool {
+func (s *stream) next(ctx context.Context, failed *failure) bool {
 	x := s.x
 	var none *chain.NoChainError
 	if errors.As(failed.cause, &none) {
+		if s.awaitChain(ctx) {
+			return true
+		}
 		x.giveUp(outcome.NoUpstream, none.Error(), noUpstreamAfter)
 		return false
 	}
@@ -82,6 +85,30 @@
 	return x.again(failed)
 }
 
+const (
+	// chainWait is how long after its latest event a stream waits for a chain to go
+	// on with. Callers leave after 2 s without an event, and engines that take over
+	// layers have loaded them in about one.
+	chainWait = 1600 * time.Millisecond
+	// chainRetry is the wait before the next look.
+	chainRetry = 150 * time.Millisecond
+)
+
+// awaitChain waits a moment if part of the answer is with the caller, who could
+// do nothing with the rest of a refusal; it reports whether to look again.
+func (s *stream) awaitChain(ctx context.Context) bool {
+	if !s.x.written || s.x.server.opts.Now().Sub(s.last) > chainWait {
+		return false
+	}
+	timer := time.NewTimer(chainRetry)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // attempt sends the request through one chain and passes its events on. It
 // gives nil once the caller was answered.
 func (s *stream) attempt(ctx context.Context) *failure {
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -408,3 +408,26 @@
 		t.Errorf("rerouted %q, want %q", r.calls.rerouted[0], want)
 	}
 }
+
+// A stream that is half with its caller waits a moment for a chain to go on with:
+// engines that take over the layers of one that left load them in about a second.
+func TestStreamMidwayWaitsForAChain(t *testing.T) {
+	dead := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return eventsFrom(conn, req, 1, 2, false)
+	})
+	next := stageFake(t, "b", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return eventsFrom(conn, req, after(req), 4, true)
+	})
+	r := newRig(t, dead)
+	r.calls.dead[life("a")] = true
+	time.AfterFunc(chainWait/2, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.dir.Put(next.Upstream)
+	})
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete {
+		t.Fatalf("answer %q is not whole", resp.Body())
+	}
+	wantEvents(t, resp.Body(), 1, 4)
+}
--- a/adapter/placer/shortage.go
+++ b/adapter/placer/shortage.go
@@ -14,8 +14,9 @@
 // Waits while layers are missing.
 const (
 	// moveAfter is how long a zone must lack layers before engines that hold
-	// others are moved: most engines that crash are back, empty, in less. One that
-	// leaves does not come back, so for its layers nothing is waited.
+	// others are moved: most engines that crash are back, empty, in less. It counts
+	// from the moment at which an engine that leaves is gone, as what passes through
+	// it is served until then.
 	moveAfter = 2500 * time.Millisecond
 	// urgentAfter is the same while fewer than half of the zones hold every layer:
 	// long enough for a widened neighbour's order to be sent.
@@ -48,8 +49,8 @@
 	return state, whole, urgent
 }
 
-// movable gives the zones that have lacked layers for long, or lack them since
-// an engine leaves.
+// movable gives the zones that have lacked layers for long, those of engines that
+// leave not counted as missing.
 func (p *Placer) movable(now time.Time, service ids.Service, whole, left map[ids.Zone]bool, urgent bool) map[ids.Zone]bool {
 	move := make(map[ids.Zone]bool)
 	wait := moveAfter
@@ -58,7 +59,7 @@
 	}
 	for zone, ok := range whole {
 		key := zoneOf{service, zone}
-		if ok {
+		if ok || left[zone] {
 			delete(p.holeSince, key)
 			continue
 		}
@@ -66,9 +67,6 @@
 		if !lacking {
 			since = now
 		}
-		if left[zone] {
-			since = now.Add(-wait)
-		}
 		p.holeSince[key] = since
 		move[zone] = now.Sub(since) >= wait
 	}
