Nothing is moved near a planned leaving

Engines whose entry goes without a word that they leave counted as lost.

Change: for six seconds after an engine of a zone leaves, or its entry goes though it answered to the last, its zone's engines are not moved. Neighbours and empty engines still take over at once.

--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -128,6 +128,10 @@
 	grownAt time.Time
 	// holeSince tells since when zones lack layers. Run's alone.
 	holeSince map[zoneOf]time.Time
+	// leftAt tells when an engine of a zone was last seen to leave; answering are
+	// those that were not silent at the last look. Run's alone.
+	leftAt    map[zoneOf]time.Time
+	answering map[ids.Service]map[ids.Life]ids.Zone
 	// rest holds, for services whose last plan found nothing to do, what that
 	// was made for. Run's alone.
 	rest map[ids.Service]question
@@ -154,6 +158,8 @@
 		under:     make(map[ids.Life]pending),
 		known:     make(map[ids.Service]map[ids.Life]bool),
 		holeSince: make(map[zoneOf]time.Time),
+		leftAt:    make(map[zoneOf]time.Time),
+		answering: make(map[ids.Service]map[ids.Life]ids.Zone),
 		rest:      make(map[ids.Service]question),
 	}
 }
@@ -188,10 +194,11 @@
 	}
 	state, whole, urgent := p.situation(now, m, engines)
 	plan := p.opts.Plan
+	p.notePlanned(now, service.Name, engines)
 	left := leftZones(m, engines)
 	plan.Move = p.movable(now, service.Name, whole, left, urgent)
 	if urgent && resumes(p.opts.Table(), service.Name) {
-		plan.AtOnce = lossZones(whole, left)
+		plan.AtOnce = plan.Move
 	}
 	q := question{m, state, plan.Move}
 	if p.atRest(service.Name, q) {
--- a/adapter/placer/shortage.go
+++ b/adapter/placer/shortage.go
@@ -21,6 +21,10 @@
 	// urgentAfter is the same while fewer than half of the zones hold every layer:
 	// long enough for a widened neighbour's order to be sent.
 	urgentAfter = 300 * time.Millisecond
+	// plannedFor is how long after an engine of a zone was last seen to leave nothing
+	// there is moved: what passes through the engines that stay is served, and they
+	// load no new layers until it has ended. Streams take some 4 s.
+	plannedFor = 6 * time.Second
 	// lostAfter is the silence after which an engine counts as lost before its
 	// entry is gone, which takes three missed heartbeats, 3.6 s: with several
 	// engines lost, a layer may be held nowhere until others load it.
@@ -68,7 +72,7 @@
 			since = now
 		}
 		p.holeSince[key] = since
-		move[zone] = now.Sub(since) >= wait
+		move[zone] = now.Sub(since) >= wait && !p.planned(now, key)
 	}
 	return move
 }
@@ -88,14 +92,33 @@
 	return left
 }
 
-// lossZones gives the zones that lack layers, but not for engines that leave: a
-// planned stop must not cut anybody off.
-func lossZones(whole, left map[ids.Zone]bool) map[ids.Zone]bool {
-	lost := make(map[ids.Zone]bool)
-	for zone, ok := range whole {
-		lost[zone] = !ok && !left[zone]
+// notePlanned notes the zones in which engines leave: those that say so, and those
+// whose entry goes though they answered to the last, as some never say it.
+func (p *Placer) notePlanned(now time.Time, service ids.Service, engines []*directory.Upstream) {
+	before := p.answering[service]
+	answering := make(map[ids.Life]ids.Zone, len(engines))
+	listed := make(map[ids.Life]bool, len(engines))
+	for _, u := range engines {
+		listed[u.ID] = true
+		if p.opts.SilentFor(u) == 0 {
+			answering[u.ID] = u.Zone
+		}
+		if u.Leaving {
+			p.leftAt[zoneOf{service, u.Zone}] = now
+		}
 	}
-	return lost
+	for id, zone := range before {
+		if !listed[id] {
+			p.leftAt[zoneOf{service, zone}] = now
+		}
+	}
+	p.answering[service] = answering
+}
+
+// planned reports whether an engine of a zone leaves or left lately.
+func (p *Placer) planned(now time.Time, key zoneOf) bool {
+	at, left := p.leftAt[key]
+	return left && now.Sub(at) < plannedFor
 }
 
 // resumes reports whether all streams of a service may go on elsewhere, so that
--- a/adapter/placer/shortage_test.go
+++ b/adapter/placer/shortage_test.go
@@ -165,3 +165,37 @@
 	defer f.mu.Unlock()
 	return f.atOnce
 }
+
+// Where an engine leaves, those that stay are not moved for a while, also where its
+// entry goes without a word though it answered to the last; after one that had
+// fallen silent they are.
+func TestNothingMovesNearAPlannedLeaving(t *testing.T) {
+	for _, how := range []string{"leaves", "vanishes", "silent"} {
+		f := newFleet()
+		play(t, f, true, func() {
+			f.engine("a", 0, 6)
+			f.engine("twin", 0, 6)
+			f.engine("b", 6, 10)
+			f.in("y", "whole-a", 0, 6)
+			f.in("y", "whole-b", 6, 10)
+			time.Sleep(2 * time.Second)
+			f.given()
+			switch how {
+			case "leaves":
+				f.leave("b")
+			case "silent":
+				f.silence("b", lostAfter)
+				time.Sleep(time.Second)
+			}
+			f.gone("b")
+			time.Sleep(moveAfter + time.Second)
+			if got := f.given(); len(got) > 0 != (how == "silent") {
+				t.Errorf("%s: orders %v", how, got)
+			}
+			time.Sleep(plannedFor)
+			if got := f.given(); len(got) == 0 && how != "silent" {
+				t.Errorf("%s: the layers were never loaded", how)
+			}
+		})
+	}
+}
