--- a/decide/chain/book.go
+++ b/decide/chain/book.go
@@ -117,6 +117,9 @@
 // pair is two zones, the lesser name first.
 type pair [2]ids.Zone
 
+// between gives the pair of two zones, in whatever order.
+func between(one, other ids.Zone) pair { return pair{min(one, other), max(one, other)} }
+
 // pipe is the way between two zones.
 type pipe struct {
 	// tokensPerS is the mean rate of prompt tokens as of at.
@@ -130,7 +133,7 @@
 
 // pipe gives the way between two zones.
 func (b *Book) pipe(one, other ids.Zone) *pipe {
-	key := pair{min(one, other), max(one, other)}
+	key := between(one, other)
 	p := b.pipes[key]
 	if p == nil {
 		p = &pipe{}
@@ -158,7 +161,7 @@
 // before, in ms: more as the pipe between them fills up, by a guess from this
 // node's own requests.
 func (b *Book) hopCost(now time.Time, m *layered.Model, from, to ids.Zone) float64 {
-	p := b.pipes[pair{min(from, to), max(from, to)}]
+	p := b.pipes[between(from, to)]
 	if p == nil {
 		return zoneHopMs
 	}
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -1,6 +1,7 @@
 // Package condition keeps what a node believes of the health of upstreams from
 // its own calls: which did not answer, and how slow the others are. Beliefs
-// end by themselves, since an upstream that gets no work shows nothing new.
+// end by themselves, since an upstream that gets no work shows nothing new; but
+// for silence, which ends with an answer to a question.
 //
 // A Table is used by one goroutine at a time and reads no clock.
 package condition
@@ -214,6 +215,12 @@
 	if t.silent[id] != nil {
 		return true
 	}
+	return t.cutOff(zone)
+}
+
+// cutOff reports whether so many upstreams of a zone could not be reached, with
+// none answering between them, that it counts as cut off.
+func (t *Table) cutOff(zone ids.Zone) bool {
 	z := t.zones[zone]
 	return z != nil && len(z.silent) >= zoneSilent
 }
@@ -222,8 +229,7 @@
 // do; 0 where that is not known.
 func (t *Table) SilentFor(now time.Time, id ids.Life, zone ids.Zone) time.Duration {
 	b := t.silent[id]
-	z := t.zones[zone]
-	if b == nil || z != nil && len(z.silent) >= zoneSilent {
+	if b == nil || t.cutOff(zone) {
 		return 0
 	}
 	return now.Sub(b.silentSince)
--- a/decide/placement/retile.go
+++ b/decide/placement/retile.go
@@ -50,7 +50,7 @@
 	for part := o.WeightPart; part <= widestPart+retileStep/2; part += retileStep {
 		o.WeightPart = min(part, widestPart)
 		if last := tiling(m, along, o); last != nil {
-			return ordersOf(m, along, last, o)
+			return ordersOf(m, along, last)
 		}
 	}
 	return nil
@@ -97,7 +97,7 @@
 }
 
 // ordersOf gives the orders of a tiling.
-func ordersOf(m *layered.Model, along []Engine, last *tile, o Options) []Order {
+func ordersOf(m *layered.Model, along []Engine, last *tile) []Order {
 	var orders []Order
 	to := m.Layers
 	for t := last; t.engine >= 0; t = t.before {
