Where room is short, streams midway come before new requests

Change: a stream midway tries an engine that had no room again after 0.4 s, within the retry budget and the bound of sends. A new request whose only chain leads through an engine that refused for want of room in the last 0.3 s is refused at once, with when to come back, instead of after three refusals.

--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -108,6 +108,9 @@
 	if !p.tiles(c, m.Layers) {
 		return nil, &chain.TilingError{Chain: c.String(), Layers: m.Layers}
 	}
+	if full := p.chains.Full(began, c); full != nil && !r.Begun {
+		return nil, &chain.FullError{Service: r.Service, Engine: full.ID}
+	}
 	p.chains.Began(p.opts.Now(), c, r)
 	return c, nil
 }
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -25,6 +25,9 @@
 	// shunned are engines that broke off though they live; they are taken
 	// again only if no chain is left without them.
 	shunned map[ids.Life]bool
+	// resting are engines that had no room for the rest of a stream, until they are
+	// tried again.
+	resting map[ids.Life]time.Time
 	// last is when the latest event came.
 	last time.Time
 	// gap is the mean pause between events.
@@ -34,7 +37,7 @@
 
 // stream serves a request that is answered by events.
 func (x *exchange) stream(ctx context.Context, table *routing.Table) {
-	s := &stream{x: x, gap: x.route.PauseObjective / firstGapParts, shunned: make(map[ids.Life]bool)}
+	s := &stream{x: x, gap: x.route.PauseObjective / firstGapParts, shunned: make(map[ids.Life]bool), resting: make(map[ids.Life]time.Time)}
 	s.req = chain.Request{Service: x.service, Zone: x.server.opts.Zone, Avoid: make(map[ids.Life]bool)}
 	if service := table.Service(x.service); service != nil {
 		s.model = service.Model
@@ -76,7 +79,12 @@
 		x.giveUp(outcome.NoUpstream, none.Error(), noUpstreamAfter)
 		return false
 	}
-	if failed.phase.ProvesNotRun() {
+	var full *chain.FullError
+	if errors.As(failed.cause, &full) {
+		x.giveUp(outcome.UpstreamBusy, full.Error(), busyAfter)
+		return false
+	}
+	if failed.phase.ProvesNotRun() && !x.written {
 		if s.refused++; s.refused >= maxRefusals {
 			x.giveUp(failed.reason, failed.Error(), busyAfter)
 			return false
@@ -160,12 +168,14 @@
 	view := x.server.opts.View()
 	x.server.probe.refresh(ctx, view)
 	s.req.FirstOf = x.bound()
-	careful := s.req
-	careful.Avoid = maps.Clone(s.req.Avoid)
+	usual := s.req
+	usual.Avoid, usual.Begun = s.avoided(), x.written
+	careful := usual
+	careful.Avoid = maps.Clone(usual.Avoid)
 	maps.Copy(careful.Avoid, s.shunned)
 	c, err := x.server.picks.chain(s.model, view, careful)
 	if err != nil && len(s.shunned) > 0 {
-		c, err = x.server.picks.chain(s.model, view, s.req)
+		c, err = x.server.picks.chain(s.model, view, usual)
 	}
 	if err != nil {
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: err}
@@ -173,6 +183,33 @@
 	return c, nil
 }
 
+// roomRest is how long the rest of a stream is not offered again to an engine that
+// had no room for it. Some of its streams end meanwhile, and their callers wait for 2 s
+// after an event: an engine that alone holds some layers is asked four times in that.
+const roomRest = 400 * time.Millisecond
+
+// avoided gives the engines that the request is not to use now.
+func (s *stream) avoided() map[ids.Life]bool {
+	all := maps.Clone(s.req.Avoid)
+	now := s.x.server.opts.Now()
+	for id, until := range s.resting {
+		if now.Before(until) {
+			all[id] = true
+		}
+	}
+	return all
+}
+
+// refusedBy notes an engine that refused. One that had no room is tried again where
+// part of the answer is with the caller, who else would lose it all.
+func (s *stream) refusedBy(id ids.Life, reason outcome.Reason) {
+	if s.x.written && reason == outcome.UpstreamBusy {
+		s.resting[id] = s.x.server.opts.Now().Add(roomRest)
+		return
+	}
+	s.req.Avoid[id] = true
+}
+
 // headers gives the headers of a send through a chain.
 func (s *stream) headers(c chain.Chain) func([]byte) []byte {
 	h := &s.x.server.opts.Headers
@@ -309,13 +346,13 @@
 	}
 	switch {
 	case failed.phase == outcome.NotSent, failed.phase == outcome.Refused && failed.culprit == "":
-		s.req.Avoid[c[0].Engine.ID] = true
+		s.refusedBy(c[0].Engine.ID, failed.reason)
 	case failed.reason == outcome.UpstreamLost || failed.reason == outcome.UpstreamInvalid:
 		s.lookFor(ctx, c)
 	}
 	for _, h := range c {
 		if h.Engine.Address == failed.culprit {
-			s.req.Avoid[h.Engine.ID] = true
+			s.refusedBy(h.Engine.ID, failed.reason)
 			x.server.probe.judge(ctx, h.Engine, failed.reason)
 		}
 	}
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -431,3 +431,53 @@
 	}
 	wantEvents(t, resp.Body(), 1, 4)
 }
+
+// An engine without room has some again once other streams end, which is long before
+// the caller of a stream leaves: it may be the only one with its layers.
+func TestStreamMidwayComesBackToAnEngineThatWasFull(t *testing.T) {
+	var refusals atomic.Int32
+	second := stageFake(t, "c", 5, 10, whole(4))
+	first := stageFake(t, "b", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		if refusals.Add(1) <= 2 {
+			return reply(conn, req, 503, "", "Q-Not-Run: 1", "Q-Fault: "+second.Address)
+		}
+		return eventsFrom(conn, req, after(req), 4, true)
+	})
+	var r *rig
+	dead := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		r.mu.Lock()
+		r.dir.Put(first.Upstream)
+		r.dir.Put(second.Upstream)
+		r.mu.Unlock()
+		r.calls.mu.Lock()
+		r.calls.dead[life("a")] = true
+		r.calls.mu.Unlock()
+		return eventsFrom(conn, req, 1, 2, false)
+	})
+	r = newRig(t, dead)
+	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if !complete {
+		t.Fatalf("answer %q is not whole", resp.Body())
+	}
+	wantEvents(t, resp.Body(), 1, 4)
+	if refusals.Load() != 3 {
+		t.Errorf("sent there %d times", refusals.Load())
+	}
+}
+
+// Where the only chain leads through an engine that has just had no room, a new request
+// is refused at once: its room goes to streams whose callers have part of the answer.
+func TestNewRequestsLeaveAFullEngineToStreamsMidway(t *testing.T) {
+	full := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return reply(conn, req, 503, "", "Q-Not-Run: 1")
+	})
+	r := newRig(t, full)
+	r.Server.picks.full(&full.Upstream)
+	resp, _ := r.ask(t, "POST", "/stream/x", "r1", "p")
+	if resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("answer %d, want 503 with when to come back", resp.StatusCode())
+	}
+	if sent := len(full.requests()); sent != 0 {
+		t.Errorf("sent %d times", sent)
+	}
+}
--- a/decide/chain/chain.go
+++ b/decide/chain/chain.go
@@ -67,6 +67,18 @@
 	return fmt.Sprintf("no chain for %s: %d of %d engines usable", e.Service, e.Usable, e.Engines)
 }
 
+// FullError tells that every chain leads through an engine that has just refused for
+// want of room.
+type FullError struct {
+	Service ids.Service
+	Engine  ids.Life
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("no chain for %s without %s, which has no room", e.Service, e.Engine)
+}
+
 // TilingError tells that a chain does not run every layer once and in order.
 type TilingError struct {
 	Chain  string
--- a/decide/chain/chain_test.go
+++ b/decide/chain/chain_test.go
@@ -257,3 +257,20 @@
 
 // life is the one life of an upstream whose start is not told.
 func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
+
+// A chain through an engine without room is chosen only where there is no other, and
+// tells so.
+func TestFullNamesTheEngineThatNoChainAvoids(t *testing.T) {
+	conditions := condition.New()
+	b := New(conditions)
+	only, twin := engine("a", "z1", "fast", 0, 80), engine("b", "z1", "fast", 0, 80)
+	conditions.Full(start, only.ID)
+	c, err := b.Choose(start, model(), view(only), request)
+	if err != nil || b.Full(start, c) == nil || b.Full(start, c).ID != only.ID {
+		t.Errorf("chain %s, error %v", c, err)
+	}
+	c, err = b.Choose(start, model(), view(only, twin), request)
+	if err != nil || b.Full(start, c) != nil || c[0].Engine.ID != twin.ID {
+		t.Errorf("with a twin: chain %s, error %v", c, err)
+	}
+}
--- a/decide/chain/search.go
+++ b/decide/chain/search.go
@@ -25,6 +25,8 @@
 	First *Hop
 	// FirstOf, where set, are the engines one of which must be the first stage.
 	FirstOf map[ids.Life]bool
+	// Begun tells that part of the answer is with the caller.
+	Begun bool
 }
 
 // fixed reports whether an engine is the given first stage.
@@ -107,6 +109,17 @@
 	return cost
 }
 
+// Full gives the engine of a chain that refused for want of room just now, nil for
+// none. A chain has one only where no other can be had.
+func (b *Book) Full(now time.Time, c Chain) *directory.Upstream {
+	for _, h := range c {
+		if b.conditions.IsFull(now, h.Engine.ID) {
+			return h.Engine
+		}
+	}
+	return nil
+}
+
 // crowded reports whether an engine of a chain is short of room.
 func (b *Book) crowded(now time.Time, m *layered.Model, c Chain) bool {
 	return slices.ContainsFunc(c, func(h Hop) bool {
