--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -86,12 +86,18 @@
 		if way != roster.Peer {
 			return s.watch(ctx, since, wait)
 		}
+		asked := boottime.Now()
 		news, err := s.ask(ctx, peer)
 		if err == nil {
 			return s.changes(since, peer.Name, news), nil
 		}
 		if _, isBehind := err.(*BehindError); isBehind {
 			behind++
+		} else if boottime.Now().Sub(asked) >= peerWait {
+			// It stands still, or its link is too short for what it has to tell: a
+			// configuration with a thousand routes to 57 nodes fills one of 20 Mbit/s
+			// for seconds, while the store's carries it to all in one.
+			return s.watch(ctx, since, wait)
 		}
 		if behind >= maxBehind || boottime.Now().Sub(began) >= askFor || ctx.Err() != nil {
 			return listwatch.Changes[T]{}, err
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -142,6 +142,20 @@
 	}
 }
 
+// A peer that takes the call and does not answer in time may be sending more than its
+// link carries; the store is asked at once then.
+func TestPeerThatAnswersTooLateLeavesTheStore(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	s, store := follower(l.Addr().String(), l.Addr().String())
+	if _, err := s.Watch(t.Context(), 5, time.Second); !errors.Is(err, errAway) || store.watches != 1 {
+		t.Errorf("error %v after %d calls", err, store.watches)
+	}
+}
+
 // A list of nodes that was read too early comes right by what peers tell.
 func TestListOfNodesComesFromPeers(t *testing.T) {
 	all := append(zone("a", 3), zone("b", 2)...)
