--- a/adapter/listwatch/listwatch.go
+++ b/adapter/listwatch/listwatch.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"mimosaarch.example/core/backoff"
 )
 
 // HistoryError tells that the store no longer has the changes since a revision.
@@ -186,7 +188,7 @@
 	}
 	f.lost = true
 	f.sink.Lost(err)
-	wait := min(f.opts.Backoff<<min(f.fails, 10), f.opts.MaxBackoff)
+	wait := backoff.Doubled(f.opts.Backoff, f.opts.MaxBackoff, f.fails)
 	f.fails++
 	pause(ctx, wait/2+time.Duration(f.rand.Int64N(int64(wait))))
 }
--- a/decide/condition/condition.go
+++ b/decide/condition/condition.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"mimosaarch.example/core/backoff"
 	"mimosaarch.example/core/ids"
 )
 
@@ -116,7 +117,7 @@
 }
 
 // suspicion gives how long a suspicion lasts after so many before it.
-func suspicion(strikes int) time.Duration { return min(suspectFor<<min(strikes, 8), suspectMost) }
+func suspicion(strikes int) time.Duration { return backoff.Doubled(suspectFor, suspectMost, strikes) }
 
 // Unreachable tells that an upstream's VM did not answer a connection at all,
 // as behind a cut. It reports whether its zone counts as cut off from now on.
--- a/decide/lease/step.go
+++ b/decide/lease/step.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"mimosaarch.example/core/backoff"
 )
 
 // Tick gives the call to make now; nil when there is none. Call it often
@@ -136,12 +138,9 @@
 
 // retryWait is the longest wait before the call after a failed one.
 func (l *Lease) retryWait() time.Duration {
-	return min(l.opts.RetryAfter<<min(l.failures, maxDoublings), l.opts.RetryMost)
+	return backoff.Doubled(l.opts.RetryAfter, l.opts.RetryMost, l.failures)
 }
 
-// maxDoublings keeps a wait that doubles within its type.
-const maxDoublings = 10
-
 // spread gives a wait between half of a time and the whole of it.
 func (l *Lease) spread(d time.Duration) time.Duration {
 	return d/2 + time.Duration(l.rand.Int64N(int64(d/2)+1))
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -20,6 +20,7 @@
 	"slices"
 	"time"
 
+	"mimosaarch.example/core/backoff"
 	"mimosaarch.example/core/ids"
 )
 
@@ -143,14 +144,14 @@
 // Settle has the node go by the list as it is, though its own entry is not in it.
 func (r *Roster) Settle() { r.settled = true }
 
+// Settled reports whether the node knows whom to learn from.
+func (r *Roster) Settled() bool { return r.settled }
+
 // Others gives all members but the own node.
 func (r *Roster) Others() []Member {
 	return slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == r.own || m.Peer == "" })
 }
 
-// Size is the number of nodes in the list.
-func (r *Roster) Size() int { return len(r.members) }
-
 // Next tells where to learn what is new, and the peer to ask.
 func (r *Roster) Next(now time.Time) (Way, Member) {
 	if !r.settled {
@@ -246,14 +247,11 @@
 	if now.Sub(r.awaySince) < time.Duration(rank)*tryStep || now.Before(r.tryAt) {
 		return false
 	}
-	r.tryAt = now.Add(min(tryFirst<<min(r.tries, maxDoublings), tryMost))
+	r.tryAt = now.Add(backoff.Doubled(tryFirst, tryMost, r.tries))
 	r.tries++
 	return true
 }
 
-// maxDoublings keeps a wait that doubles within its type.
-const maxDoublings = 10
-
 // Failed leaves a peer that did not answer out for a while.
 func (r *Roster) Failed(now time.Time, name ids.VM) {
 	b := r.of(name)
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -67,7 +67,7 @@
 
 // settle closes known once the roster is settled, with the lock held.
 func (f *fleet) settle() {
-	if way, _ := f.roster.Next(f.now()); way == roster.Unsettled || f.settled {
+	if f.settled || !f.roster.Settled() {
 		return
 	}
 	f.settled = true
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/core/backoff"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/roster"
@@ -89,7 +90,7 @@
 	err := p.members.Join(ctx, roster.Member{Name: p.settings.VM, Zone: p.settings.Zone, Peer: p.settings.Peers})
 	if err != nil {
 		p.log.Info().Str("event", "join_failed").Err(err).Send()
-		p.joinAt = time.Now().Add(min(joinRetry<<min(p.joinFails, maxDoublings), joinRetryMost))
+		p.joinAt = time.Now().Add(backoff.Doubled(joinRetry, joinRetryMost, p.joinFails))
 		p.joinFails++
 		return
 	}
@@ -97,9 +98,6 @@
 	p.listAt = time.Now().Add(joinedAfter)
 }
 
-// maxDoublings keeps a wait that doubles within its type.
-const maxDoublings = 10
-
 // list reads the list of nodes.
 func (p *peers) list(ctx context.Context) {
 	p.listAt = time.Now().Add(p.listWait())
