--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 )
@@ -41,7 +44,7 @@
 	peer := ids.VM(from.holder)
 	from.tell(&news, to.have(peer))
 	if news.Revision > 0 {
-		to.merge(peer, news)
+		to.merge(peer, news, boottime.Now())
 	}
 	return news
 }
@@ -93,7 +96,7 @@
 	if to.view.Load().Get(life("u-0002")) == nil {
 		t.Fatal("a missing upstream is not believed for a while")
 	}
-	from.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
+	from.change(origin{from: "expired"}, func(d *directory.Directory, now time.Time) []directory.Change {
 		return d.Expire(now.Add(2 * directory.ReturnGrace))
 	})
 	take(to, from)
@@ -119,7 +122,7 @@
 	back := directory.Upstream{ID: ids.Life{Upstream: "u-0001"}, Service: "s", Address: "at 1", Revision: 10}
 	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: 10})
 	take(to, from)
-	to.change("expired", func(d *directory.Directory, now time.Time) []directory.Change {
+	to.change(origin{from: "expired"}, func(d *directory.Directory, now time.Time) []directory.Change {
 		return d.Expire(now.Add(2 * directory.ReturnGrace))
 	})
 	if view := to.view.Load(); view.Get(life("u-0001")) == nil || view.Get(life("u-0000")) != nil {
@@ -136,3 +139,24 @@
 
 // life is the one life of an upstream whose start is not told.
 func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
+
+// A late word can be followed from the store to the node by the lines of those that it
+// went through.
+func TestChangeTellsWhoseNewsItIs(t *testing.T) {
+	var log bytes.Buffer
+	to := newUpstreams("to", zerolog.New(&log), newNotice())
+	news := relay.News{Revision: 7, Upstreams: []directory.Upstream{{ID: ids.Life{Upstream: "e"}, Revision: 7}}, Present: []ids.Upstream{"e"}, AgeMs: 1500, Hops: 1}
+	to.merge("vm-2", news, boottime.Now().Add(-time.Second))
+	var line struct {
+		Event, From, Peer string
+		Age               float64 `json:"age_ms"`
+		Took              float64 `json:"took_ms"`
+		Hops              int
+	}
+	if err := json.Unmarshal(log.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if line.Event != "upstream_seen" || line.From != "peer" || line.Peer != "vm-2" || line.Age != 1500 || line.Hops != 1 || line.Took < 1000 {
+		t.Errorf("%+v", line)
+	}
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -9,6 +9,7 @@
 
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/backoff"
+	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/roster"
@@ -129,6 +130,7 @@
 	have := p.node.upstreams.have(name)
 	have.ConfigVersion, have.Want = p.node.configs.version(), ""
 	have.Members = p.node.fleet.have()
+	asked := boottime.Now()
 	news, err := relay.Ask(ctx, peer, have)
 	if err != nil {
 		p.log.Debug().Str("event", "peer_silent").Err(err).Send()
@@ -138,10 +140,10 @@
 		p.node.fleet.set(news.Members, news.MembersRevision)
 	}
 	if news.Config != nil {
-		p.node.configs.offer(news.Config, "peer")
+		p.node.configs.offer(news.Config, fromPeer(name, &news, asked))
 	}
 	if news.Revision > have.Revision {
-		p.node.upstreams.merge(name, news)
+		p.node.upstreams.merge(name, news, asked)
 	}
 }
 
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -56,9 +56,10 @@
 type shared[T any] struct {
 	store listwatch.Source[T]
 	fleet *fleet
-	// have tells what the node has, to a peer; changes turns a peer's news.
-	have    func(peer ids.VM) relay.Have
-	changes func(since int64, peer ids.VM, news relay.News) listwatch.Changes[T]
+	// have tells what the node has, to a peer; take takes over a peer's news, asked
+	// for at a moment, and gives the revision up to which they go.
+	have func(peer ids.VM) relay.Have
+	take func(peer ids.VM, news relay.News, asked time.Time) int64
 	// contact is told when the store or a peer answered.
 	contact *contact
 	took    func(name string, d time.Duration)
@@ -89,7 +90,7 @@
 		asked := boottime.Now()
 		news, err := s.ask(ctx, peer)
 		if err == nil {
-			return s.changes(since, peer.Name, news), nil
+			return listwatch.Changes[T]{Revision: max(since, s.take(peer.Name, news, asked))}, nil
 		}
 		if _, isBehind := err.(*BehindError); isBehind {
 			behind++
@@ -148,12 +149,11 @@
 		have: func(ids.VM) relay.Have {
 			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
-		changes: func(since int64, _ ids.VM, news relay.News) listwatch.Changes[routing.Config] {
-			changes := listwatch.Changes[routing.Config]{Revision: max(since, news.ConfigRevision)}
+		take: func(peer ids.VM, news relay.News, asked time.Time) int64 {
 			if news.Config != nil {
-				changes.Events = []listwatch.Event[routing.Config]{{Put: news.Config}}
+				n.configs.offer(news.Config, fromPeer(peer, &news, asked))
 			}
-			return changes
+			return news.ConfigRevision
 		},
 	}
 }
@@ -166,14 +166,11 @@
 		contact: &n.upstreams.contact,
 		took:    n.metrics.Took,
 		have:    n.upstreams.have,
-		changes: func(since int64, peer ids.VM, news relay.News) listwatch.Changes[directory.Upstream] {
-			changes := listwatch.Changes[directory.Upstream]{Revision: max(since, news.Revision)}
+		take: func(peer ids.VM, news relay.News, asked time.Time) int64 {
 			if news.Revision > 0 {
-				// Taken here and not as events, since it may name what is there
-				// instead of what went.
-				n.upstreams.merge(peer, news)
+				n.upstreams.merge(peer, news, asked)
 			}
-			return changes
+			return news.Revision
 		},
 	}
 }
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -68,9 +68,7 @@
 		store: store, fleet: f, contact: &contact{},
 		took: func(string, time.Duration) {},
 		have: func(ids.VM) relay.Have { return relay.Have{Want: relay.WantConfig} },
-		changes: func(_ int64, _ ids.VM, news relay.News) listwatch.Changes[routing.Config] {
-			return listwatch.Changes[routing.Config]{Revision: news.ConfigRevision}
-		},
+		take: func(_ ids.VM, news relay.News, _ time.Time) int64 { return news.ConfigRevision },
 	}, store
 }
 
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -77,6 +77,38 @@
 	return now.Sub(last.at), last.hops
 }
 
+// origin is whom news came from.
+type origin struct {
+	// from is "store", "peer", or what the node itself noticed.
+	from string
+	// peer is the node that told it, with how long ago the store had last answered
+	// that one, over how many hops, and how long the question to it took.
+	peer ids.VM
+	age  time.Duration
+	hops int
+	took time.Duration
+}
+
+// fromStore is the origin of the store's own answers.
+var fromStore = origin{from: "store"}
+
+// fromPeer is the origin of a peer's news, asked for at a moment.
+func fromPeer(peer ids.VM, news *relay.News, asked time.Time) origin {
+	return origin{
+		from: "peer", peer: peer, age: time.Duration(news.AgeMs) * time.Millisecond, hops: news.Hops,
+		took: boottime.Now().Sub(asked),
+	}
+}
+
+// log adds the origin to a line.
+func (o origin) log(line *zerolog.Event) *zerolog.Event {
+	line.Str("from", o.from)
+	if o.peer != "" {
+		line.Str("peer", string(o.peer)).Dur("age_ms", o.age).Int("hops", o.hops).Dur("took_ms", o.took)
+	}
+	return line
+}
+
 // configs is the configuration in force. It only goes forward.
 type configs struct {
 	contact
@@ -100,7 +132,7 @@
 		c.malformed(bad)
 	}
 	for i := range list.Items {
-		c.offer(&list.Items[i], "store")
+		c.offer(&list.Items[i], fromStore)
 	}
 	c.revision.Store(list.Revision)
 }
@@ -110,7 +142,7 @@
 	for _, e := range changes.Events {
 		switch {
 		case e.Put != nil:
-			c.offer(e.Put, "store")
+			c.offer(e.Put, fromStore)
 		case e.Removed.Malformed != nil:
 			c.malformed(e.Removed)
 		}
@@ -129,7 +161,7 @@
 func (c *configs) Returned() { c.lost.Store(false) }
 
 // offer puts a configuration in force if it is newer and valid.
-func (c *configs) offer(config *routing.Config, from string) {
+func (c *configs) offer(config *routing.Config, from origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now := c.table.Load(); now != nil && now.Version() >= config.Version {
@@ -137,14 +169,14 @@
 	}
 	table, err := routing.Build(*config)
 	if err != nil {
-		c.log.Error().Str("event", "configuration_refused").Str("from", from).Int64("version", config.Version).Err(err).Send()
+		from.log(c.log.Error().Str("event", "configuration_refused")).Int64("version", config.Version).Err(err).Send()
 		return
 	}
 	c.newest.Store(config)
 	c.table.Store(table)
 	c.inForce(table.ServiceNames())
 	c.news.give()
-	c.log.Info().Str("event", "configuration").Str("from", from).Int64("version", config.Version).
+	from.log(c.log.Info().Str("event", "configuration")).Int64("version", config.Version).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
 }
 
@@ -189,7 +221,7 @@
 
 // Listed implements listwatch.Sink.
 func (u *upstreams) Listed(list listwatch.List[directory.Upstream]) {
-	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+	u.change(fromStore, func(d *directory.Directory, now time.Time) []directory.Change {
 		var all []directory.Change
 		for _, bad := range list.Malformed {
 			u.malformed(bad)
@@ -201,7 +233,7 @@
 
 // Changed implements listwatch.Sink.
 func (u *upstreams) Changed(changes listwatch.Changes[directory.Upstream]) {
-	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+	u.change(fromStore, func(d *directory.Directory, now time.Time) []directory.Change {
 		var all []directory.Change
 		for _, e := range changes.Events {
 			id := ids.Upstream(e.Removed.Name)
@@ -223,9 +255,9 @@
 // and others while one of these does not answer.
 const maxBases = 16
 
-// merge takes a peer's news.
-func (u *upstreams) merge(peer ids.VM, news relay.News) {
-	u.change("peer", func(d *directory.Directory, now time.Time) []directory.Change {
+// merge takes a peer's news, asked for at a moment.
+func (u *upstreams) merge(peer ids.VM, news relay.News, asked time.Time) {
+	u.change(fromPeer(peer, &news, asked), func(d *directory.Directory, now time.Time) []directory.Change {
 		if news.Revision < d.Revision() {
 			return nil
 		}
@@ -282,12 +314,12 @@
 
 // restarted takes what a process says of its own start.
 func (u *upstreams) restarted(life ids.Life) {
-	u.change("report", func(d *directory.Directory, _ time.Time) []directory.Change { return d.Restarted(life) })
+	u.change(origin{from: "report"}, func(d *directory.Directory, _ time.Time) []directory.Change { return d.Restarted(life) })
 }
 
 // configured takes the services of the configuration in force.
 func (u *upstreams) configured(services []ids.Service) {
-	u.change("configuration", func(d *directory.Directory, _ time.Time) []directory.Change { return d.Configured(services) })
+	u.change(origin{from: "configuration"}, func(d *directory.Directory, _ time.Time) []directory.Change { return d.Configured(services) })
 }
 
 // values copies upstreams out of a view.
@@ -309,7 +341,7 @@
 // Returned implements listwatch.Sink.
 func (u *upstreams) Returned() {
 	u.lost.Store(false)
-	u.change("store", func(d *directory.Directory, now time.Time) []directory.Change {
+	u.change(fromStore, func(d *directory.Directory, now time.Time) []directory.Change {
 		if !u.graced {
 			u.reached()
 		}
@@ -325,12 +357,12 @@
 // expire removes missing entries whose time is over, until ctx ends.
 func (u *upstreams) expire(ctx context.Context) {
 	every.Do(ctx, expiry, func() {
-		u.change("expired", func(d *directory.Directory, now time.Time) []directory.Change { return d.Expire(now) })
+		u.change(origin{from: "expired"}, func(d *directory.Directory, now time.Time) []directory.Change { return d.Expire(now) })
 	})
 }
 
 // change changes the directory and publishes its new view.
-func (u *upstreams) change(from string, apply func(*directory.Directory, time.Time) []directory.Change) {
+func (u *upstreams) change(from origin, apply func(*directory.Directory, time.Time) []directory.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	before, mark := u.directory.Revision(), u.directory.Mark()
@@ -341,7 +373,7 @@
 	u.view.Store(u.directory.View())
 	u.news.give()
 	for _, c := range changes {
-		u.log.Info().Str("event", "upstream_"+string(c.Kind)).Str("from", from).Str("upstream", c.Upstream.ID.String()).
+		from.log(u.log.Info().Str("event", "upstream_"+string(c.Kind))).Str("upstream", c.Upstream.ID.String()).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
 			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
 		if c.Kind == directory.Gone {
