--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -147,12 +147,17 @@
 
 // worthLeaving reports whether a request that stalls on a chain should go on
 // elsewhere: the retry budget allows it, and a chain without the engines in
-// avoid is there, much better than the present one unless that is dead.
+// avoid is there, much better than the present one unless that is dead. A request
+// whose chain is slow but lives leaves the last retries to those that would end.
 func (p *picker) worthLeaving(m *layered.Model, view *directory.View, r chain.Request, now chain.Chain, dead bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.opts.Now()
-	if !p.budget(r.Service).Available(at) {
+	part := newPart
+	if dead {
+		part = 1
+	}
+	if !p.budget(r.Service).AvailableOf(at, part) {
 		return false
 	}
 	other, err := p.chains.Choose(at, m, view, r)
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -98,10 +98,15 @@
 		x.giveUp(outcome.RetryBudget, detail, busyAfter)
 		return false
 	}
+	x.retried(failed)
+	return true
+}
+
+// retried notes that another attempt follows a failed one.
+func (x *exchange) retried(failed *failure) {
 	x.count("retry." + string(failed.reason))
 	x.log("retry").Str("reason", string(failed.reason)).Str("phase", failed.phase.String()).
-		Str("detail", detail).Int("sends", x.sends).Send()
-	return true
+		Str("detail", failed.Error()).Int("sends", x.sends).Send()
 }
 
 // sendPlain sends the request to one upstream and reads the whole answer.
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -31,8 +31,10 @@
 	// last is when the latest event came.
 	last time.Time
 	// gap is the mean pause between events.
-	gap     time.Duration
-	refused int
+	gap time.Duration
+	// refused counts refusals before the answer began, unrun sends after that which are
+	// proved not to have run.
+	refused, unrun int
 }
 
 // stream serves a request that is answered by events.
@@ -74,7 +76,8 @@
 	x := s.x
 	var none *chain.NoChainError
 	if errors.As(failed.cause, &none) {
-		if s.awaitChain(ctx) {
+		if x.written {
+			s.pause(ctx)
 			return true
 		}
 		x.giveUp(outcome.NoUpstream, none.Error(), noUpstreamAfter)
@@ -85,7 +88,10 @@
 		x.giveUp(outcome.UpstreamBusy, full.Error(), busyAfter)
 		return false
 	}
-	if failed.phase.ProvesNotRun() && !x.written {
+	if x.written {
+		return s.goOn(ctx, failed)
+	}
+	if failed.phase.ProvesNotRun() {
 		if s.refused++; s.refused >= maxRefusals {
 			x.giveUp(failed.reason, failed.Error(), busyAfter)
 			return false
@@ -94,27 +100,44 @@
 	return x.again(failed)
 }
 
-const (
-	// chainWait is how long after its latest event a stream waits for a chain to go
-	// on with. Callers leave after 2 s without an event, and engines that take over
-	// layers have loaded them in about one.
-	chainWait = 1600 * time.Millisecond
-	// chainRetry is the wait before the next look.
-	chainRetry = 150 * time.Millisecond
-)
+// goOnRetry is the wait before a stream that cannot go on looks again. Engines that take
+// over layers load them in about a second, and a node's part of the retry budget grows by
+// some sends a second.
+const goOnRetry = 150 * time.Millisecond
 
-// awaitChain waits a moment if part of the answer is with the caller, who could
-// do nothing with the rest of a refusal; it reports whether to look again.
-func (s *stream) awaitChain(ctx context.Context) bool {
-	if !s.x.written || s.x.server.opts.Now().Sub(s.last) > chainWait {
-		return false
-	}
-	timer := time.NewTimer(chainRetry)
+// pause waits a moment before the next look.
+func (s *stream) pause(ctx context.Context) {
+	timer := time.NewTimer(goOnRetry)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+}
+
+// goOn decides what follows a failed attempt once part of the answer is with the caller,
+// who would lose it all. It waits for what is missing until the caller leaves or the
+// request's time is up; only what no wait can bring ends the answer.
+func (s *stream) goOn(ctx context.Context, failed *failure) bool {
+	x := s.x
+	if failed.phase.ProvesNotRun() {
+		s.unrun++
+	}
+	switch {
+	case x.quarantined():
+		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
+		return false
+	case x.sends-s.unrun >= maxSends || !x.mayRunAgain():
+		x.giveUp(failed.reason, failed.Error(), busyAfter)
+		return false
+	}
+	for !x.server.picks.again(x.service, failed.reason, true) {
+		s.pause(ctx)
+		if ctx.Err() != nil {
+			return true
+		}
+	}
+	x.retried(failed)
 	return true
 }
 
