--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -57,6 +57,8 @@
 	Want Want `json:"want,omitempty"`
 	// Members is its list of the fleet's nodes.
 	Members Edition `json:"members,omitzero"`
+	// Unpacks tells that the asker reads packed configurations.
+	Unpacks bool `json:"unpacks,omitempty"`
 }
 
 // Edition names a list of the fleet's nodes.
@@ -87,8 +89,10 @@
 
 // News is what a node has that is newer.
 type News struct {
-	// Config is nil where the asker's is as new.
+	// Config is nil where the asker's is as new. It goes over the wire as Packed to those
+	// that read it so.
 	Config *routing.Config `json:"config,omitempty"`
+	Packed Packed          `json:"packed,omitempty"`
 	// ConfigRevision is the store's revision up to which changes of the
 	// configuration are known.
 	ConfigRevision int64 `json:"config_revision,omitempty"`
@@ -196,13 +200,23 @@
 // Ask asks the peer at an address for its news. The error is a *CallError.
 func Ask(ctx context.Context, peer string, have Have) (News, error) {
 	var news News
+	have.Unpacks = true
 	err := call(ctx, peer, callTimeout+time.Duration(have.WaitMs)*time.Millisecond, methodNews, have, &news)
-	return news, err
+	if err == nil && news.Packed != nil {
+		news.Config, err = news.Packed.Unpack()
+	}
+	if err != nil {
+		return News{}, &CallError{peer, err}
+	}
+	return news, nil
 }
 
 // Tell tells the peer at an address of a verdict. The error is a *CallError.
 func Tell(ctx context.Context, peer string, v quarantine.Verdict) error {
-	return call(ctx, peer, callTimeout, methodVerdict, v, nil)
+	if err := call(ctx, peer, callTimeout, methodVerdict, v, nil); err != nil {
+		return &CallError{peer, err}
+	}
+	return nil
 }
 
 // call makes one call over a connection of its own.
@@ -212,15 +226,12 @@
 	dialer := net.Dialer{Timeout: dialTimeout, Control: upconn.GuardSilence}
 	conn, err := dialer.DialContext(limit, "tcp", peer)
 	if err != nil {
-		return &CallError{peer, err}
+		return err
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 	rpc := jsonrpc2.NewConn(limit, stream, jsonrpc2.HandlerWithError(answer(nothing{})))
 	defer rpc.Close()
-	if err := rpc.Call(limit, method, params, result); err != nil {
-		return &CallError{peer, err}
-	}
-	return nil
+	return rpc.Call(limit, method, params, result)
 }
 
 // nothing answers a peer that asks back, which none does.
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -19,6 +19,8 @@
 // shelf is a Source with one of each.
 type shelf struct {
 	config routing.Config
+	// packed is told to those that read it.
+	packed Packed
 	list   []directory.Upstream
 	judged chan quarantine.Verdict
 }
@@ -30,6 +32,9 @@
 	if s.config.Version > have.ConfigVersion {
 		n.Config = &s.config
 	}
+	if have.Unpacks {
+		n.Packed = s.packed
+	}
 	if have.Revision < 30 {
 		n.Upstreams, n.Revision = s.list, 30
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -223,7 +223,7 @@
 	for {
 		changed := n.news.next()
 		news := n.newsFor(have)
-		if news.Config != nil || news.Revision > 0 || news.Members != nil || news.Lost || have.WaitMs <= 0 {
+		if news.Config != nil || news.Packed != nil || news.Revision > 0 || news.Members != nil || news.Lost || have.WaitMs <= 0 {
 			return news
 		}
 		select {
@@ -244,8 +244,8 @@
 	if have.Want != relay.WantUpstreams {
 		news.Sighted(n.configs.age(now))
 		news.Lost = n.configs.lost.Load()
-		if config := n.configs.newest.Load(); config != nil && config.Version > have.ConfigVersion {
-			news.Config = config
+		if newest := n.configs.newest.Load(); newest != nil && newest.config.Version > have.ConfigVersion {
+			newest.tell(&news, have.Unpacks)
 		}
 	}
 	if have.Want == relay.WantConfig {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -121,7 +121,7 @@
 	inForce func([]ids.Service)
 	// malformed is told of configurations that cannot be read.
 	malformed func(listwatch.Removal)
-	newest    atomic.Pointer[routing.Config]
+	newest    atomic.Pointer[edition]
 	lost      atomic.Bool
 	mu        sync.Mutex
 }
@@ -172,7 +172,7 @@
 		from.log(c.log.Error().Str("event", "configuration_refused")).Int64("version", config.Version).Err(err).Send()
 		return
 	}
-	c.newest.Store(config)
+	c.newest.Store(&edition{config: config, packed: sync.OnceValue(func() relay.Packed { return c.pack(config) })})
 	c.table.Store(table)
 	c.inForce(table.ServiceNames())
 	c.news.give()
@@ -180,6 +180,32 @@
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
 }
 
+// edition is a configuration with what peers get of it, made when the first asks.
+type edition struct {
+	config *routing.Config
+	packed func() relay.Packed
+}
+
+// tell adds the configuration to the news of an asker.
+func (e *edition) tell(news *relay.News, unpacks bool) {
+	if unpacks {
+		news.Packed = e.packed()
+	}
+	if news.Packed == nil {
+		news.Config = e.config
+	}
+}
+
+// pack packs a configuration; nil, so that it is told as it is, if it cannot be.
+func (c *configs) pack(config *routing.Config) relay.Packed {
+	packed, err := relay.Pack(config)
+	if err != nil {
+		c.log.Error().Str("event", "configuration_not_packed").Int64("version", config.Version).Err(err).Send()
+		return nil
+	}
+	return packed
+}
+
 // version gives the version in force, 0 for none.
 func (c *configs) version() int64 {
 	if table := c.table.Load(); table != nil {
