--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -195,8 +195,8 @@
 	p.notePlanned(now, service.Name, engines)
 	left := leftZones(m, engines)
 	plan.Move = p.movable(now, service.Name, whole, left, urgent)
-	plan.Spare = p.sparing(now, service.Name, whole, left, plan.Move)
-	q := question{m, state, plan.Spare, plan.Move}
+	plan.Reassign = p.reassignable(now, service.Name, whole, left, plan.Move)
+	q := question{m, state, plan.Reassign, plan.Move}
 	if p.atRest(service.Name, q) {
 		return
 	}
@@ -215,9 +215,9 @@
 
 // question is what a plan was made for.
 type question struct {
-	model       *layered.Model
-	state       []placement.Engine
-	spare, move map[ids.Zone]bool
+	model          *layered.Model
+	state          []placement.Engine
+	reassign, move map[ids.Zone]bool
 }
 
 // atRest reports whether the last plan for the same found nothing to do. A plan
@@ -225,7 +225,7 @@
 func (p *Placer) atRest(service ids.Service, q question) bool {
 	last, ok := p.rest[service]
 	return ok && last.model == q.model && slices.Equal(last.state, q.state) &&
-		maps.Equal(last.spare, q.spare) && maps.Equal(last.move, q.move)
+		maps.Equal(last.reassign, q.reassign) && maps.Equal(last.move, q.move)
 }
 
 // settled reports whether the list of engines has come to rest.
--- a/adapter/placer/shortage.go
+++ b/adapter/placer/shortage.go
@@ -76,17 +76,17 @@
 	return move
 }
 
-// sparing gives the zones in which engines whose layers others serve too may take over
+// reassignable gives the zones in which engines whose layers others serve too may take over
 // missing ones: at once where engines leave as planned, and else, as most that crash are
 // back, where engines may be moved.
-func (p *Placer) sparing(now time.Time, service ids.Service, whole, left, move map[ids.Zone]bool) map[ids.Zone]bool {
-	spare := make(map[ids.Zone]bool)
+func (p *Placer) reassignable(now time.Time, service ids.Service, whole, left, move map[ids.Zone]bool) map[ids.Zone]bool {
+	reassign := make(map[ids.Zone]bool)
 	for zone, ok := range whole {
 		if !ok {
-			spare[zone] = left[zone] || move[zone] || p.planned(now, zoneOf{service, zone})
+			reassign[zone] = left[zone] || move[zone] || p.planned(now, zoneOf{service, zone})
 		}
 	}
-	return spare
+	return reassign
 }
 
 // leftZones gives the zones that hold every layer but for engines that leave.
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -55,9 +55,9 @@
 type Options struct {
 	// WeightPart is the part of a card's memory that weights may take, 0 to 1.
 	WeightPart float64
-	// Spare names the zones in which an engine whose layers others there serve too
+	// Reassign names the zones in which an engine whose layers others there serve too
 	// may be told to hold missing ones instead.
-	Spare map[ids.Zone]bool
+	Reassign map[ids.Zone]bool
 	// Move names the zones in which all engines may be told to move along the model
 	// to fill holes. Each loads nothing until what passes through the layers that it
 	// gives up has ended, so an engine that comes back empty is the better filling.
@@ -190,8 +190,8 @@
 		return orders
 	}
 	zone := engines[0].Zone
-	if len(holes(covered)) > 0 && o.Spare[zone] {
-		orders = append(orders, hop(m, engines, covered, o)...)
+	if len(holes(covered)) > 0 && o.Reassign[zone] {
+		orders = append(orders, reassign(m, engines, covered, o)...)
 	}
 	switch {
 	case len(orders) > 0:
@@ -199,7 +199,7 @@
 	case len(holes(covered)) == 0:
 		return trim(m, engines, o)
 	case o.Move[zone]:
-		return slide(m, engines)
+		return shift(m, engines)
 	}
 	return nil
 }
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -86,7 +86,7 @@
 			move[engines[i].Zone] = r.IntN(2) == 0
 			spare[engines[i].Zone] = r.IntN(2) == 0
 		}
-		o := Options{Spare: spare, Move: move}
+		o := Options{Reassign: spare, Move: move}
 		orders := Plan(m, engines, o)
 		checkServed(t, m, engines, orders)
 		seen := make(map[ids.Life]bool)
@@ -161,7 +161,7 @@
 	if orders := Plan(m, engines, Options{}); len(orders) > 0 {
 		t.Errorf("moved without leave: %v", orders)
 	}
-	orders := Plan(m, engines, Options{Spare: map[ids.Zone]bool{"a": true}})
+	orders := Plan(m, engines, Options{Reassign: map[ids.Zone]bool{"a": true}})
 	if len(orders) != 1 || orders[0].Layers.From != 12 {
 		t.Errorf("orders %v, want one of the two that hold 0-12 to go on from 12", orders)
 	}
--- a/decide/placement/shift.go
+++ b/decide/placement/shift.go
@@ -6,14 +6,14 @@
 	"mimosaarch.example/core/layered"
 )
 
-// hop has engines whose layers others of the zone serve too load those that none
+// reassign has engines whose layers others of the zone serve too load those that none
 // holds. It is the quickest filling beside empty engines: one load, after the streams
 // that pass through the engine have ended.
 //
 // Of eight days on which 8 of 39 engines were taken away or replaced within 10 s, worth
-// was 0.57 where such engines waited until no engine had left for 6 s, and 0.79 with
-// hops at once.
-func hop(m *layered.Model, engines []Engine, covered []int, o Options) []Order {
+// was 0.57 where such engines waited until no engine had left for 6 s, and 0.79 where
+// they did not.
+func reassign(m *layered.Model, engines []Engine, covered []int, o Options) []Order {
 	serving := served(m, engines)
 	var orders []Order
 	for _, e := range slices.Backward(engines) {
@@ -37,18 +37,18 @@
 	return sparedFrom(serving, r, r.Len()) == r.Len()
 }
 
-// slide gives the next orders by which the engines of a zone come to hold every layer
+// shift gives the next orders by which the engines of a zone come to hold every layer
 // again, in the cheapest way that keeps their order along the model. It answers a zone
 // that lost an engine for good: its neighbours cannot fill the hole alone, but all
 // engines can move along the model by some layers each. It gives nothing if they do not
 // suffice.
 //
 // Each order first loads what its engine has room for beside its layers, and gives up
-// only what others serve by then, so that it takes several rounds. Of the eight days
-// told at hop, worth was 0.79 where all engines of a zone got their last order at once,
-// and 0.81 with slides. Zones with neither stayed broken: of five days with trouble on a
-// fleet without its largest card worth was 0.34, and 0.59 with new tilings at once.
-func slide(m *layered.Model, engines []Engine) []Order {
+// only what others serve by then, so that it takes several rounds. Of the same eight days
+// worth was 0.79 where all engines of a zone got their last order at once, and 0.81 so.
+// Where engines that alone serve their layers never moved, worth of five days with trouble
+// on a fleet without its largest card was 0.34, and 0.59 with last orders at once.
+func shift(m *layered.Model, engines []Engine) []Order {
 	along := alongModel(engines)
 	widest := Options{WeightPart: widestPart}
 	last := tiling(m, along, widest)
--- a/decide/placement/retile_test.go
+++ b/decide/placement/tiling_test.go
@@ -11,9 +11,9 @@
 
 // moving lets engines of a zone be told to hold other layers.
 func moving(zones ...ids.Zone) Options {
-	o := Options{Spare: make(map[ids.Zone]bool), Move: make(map[ids.Zone]bool)}
+	o := Options{Reassign: make(map[ids.Zone]bool), Move: make(map[ids.Zone]bool)}
 	for _, z := range zones {
-		o.Spare[z], o.Move[z] = true, true
+		o.Reassign[z], o.Move[z] = true, true
 	}
 	return o
 }
@@ -113,7 +113,7 @@
 			continue
 		}
 		tiled++
-		orders := slide(m, engines)
+		orders := shift(m, engines)
 		seen := make(map[ids.Life]bool)
 		for _, o := range orders {
 			e := find(engines, o.Engine)
@@ -135,8 +135,8 @@
 	}
 }
 
-// BenchmarkSlide is a zone of 207 engines, 15 of which hold the target's 3,100.
-func BenchmarkSlide(b *testing.B) {
+// BenchmarkShift is a zone of 207 engines, 15 of which hold the target's 3,100.
+func BenchmarkShift(b *testing.B) {
 	m := model()
 	engines := zone("a", 14, 60, 133)
 	engines = apply(engines, Plan(m, engines, Options{}))
@@ -146,7 +146,7 @@
 		}
 	}
 	for b.Loop() {
-		slide(m, engines)
+		shift(m, engines)
 	}
 }
 
