--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -117,11 +117,14 @@
 	Window time.Duration
 }
 
-// slackPart is the part of its slack that a node uses in steady state: the
-// budget fades exponentially, and a burst after a quiet time can spend the
-// whole allowance and a fading part of it again within one window, together
-// 1 + (1 - 1/e) times as much.
-const slackPart = 0.6
+const (
+	// slackPart is the part of its share that a node uses as its fading allowance. Used up
+	// all the while that grants twice itself within one window.
+	slackPart = 0.6
+	// windowPart is the part of its share that a node uses within any window. The rest is
+	// for sends that are counted later than they were allowed.
+	windowPart = 0.95
+)
 
 // share gives a node's part of the budget among so many; 0 for a number that is
 // not known yet, which leaves only what the own requests allow.
@@ -134,6 +137,16 @@
 	return b.Ratio * slackPart, perSecond
 }
 
+// bound gives a node's part of what any retry.BudgetWindow may hold: the sends for each
+// request, and those beside that.
+func (b Budget) bound(nodes int) (ratio, slack float64) {
+	if nodes <= 0 {
+		return b.Ratio * windowPart, 0
+	}
+	window := max(b.Window, retry.BudgetWindow)
+	return b.Ratio * windowPart, b.Slack * windowPart / float64(nodes) * float64(retry.BudgetWindow) / float64(window)
+}
+
 // Metrics counts events and durations by name.
 type Metrics interface {
 	Add(name string, n int64)
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -51,21 +51,23 @@
 	p.chains.SetFleet(n)
 	p.replicas.SetFleet(n)
 	for _, b := range p.budgets {
-		b.SetPolicy(p.policy())
+		p.limit(b)
 	}
 }
 
-// policy is the node's part of the retry budget.
-func (p *picker) policy() fleet.RetryPolicy {
+// limit gives a budget the node's part of the fleet's.
+func (p *picker) limit(b *retry.Budget) {
 	ratio, perSecond := p.opts.Budget.share(p.nodes)
-	return fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond}
+	b.SetPolicy(fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond})
+	b.BoundWindow(p.opts.Budget.bound(p.nodes))
 }
 
 // budget gives the budget of a service.
 func (p *picker) budget(service ids.Service) *retry.Budget {
 	b := p.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(p.policy())
+		b = retry.NewBudget(fleet.RetryPolicy{})
+		p.limit(b)
 		p.budgets[service] = b
 	}
 	return b
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -31,6 +31,10 @@
 	retries      float64
 	last         time.Time
 	stats        map[outcome.Reason]Stats
+	// bounded tells that the counts of the last window are bounded too.
+	bounded                     bool
+	windowRatio, windowSlack    float64
+	windowFirsts, windowRetries window
 }
 
 // NewBudget makes a Budget under a policy.
@@ -47,10 +51,18 @@
 	b.least = max(policy.BudgetMin, 0)
 }
 
+// BoundWindow bounds what is allowed in any BudgetWindow to ratio retries for each first
+// attempt in it and slack more. The fading allowance alone grants what it holds at once
+// and, used up all the while, the same again in the window after.
+func (b *Budget) BoundWindow(ratio, slack float64) {
+	b.bounded, b.windowRatio, b.windowSlack = true, max(ratio, 0), max(slack, 0)
+}
+
 // First counts the first attempt of a request.
 func (b *Budget) First(now time.Time) {
 	b.fade(now)
 	b.firsts++
+	b.windowFirsts.add(now)
 }
 
 // Available reports whether Allow would grant a retry now. It takes nothing.
@@ -61,7 +73,18 @@
 func (b *Budget) AvailableOf(now time.Time, part float64) bool {
 	b.fade(now)
 	allowance := b.ratio*b.firsts + b.least*BudgetWindow.Seconds()
-	return b.retries+1 <= allowance*part
+	return b.retries+1 <= allowance*part && b.inWindow(now, part)
+}
+
+// inWindow reports whether one more retry keeps to a part of the bound of a window.
+func (b *Budget) inWindow(now time.Time, part float64) bool {
+	if !b.bounded {
+		return true
+	}
+	b.windowFirsts.advance(now)
+	b.windowRetries.advance(now)
+	most := b.windowRatio*float64(b.windowFirsts.sum) + b.windowSlack
+	return float64(b.windowRetries.sum)+1 <= most*part
 }
 
 // Allow takes one retry from the budget and counts the answer under reason.
@@ -69,6 +92,7 @@
 	allowed := b.Available(now)
 	if allowed {
 		b.retries++
+		b.windowRetries.add(now)
 	}
 	b.count(reason, allowed)
 	return allowed
