--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -26,6 +26,22 @@
 	return f
 }
 
+// dyingFake starts an engine that dies after two events, as others come into the rig.
+func dyingFake(t *testing.T, r **rig, others ...*fake) *fake {
+	t.Helper()
+	return stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		(*r).mu.Lock()
+		for _, f := range others {
+			(*r).dir.Put(f.Upstream)
+		}
+		(*r).mu.Unlock()
+		(*r).calls.mu.Lock()
+		(*r).calls.dead[life("a")] = true
+		(*r).calls.mu.Unlock()
+		return eventsFrom(conn, req, 1, 2, false)
+	})
+}
+
 // wantEvents fails the test unless a body is the events from one id to another.
 func wantEvents(t *testing.T, body []byte, from, to int) {
 	t.Helper()
@@ -445,15 +461,7 @@
 func TestStreamMidwayWaitsForARetry(t *testing.T) {
 	next := stageFake(t, "b", 0, 10, whole(4))
 	var r *rig
-	dead := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
-		r.mu.Lock()
-		r.dir.Put(next.Upstream)
-		r.mu.Unlock()
-		r.calls.mu.Lock()
-		r.calls.dead[life("a")] = true
-		r.calls.mu.Unlock()
-		return eventsFrom(conn, req, 1, 2, false)
-	})
+	dead := dyingFake(t, &r, next)
 	r = newRig(t, dead)
 	// A twenty-fifth of the budget is three sends, and one more within a second.
 	r.SetNodes(25)
@@ -498,16 +506,7 @@
 		return eventsFrom(conn, req, after(req), 4, true)
 	})
 	var r *rig
-	dead := stageFake(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
-		r.mu.Lock()
-		r.dir.Put(first.Upstream)
-		r.dir.Put(second.Upstream)
-		r.mu.Unlock()
-		r.calls.mu.Lock()
-		r.calls.dead[life("a")] = true
-		r.calls.mu.Unlock()
-		return eventsFrom(conn, req, 1, 2, false)
-	})
+	dead := dyingFake(t, &r, first, second)
 	r = newRig(t, dead)
 	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
 	if !complete {
