--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -9,8 +9,8 @@
 )
 
 // On a day of 8 nodes with trouble of several kinds a service got 344 sends beyond the first
-// of each request in ten seconds, 336 being allowed, on one play of four with streams that
-// wait for a retry; before, when such streams were cut, on none of six. The cause: an
+// of each request in ten seconds, 336 being allowed, in a hunt with streams that wait for a
+// retry and on one of six plays after it; before, when such streams were cut, on none of six. The cause: an
 // allowance that fades grants what it holds at once and, used up all the while, the same
 // again in the ten seconds after. A node took six tenths of its part as allowance, and so up to
 // 1.2 times its part.
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -122,7 +122,7 @@
 	// all the while that grants twice itself within one window.
 	slackPart = 0.6
 	// windowPart is the part of its share that a node uses within any window. The rest is
-	// for sends that are counted later than they were allowed.
+	// for sends that are counted later than they were allowed; chosen without a run.
 	windowPart = 0.95
 )
 
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -82,26 +82,35 @@
 	go x.server.confirm(u)
 }
 
-// again decides whether a failed attempt is followed by another; if not, it
-// answers the caller. The retry budget is drawn on only by requests that
-// reached an upstream before.
+// again decides whether a failed attempt, before any of the answer was with the caller, is
+// followed by another; if not, it answers the caller. The retry budget is drawn on only by
+// requests that reached an upstream before.
 func (x *exchange) again(failed *failure) bool {
-	detail := failed.Error()
-	switch {
-	case x.quarantined():
-		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
+	if x.over(failed, x.sends) {
 		return false
-	case x.sends >= maxSends || !x.mayRunAgain():
-		x.giveUp(failed.reason, detail, busyAfter)
-		return false
-	case x.sends > 0 && !x.server.picks.again(x.service, failed.reason, x.written):
-		x.giveUp(outcome.RetryBudget, detail, busyAfter)
+	}
+	if x.sends > 0 && !x.server.picks.again(x.service, failed.reason, false) {
+		x.giveUp(outcome.RetryBudget, failed.Error(), busyAfter)
 		return false
 	}
 	x.retried(failed)
 	return true
 }
 
+// over ends a request that no further attempt may follow, whatever the retry budget holds;
+// sends are those that count towards the most. It reports whether it did.
+func (x *exchange) over(failed *failure, sends int) bool {
+	switch {
+	case x.quarantined():
+		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
+		return true
+	case sends >= maxSends || !x.mayRunAgain():
+		x.giveUp(failed.reason, failed.Error(), busyAfter)
+		return true
+	}
+	return false
+}
+
 // retried notes that another attempt follows a failed one.
 func (x *exchange) retried(failed *failure) {
 	x.count("retry." + string(failed.reason))
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -123,12 +123,7 @@
 	if failed.phase.ProvesNotRun() {
 		s.unrun++
 	}
-	switch {
-	case x.quarantined():
-		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineAfter)
-		return false
-	case x.sends-s.unrun >= maxSends || !x.mayRunAgain():
-		x.giveUp(failed.reason, failed.Error(), busyAfter)
+	if x.over(failed, x.sends-s.unrun) {
 		return false
 	}
 	for !x.server.picks.again(x.service, failed.reason, true) {
--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -118,7 +118,8 @@
 		if e.Fixed || over <= 0 {
 			continue
 		}
-		left, right := spare(covered, e.Holds)
+		left := sparedFrom(covered, e.Holds, e.Holds.Len())
+		right := sparedTo(covered, e.Holds, e.Holds.Len()-left)
 		r := e.Holds
 		r.From += min(left, over)
 		r.To -= min(right, over-min(left, over))
@@ -128,14 +129,3 @@
 	}
 	return nil
 }
-
-// spare counts the layers at both ends of a range that another engine holds too.
-func spare(covered []int, r layered.Range) (left, right int) {
-	for left < r.Len() && covered[r.From+left] > 1 {
-		left++
-	}
-	for right < r.Len()-left && covered[r.To-1-right] > 1 {
-		right++
-	}
-	return left, right
-}
