Lines for questions to peers that bring nothing, and for removals that are doubted

Symptom: requests reach upstreams over 2 s after these said that they leave. What a node knew came with a line, what it waited for in vain did not, so the hypotheses could not be told apart.

peer_silent and peer_behind tell the kind of objects, the peer, how long the question took and how old its view was; upstream_doubted tells that an entry is missing and still believed. No change of behaviour.

--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -61,6 +61,8 @@
 	Seen    ChangeKind = "seen"
 	Changed ChangeKind = "changed"
 	Left    ChangeKind = "left"
+	// Doubted: its entry is missing after an outage, and stands for a while.
+	Doubted ChangeKind = "doubted"
 	Gone    ChangeKind = "gone"
 )
 
@@ -309,6 +311,7 @@
 	if now.Before(d.graceUntil) && !u.Leaving && d.present(u) {
 		if _, waiting := d.missing[u.ID.Upstream]; !waiting {
 			d.missing[u.ID.Upstream] = now.Add(ReturnGrace)
+			changes = append(changes, Change{Doubted, u})
 		}
 		return changes
 	}
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
@@ -63,6 +65,8 @@
 	// contact is told when the store or a peer answered.
 	contact *contact
 	took    func(name string, d time.Duration)
+	// log takes a line for each question to a peer that brought nothing.
+	log zerolog.Logger
 }
 
 // List implements listwatch.Source. It always asks the store: after all nodes
@@ -121,8 +125,10 @@
 	have := s.have(peer.Name)
 	have.WaitMs = peerWait.Milliseconds()
 	have.Members = s.fleet.have()
+	asked := boottime.Now()
 	news, err := relay.Ask(ctx, peer.Peer, have)
 	if err != nil {
+		s.passedOver("peer_silent", have.Want, peer.Name, asked).Err(err).Send()
 		s.fleet.failed(peer.Name)
 		return relay.News{}, err
 	}
@@ -131,6 +137,7 @@
 	}
 	age := time.Duration(news.AgeMs) * time.Millisecond
 	if news.Lost || news.Hops > maxHops || age > maxAge+time.Duration(news.Hops)*hopAge {
+		s.passedOver("peer_behind", have.Want, peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
 		s.fleet.behind(peer.Name)
 		return relay.News{}, &BehindError{Peer: peer.Name, Age: age}
 	}
@@ -139,6 +146,11 @@
 	return news, nil
 }
 
+// passedOver begins the line of a question that brought nothing.
+func (s *shared[T]) passedOver(event string, want relay.Want, peer ids.VM, asked time.Time) *zerolog.Event {
+	return s.log.Info().Str("event", event).Str("kind", string(want)).Str("peer", string(peer)).Dur("took_ms", boottime.Now().Sub(asked))
+}
+
 // sharedConfigs shares the watch of the configuration.
 func (n *Node) sharedConfigs() listwatch.Source[routing.Config] {
 	return &shared[routing.Config]{
@@ -146,6 +158,7 @@
 		fleet:   n.fleet,
 		contact: &n.configs.contact,
 		took:    n.metrics.Took,
+		log:     n.log,
 		have: func(ids.VM) relay.Have {
 			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
@@ -165,6 +178,7 @@
 		fleet:   n.fleet,
 		contact: &n.upstreams.contact,
 		took:    n.metrics.Took,
+		log:     n.log,
 		have:    n.upstreams.have,
 		take: func(peer ids.VM, news relay.News, asked time.Time) int64 {
 			if news.Revision > 0 {
