--- a/node/entry/growth_test.go
+++ b/node/entry/growth_test.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// A node sent callers' requests to an upstream 3.5 s after its entry had been removed. The
+// nodes that watched the store for it were cut off from it, and it read the removal 2 s
+// later from the store; but having lost touch for a while, it took the missing entry for an
+// effect of an outage of the store, which lets entries lapse, and believed it for another
+// 1.5 s. By the lines of the removal it ended as `expired`, 1.5 s after the store was back.
+// Entries lapse after several heartbeats only, so a shorter loss of touch takes none.
+func TestRemovalReadAfterAShortLossIsBelieved(t *testing.T) {
+	for _, one := range []struct {
+		lost    time.Duration
+		believe bool
+	}{{time.Second, true}, {1900 * time.Millisecond, true}, {4 * time.Second, false}} {
+		to := knowing("q", fleetOf(3))
+		to.heard.Store(&sighting{at: boottime.Now().Add(-one.lost)})
+		to.Lost(context.DeadlineExceeded)
+		to.storeAnswered()
+		to.Returned()
+		to.Changed(removal("u-0001", 9))
+		if gone := to.view.Load().Get(life("u-0001")) == nil; gone != one.believe {
+			t.Errorf("lost for %v: gone %t, want %t", one.lost, gone, one.believe)
+		}
+	}
+}
+
 // life is the one life of an upstream whose start is not told.
 func life(name ids.Upstream) ids.Life { return ids.Life{Upstream: name} }
 
