Each collection that a node follows asks its peers in a turn of its own

Symptom: requests went to an upstream 2,074 and 2,160 ms after the store had acknowledged that it leaves, 2,000 allowed.

Cause: a node asks two peers in turn, so that what one does not know the other tells. Both of its followers, of the configuration and of the directory, advanced one turn. They ask at the same pace, so their questions alternate, and each met the same peer every time. Where the directory's peer was the watcher that was cut off, the node knew nothing new until that one's own watch ended, up to 3.4 s later. Class: state of one user shared by several.

Ruled out: a peer that answers late, an age told too young (the ages in the lines grow by 0.9 s a question, as they should), a list that was read again, a node that knew and sent all the same.

Change: roster.Next takes the turn of the one that asks. Test: TestEachCollectionAsksAllPeersInTurn.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -74,6 +74,11 @@
 	Peer
 )
 
+// Turn counts the questions of one that asks peers in turn. Each collection that a node
+// follows has its own: two that shared one, and asked by turns, would each ask the same
+// peer always, and learn nothing from the other if that peer knows nothing.
+type Turn int
+
 // Roster is one node's view of the fleet. Make it with New.
 type Roster struct {
 	own  ids.VM
@@ -88,7 +93,8 @@
 	// heads are the members of the own zone in order.
 	heads []Member
 	peers map[ids.VM]*belief
-	turn  int
+	// place is the own one in the zone.
+	place int
 	// awaySince is since when no peer had news of the store, zero while one has;
 	// tries counts the own calls since the store answered one, the next being due
 	// at tryAt. Until servedUntil this node learns from the store.
@@ -136,8 +142,7 @@
 			delete(r.peers, name)
 		}
 	}
-	// Nodes that wait at a pair are spread over it by their places.
-	r.turn = place[r.own]
+	r.place = place[r.own]
 	r.settled = r.settled || r.at >= 0
 }
 
@@ -152,8 +157,8 @@
 	return slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == r.own || m.Peer == "" })
 }
 
-// Next tells where to learn what is new, and the peer to ask.
-func (r *Roster) Next(now time.Time) (Way, Member) {
+// Next tells one that asks in turn where to learn what is new, and the peer to ask.
+func (r *Roster) Next(now time.Time, turn *Turn) (Way, Member) {
 	if !r.settled {
 		return Unsettled, Member{}
 	}
@@ -161,13 +166,15 @@
 	if watches || r.try(now) {
 		return Store, Member{}
 	}
-	r.turn++
+	*turn++
+	// Nodes that wait at a pair are spread over it by their places.
+	next := r.place + int(*turn)
 	for i := range pair {
-		if m := pair[(r.turn+i)%len(pair)]; !now.Before(r.of(m.Name).behindUntil) {
+		if m := pair[(next+i)%len(pair)]; !now.Before(r.of(m.Name).behindUntil) {
 			return Peer, m
 		}
 	}
-	return Peer, pair[r.turn%len(pair)]
+	return Peer, pair[next%len(pair)]
 }
 
 // sources gives the peers to ask; watches tells that there are none, as this node
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -35,10 +35,21 @@
 	return r
 }
 
+// turns are those of the nodes under test, which follow one collection each.
+var turns = make(map[*Roster]*Turn)
+
+// next asks a node that follows one collection where to learn.
+func next(r *Roster, now time.Time) (Way, Member) {
+	if turns[r] == nil {
+		turns[r] = new(Turn)
+	}
+	return r.Next(now, turns[r])
+}
+
 // expectPeer fails unless the node is to ask a peer, which it gives.
 func expectPeer(t *testing.T, r *Roster, now time.Time) Member {
 	t.Helper()
-	way, peer := r.Next(now)
+	way, peer := next(r, now)
 	if way != Peer {
 		t.Fatalf("way %v, want a peer", way)
 	}
@@ -48,7 +59,7 @@
 // expectStore fails unless the node is to watch the store.
 func expectStore(t *testing.T, r *Roster, now time.Time) {
 	t.Helper()
-	if way, peer := r.Next(now); way != Store {
+	if way, peer := next(r, now); way != Store {
 		t.Fatalf("way %v to %s, want the store", way, peer.Name)
 	}
 }
@@ -62,7 +73,7 @@
 		if r.Head(start) {
 			heads[m.Name] = true
 		}
-		if way, _ := r.Next(start); way == Store {
+		if way, _ := next(r, start); way == Store {
 			watchers[m.Name] = true
 			continue
 		}
@@ -95,6 +106,25 @@
 	}
 }
 
+// The followers of a node's collections ask at the same pace, so their questions alternate.
+func TestEachCollectionAsksAllPeersInTurn(t *testing.T) {
+	members := fleet()
+	r := knowing(members[40], members)
+	asked := [2]map[ids.VM]bool{{}, {}}
+	var turns [2]Turn
+	for range 4 {
+		for i := range turns {
+			_, peer := r.Next(start, &turns[i])
+			asked[i][peer.Name] = true
+		}
+	}
+	for i, peers := range asked {
+		if len(peers) < 2 {
+			t.Errorf("collection %d is asked for at %v only", i, peers)
+		}
+	}
+}
+
 func TestSilentPeersAreReplacedByTheNext(t *testing.T) {
 	members := zone("a", 10)
 	r := knowing(members[9], members)
@@ -127,7 +157,7 @@
 	for _, name := range []ids.VM{"e-000", "e-001"} {
 		r := knowing(Member{Name: name, Zone: "e"}, members)
 		asked := 0
-		for way, peer := r.Next(start); way != Store; way, peer = r.Next(start) {
+		for way, peer := next(r, start); way != Store; way, peer = next(r, start) {
 			if asked++; asked > 2*9 {
 				t.Fatalf("%s still asks peers", name)
 			}
@@ -170,7 +200,7 @@
 		}
 		began := true
 		for at := time.Duration(0); at < 8*time.Second; at += 50 * time.Millisecond {
-			way, peer := r.Next(start.Add(at))
+			way, peer := next(r, start.Add(at))
 			if way == Peer {
 				r.Behind(start.Add(at), peer.Name)
 				continue
@@ -198,7 +228,7 @@
 	members := fleet()
 	r := knowing(Member{Name: "c-000", Zone: "c"}, members)
 	now := start
-	for way, peer := r.Next(now); way == Peer; way, peer = r.Next(now) {
+	for way, peer := next(r, now); way == Peer; way, peer = next(r, now) {
 		r.Behind(now, peer.Name)
 		now = now.Add(100 * time.Millisecond)
 		if now.Sub(start) > 5*time.Second {
@@ -225,11 +255,11 @@
 func TestNodeWaitsForTheListThatHasIt(t *testing.T) {
 	members := fleet()
 	r := New("a-007", "a")
-	if way, _ := r.Next(start); way != Unsettled || r.Head(start) || r.Watcher(start) {
+	if way, _ := next(r, start); way != Unsettled || r.Head(start) || r.Watcher(start) {
 		t.Errorf("way %v before any list", way)
 	}
 	r.Set(members[:3])
-	if way, _ := r.Next(start); way != Unsettled {
+	if way, _ := next(r, start); way != Unsettled {
 		t.Errorf("way %v by a list of those that joined before", way)
 	}
 	r.Set(members)
--- a/decide/roster/spread_test.go
+++ b/decide/roster/spread_test.go
@@ -86,6 +86,7 @@
 	heard time.Duration
 	hops  int
 
+	turn    Turn
 	calling bool
 	way     Way
 	peer    *vm
@@ -174,9 +175,9 @@
 // call begins the next call of a follower.
 func (w *world) call(n *vm, l *learner) {
 	if w.one {
-		n.roster.turn = 0
+		l.turn = 0
 	}
-	way, m := n.roster.Next(w.time())
+	way, m := n.roster.Next(w.time(), &l.turn)
 	l.calling, l.way, l.began = true, way, w.now
 	l.unreached, l.silent, l.readyAt = false, false, 0
 	if way == Store {
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -97,11 +97,11 @@
 	return f.settled
 }
 
-// next tells where to learn what is new.
-func (f *fleet) next() (roster.Way, roster.Member) {
+// next tells one that asks in turn where to learn what is new.
+func (f *fleet) next(turn *roster.Turn) (roster.Way, roster.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Next(f.now())
+	return f.roster.Next(f.now(), turn)
 }
 
 // watches reports whether the node is one of those that watch the store for all.
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -58,6 +58,7 @@
 type shared[T any] struct {
 	store listwatch.Source[T]
 	fleet *fleet
+	turn  roster.Turn
 	// have tells what the node has, to a peer; take takes over a peer's news, asked
 	// for at a moment, and gives the revision up to which they go.
 	have func(peer ids.VM) relay.Have
@@ -87,7 +88,7 @@
 	s.fleet.await(ctx)
 	began := boottime.Now()
 	for behind := 0; ; {
-		way, peer := s.fleet.next()
+		way, peer := s.fleet.next(&s.turn)
 		if way != roster.Peer {
 			return s.watch(ctx, since, wait)
 		}
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -201,7 +201,7 @@
 	}
 	f.set(zone("a", 3), 2)
 	f.await(t.Context())
-	if way, _ := f.next(); way != roster.Peer {
+	if way, _ := f.next(new(roster.Turn)); way != roster.Peer {
 		t.Errorf("way %v", way)
 	}
 }
