A removal that is read after a short loss of the store is believed at once

Symptom: a node sent requests to an upstream whose entry had been removed, 2 s after it had read the directory again.

Cause: a node that has lost touch with the store takes it for an outage of the store, in which entries lapse, and believes each missing entry for another 1.5 s. Here others were cut off, for some seconds at most; the store was well and the removal true. Lateness and grace added up to more than the 2 s in which work to a leaving upstream must end. Class: a safety margin that is started by any loss, not by one that can have the effect which it guards against.

Change: entries lapse after three missed heartbeats, so a loss shorter than 2 s, counted from the store's last answer, starts no grace.

--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -110,8 +110,18 @@
 	}
 }
 
-// Returned tells that the registry answers again after an outage.
-func (d *Directory) Returned(now time.Time) { d.graceUntil = now.Add(ReturnGrace) }
+// lapseAfter is less than any outage of the registry that lets entries lapse: it removes
+// those whose heartbeats, more than a second apart, it has missed three times.
+const lapseAfter = 2 * time.Second
+
+// Returned tells that the registry is heard of again, after it was not for some time.
+// What a shorter time hid is true: to doubt it as well would have an upstream that left
+// get new work for longer than the time and the grace each allow.
+func (d *Directory) Returned(now time.Time, away time.Duration) {
+	if away >= lapseAfter {
+		d.graceUntil = now.Add(ReturnGrace)
+	}
+}
 
 // Mark counts the changes of entries.
 func (d *Directory) Mark() uint64 { return d.mark }
--- a/decide/directory/life_test.go
+++ b/decide/directory/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -116,7 +117,7 @@
 	d := New()
 	d.Put(upstream("a", 1))
 	d.Put(upstream("b", 2))
-	d.Returned(start)
+	d.Returned(start, time.Minute)
 	if diff := cmp.Diff([]string{"gone a"}, kinds(d.Void("a", 3))); diff != "" {
 		t.Error(diff)
 	}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -67,6 +67,14 @@
 // never is the age of a collection that the store never told of.
 const never = time.Hour
 
+// age gives the time since the sighting, which may be nil for none.
+func (s *sighting) age(now time.Time) time.Duration {
+	if s == nil {
+		return never
+	}
+	return now.Sub(s.at)
+}
+
 // age gives the time since the store's last answer that this node knows of, and
 // the hops over which it came.
 func (c *contact) age(now time.Time) (time.Duration, int) {
@@ -74,7 +82,7 @@
 	if last == nil {
 		return never, 0
 	}
-	return now.Sub(last.at), last.hops
+	return last.age(now), last.hops
 }
 
 // configs is the configuration in force. It only goes forward.
@@ -204,6 +212,8 @@
 	bases map[ids.VM]relay.Base
 	// graced tells that a peer told of the directory since the store was lost.
 	graced bool
+	// heardBefore is the last answer of the store before it was lost, nil for none.
+	heardBefore *sighting
 }
 
 // newUpstreams makes an empty directory.
@@ -258,7 +268,7 @@
 		if u.lost.Load() && !u.graced {
 			// Upstreams that were cut off from the store together with this
 			// node are missing from what others know.
-			d.Returned(now)
+			d.Returned(now, u.heardBefore.age(now))
 			u.graced = true
 			u.reached()
 		}
@@ -327,9 +337,14 @@
 
 // Lost implements listwatch.Sink. Peers that wait here are told at once.
 func (u *upstreams) Lost(error) {
-	if !u.lost.Swap(true) {
-		u.news.give()
+	if u.lost.Load() {
+		return
 	}
+	u.mu.Lock()
+	u.heardBefore = u.heard.Load()
+	u.mu.Unlock()
+	u.lost.Store(true)
+	u.news.give()
 }
 
 // Returned implements listwatch.Sink.
@@ -340,7 +355,7 @@
 			u.reached()
 		}
 		u.graced = false
-		d.Returned(now)
+		d.Returned(now, u.heardBefore.age(now))
 		return nil
 	})
 }
