--- a/adapter/listwatch/listwatch.go
+++ b/adapter/listwatch/listwatch.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/core/backoff"
+	"mimosaarch.example/core/every"
 )
 
 // HistoryError tells that the store no longer has the changes since a revision.
@@ -172,7 +173,7 @@
 			f.sink.Changed(changes)
 		}
 		if len(changes.Events) > 0 {
-			pause(ctx, f.opts.Pause)
+			every.Pause(ctx, f.opts.Pause)
 		}
 		revision = max(revision, changes.Revision)
 	}
@@ -190,7 +191,7 @@
 	f.sink.Lost(err)
 	wait := backoff.Doubled(f.opts.Backoff, f.opts.MaxBackoff, f.fails)
 	f.fails++
-	pause(ctx, wait/2+time.Duration(f.rand.Int64N(int64(wait))))
+	every.Pause(ctx, wait/2+time.Duration(f.rand.Int64N(int64(wait))))
 }
 
 // answered notes that the store answers.
@@ -203,13 +204,3 @@
 	f.opts.Log.Info().Str("event", "store_back").Str("kind", f.opts.Name).Send()
 	f.sink.Returned()
 }
-
-// pause waits unless ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -33,9 +33,9 @@
 
 // Bounds of calls.
 const (
-	// callTimeout bounds a whole call, the connection included, beside the wait
-	// that the asker allows.
-	callTimeout = 400 * time.Millisecond
+	// callTimeout bounds a whole call, the connection included, beside the wait that the
+	// asker allows: a large configuration takes a thin link so long.
+	callTimeout = time.Second
 	// MaxWait is the longest wait of an answer.
 	MaxWait = 5 * time.Second
 	// dialTimeout bounds the connection, so that one dead peer costs little.
@@ -228,12 +228,31 @@
 	if err != nil {
 		return err
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(limit, stream, jsonrpc2.HandlerWithError(answer(nothing{})))
+	guarded := &guardedConn{Conn: conn, silence: within - callTimeout + roster.PeerSilence}
+	stream := jsonrpc2.NewBufferedStream(guarded, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(limit, stream, jsonrpc2.HandlerWithError(answer(nothing{})), jsonrpc2.SetLogger(quiet))
 	defer rpc.Close()
 	return rpc.Call(limit, method, params, result)
 }
 
+// guardedConn ends reads on which nothing comes for a while, so that a peer that stands
+// still is left soon, and one that sends much is not.
+type guardedConn struct {
+	net.Conn
+	// silence is how long the next bytes may take.
+	silence time.Duration
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.silence = roster.PeerSilence
+	return n, err
+}
+
 // nothing answers a peer that asks back, which none does.
 type nothing struct{}
 
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
+	"mimosaarch.example/decide/roster"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -100,3 +102,70 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// drip relays connections to an address, answers in so many pieces with pauses between.
+func drip(t *testing.T, to string, pieces int, pause time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		asker, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = asker.Close() }()
+		peer, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer func() { _ = peer.Close() }()
+		go func() { _, _ = io.Copy(peer, asker) }()
+		answer := make([]byte, 1<<20)
+		n, err := peer.Read(answer)
+		if err != nil {
+			return
+		}
+		size := n/pieces + 1
+		for from := 0; from < n; from += size {
+			time.Sleep(pause)
+			if _, err := asker.Write(answer[from:min(from+size, n)]); err != nil {
+				return
+			}
+		}
+		// The asker ends the connection.
+		_, _ = io.Copy(io.Discard, peer)
+	}()
+	return l.Addr().String()
+}
+
+// A node waits for a peer with a thin link, whose answer comes in pieces, longer than for
+// one that stands still.
+func TestPeerThatStandsStillIsLeftAndOneThatSendsIsNot(t *testing.T) {
+	s := &shelf{config: routing.Config{Version: 12}}
+	thin := drip(t, serve(t, s), 5, 150*time.Millisecond)
+	began := time.Now()
+	if news, err := Ask(t.Context(), thin, Have{}); err != nil || news.Config == nil {
+		t.Errorf("%+v, %v", news, err)
+	}
+	if took := time.Since(began); took < 2*roster.PeerSilence {
+		t.Errorf("the answer came after %v: the test shows nothing", took)
+	}
+	still, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = still.Close() }()
+	const wait = 100 * time.Millisecond
+	began = time.Now()
+	_, err = Ask(t.Context(), still.Addr().String(), Have{WaitMs: wait.Milliseconds()})
+	var silent *CallError
+	if !errors.As(err, &silent) {
+		t.Errorf("error %v", err)
+	}
+	if took := time.Since(began); took < wait+roster.PeerSilence || took > wait+2*roster.PeerSilence {
+		t.Errorf("left after %v", took)
+	}
+}
--- a/core/every/every.go
+++ b/core/every/every.go
@@ -24,3 +24,13 @@
 		}
 	}
 }
+
+// Pause waits so long, not at all for less than nothing, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -2,15 +2,21 @@
 // another node that learns from it.
 //
 // It answers the load of many nodes on one store, which counts each call and
-// whose rates grow more slowly than the fleet. Two nodes of the fleet, its
-// watchers, watch the store. Two nodes of each availability zone, its heads, ask
+// whose rates grow more slowly than the fleet. Three nodes of the fleet, its
+// watchers, watch the store. Three nodes of each availability zone, its heads, ask
 // the watchers; all others ask their heads. Who is what follows from the list of
 // nodes alone, so nothing is agreed upon: a node whose list differs, or that finds
 // a peer dead, only asks another one or the store, which costs a call and harms
 // nothing.
 //
-// Each asks two peers in turn. What one of them does not know, since it is cut off
-// from the store or stands still, the other tells with the next answer.
+// Each asks three peers in turn. What one of them does not know, since it is cut off
+// from the store or stands still, another tells with the next answer, whichever two
+// of them fail.
+//
+// A watcher that the store has silently stopped answering finds that by its pulses,
+// tells those that wait at it, and asks the other watchers like any node. While its
+// pulses are answered it asks them too, beside its watch, as the connection of the
+// watch alone may be silent.
 //
 // A Roster is used by one goroutine at a time and reads no clock.
 package roster
@@ -32,10 +38,13 @@
 	Peer string `json:"peer"`
 }
 
-// pairSize is how many watchers a fleet has, and heads a zone: one may fail
-// without all others turning elsewhere. With two watchers for the whole fleet
-// instead of two a zone, 295 nodes in five zones watch a fifth as often.
-const pairSize = 2
+const (
+	// sourceCount is how many watchers a fleet has, and heads a zone: any two may fail
+	// and one is left that all others ask already.
+	sourceCount = 3
+	// leaseSeekers is how many nodes of each zone seek the lease.
+	leaseSeekers = 2
+)
 
 // Waits of a node.
 const (
@@ -47,11 +56,10 @@
 	// behindFor is how long a peer that has no news of the store is left out while
 	// another one has them.
 	behindFor = 500 * time.Millisecond
-	// tryStep times a node's rank is how long its peers have no news of the store
-	// before it asks the store itself: while that is away ten more nodes a second
-	// ask, instead of all at once. Where it turns both watchers and a third of the
-	// others away, one that it serves has a change in less than a second, and all
-	// know it within 2 s in fleets of 12 and 295 nodes; with 250 ms not all of 12 did.
+	// tryStep times a node's rank behind the watchers is how long its peers have no news
+	// of the store before it asks the store itself: while that is away ten more nodes a
+	// second ask, instead of all at once, and where it turns all watchers and a third of
+	// the others away one that it serves has a change in less than a second.
 	tryStep = 100 * time.Millisecond
 	// tryFirst is the pause between such calls of one node; it doubles up to
 	// tryMost.
@@ -79,6 +87,12 @@
 // peer always, and learn nothing from the other if that peer knows nothing.
 type Turn int
 
+// next goes on to the next peer.
+func (t *Turn) next() int {
+	*t++
+	return int(*t)
+}
+
 // Roster is one node's view of the fleet. Make it with New.
 type Roster struct {
 	own  ids.VM
@@ -102,6 +116,8 @@
 	tries                         int
 	// served tells that the store answered, and no peer was asked since.
 	served bool
+	// silent tells that the store has stopped answering this node.
+	silent bool
 }
 
 // belief is what is known of one peer.
@@ -162,30 +178,52 @@
 	if !r.settled {
 		return Unsettled, Member{}
 	}
-	pair, watches := r.sources(now)
-	if watches || r.try(now) {
+	peers, watches := r.sources(now)
+	if watches || r.stays(now) {
 		return Store, Member{}
 	}
-	*turn++
-	// Nodes that wait at a pair are spread over it by their places.
-	next := r.place + int(*turn)
-	for i := range pair {
-		if m := pair[(next+i)%len(pair)]; !now.Before(r.of(m.Name).behindUntil) {
+	// Nodes that wait at the same peers are spread over them by their places.
+	from := r.place + turn.next()
+	for i := range peers {
+		if m := peers[(from+i)%len(peers)]; !now.Before(r.of(m.Name).behindUntil) {
 			return Peer, m
 		}
 	}
-	return Peer, pair[next%len(pair)]
+	if r.try(now) {
+		return Store, Member{}
+	}
+	return Peer, peers[from%len(peers)]
 }
 
-// sources gives the peers to ask; watches tells that there are none, as this node
-// is to watch the store itself.
-func (r *Roster) sources(now time.Time) (pair []Member, watches bool) {
-	pair, own := r.pair(now, r.heads)
-	if own || len(pair) < pairSize {
+// Beside gives one that waits at the store a watcher to ask meanwhile; false where there
+// is none.
+func (r *Roster) Beside(now time.Time, turn *Turn) (Member, bool) {
+	peers, _ := r.first(now, r.ranks, sourceCount, true)
+	if len(peers) == 0 {
+		return Member{}, false
+	}
+	return peers[(r.place+turn.next())%len(peers)], true
+}
+
+// WatchWait is how long the node's watch of the store is to wait for a change where one
+// that watches alone waits so long. The first watcher finds a connection that went silent
+// as early as that; the others wait longer, as they have the first one's news beside.
+func (r *Roster) WatchWait(alone time.Duration) time.Duration {
+	if r.at < 0 || r.at >= sourceCount {
+		return alone
+	}
+	return alone * time.Duration(r.at+1)
+}
+
+// sources gives the peers to ask; watches tells that this node is to watch the store
+// itself.
+func (r *Roster) sources(now time.Time) (peers []Member, watches bool) {
+	peers, own := r.first(now, r.heads, sourceCount, false)
+	if own || len(peers) < sourceCount {
 		// A head, or one that its zone's list does not have yet.
-		pair, own = r.pair(now, r.ranks)
+		peers, own = r.first(now, r.ranks, sourceCount, r.silent)
 	}
-	return pair, own || len(pair) < pairSize
+	return peers, own || len(peers) == 0
 }
 
 // Watcher reports whether the node is one of those that watch the store for all.
@@ -197,31 +235,31 @@
 	return watches
 }
 
-// Head reports whether the node is one of its zone's heads. Duties that one node
-// of the fleet does at a time are sought by heads alone.
+// Head reports whether the node is one of those of its zone that do duties which one
+// node of the fleet does at a time.
 func (r *Roster) Head(now time.Time) bool {
 	if !r.settled {
 		return false
 	}
-	_, own := r.pair(now, r.heads)
+	_, own := r.first(now, r.heads, leaseSeekers, false)
 	return own
 }
 
-// pair gives the first members of a list that do not rest; own tells that this
-// node is among them.
-func (r *Roster) pair(now time.Time, list []Member) (pair []Member, own bool) {
+// first gives the first members of a list that do not rest, up to count or to the own
+// node, which own tells; others passes that over.
+func (r *Roster) first(now time.Time, list []Member, count int, others bool) (peers []Member, own bool) {
 	for _, m := range list {
-		if len(pair) == pairSize {
-			break
-		}
-		if m.Name == r.own {
-			return pair, true
-		}
-		if m.Peer != "" && !now.Before(r.of(m.Name).restUntil) {
-			pair = append(pair, m)
+		switch {
+		case len(peers) == count:
+			return peers, false
+		case m.Name == r.own && others:
+		case m.Name == r.own:
+			return peers, true
+		case m.Peer != "" && !now.Before(r.of(m.Name).restUntil):
+			peers = append(peers, m)
 		}
 	}
-	return pair, false
+	return peers, false
 }
 
 // of gives the belief about a peer.
@@ -234,21 +272,20 @@
 	return b
 }
 
+// stays reports whether the node goes on at the store, which answered while no peer had
+// news of it.
+func (r *Roster) stays(now time.Time) bool {
+	return !r.silent && !r.awaySince.IsZero() && now.Before(r.servedUntil)
+}
+
 // try reports whether the node is to ask the store itself, as no peer has news of
 // it.
 func (r *Roster) try(now time.Time) bool {
-	if r.awaySince.IsZero() {
-		return false
-	}
-	if now.Before(r.servedUntil) {
-		return true
-	}
-	if r.served {
-		// A peer may have news again.
+	if r.silent || r.awaySince.IsZero() || r.served {
 		return false
 	}
-	rank := r.at
-	if rank < 0 {
+	rank := max(r.at-sourceCount, 0)
+	if r.at < 0 {
 		rank = len(r.ranks)
 	}
 	if now.Sub(r.awaySince) < time.Duration(rank)*tryStep || now.Before(r.tryAt) {
@@ -277,10 +314,25 @@
 	}
 }
 
+// Reached tells that a peer answered.
+func (r *Roster) Reached(name ids.VM) { delete(r.peers, name) }
+
+// Deserted tells that peers in a row did not answer: the store is asked for a while.
+func (r *Roster) Deserted(now time.Time) {
+	r.served = false
+	if r.awaySince.IsZero() {
+		r.awaySince = now
+	}
+}
+
+// Silent tells whether the store has stopped answering this node, which asks its peers
+// until it does again.
+func (r *Roster) Silent(silent bool) { r.silent = silent }
+
 // Answered tells that a peer answered with news of the store, or that there are
 // none.
 func (r *Roster) Answered(name ids.VM) {
-	delete(r.peers, name)
+	r.Reached(name)
 	r.awaySince, r.tryAt, r.servedUntil, r.tries, r.served = time.Time{}, time.Time{}, time.Time{}, 0, false
 }
 
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -64,45 +64,114 @@
 	}
 }
 
-func TestTwoNodesWatchForAllZones(t *testing.T) {
+func TestThreeNodesWatchForAllZones(t *testing.T) {
 	members := fleet()
-	watchers, heads := make(map[ids.VM]bool), make(map[ids.VM]bool)
+	watchers, seekers := make(map[ids.VM]bool), make(map[ids.VM]bool)
 	asked := make(map[ids.VM]int)
-	for _, m := range members {
+	for i, m := range members {
 		r := knowing(m, members)
 		if r.Head(start) {
-			heads[m.Name] = true
+			seekers[m.Name] = true
 		}
 		if way, _ := next(r, start); way == Store {
 			watchers[m.Name] = true
 			continue
 		}
-		for range 2 {
+		head := i%59 < 3
+		for range 3 {
 			peer := expectPeer(t, r, start)
 			asked[peer.Name]++
-			if !heads[m.Name] && peer.Zone != m.Zone {
+			if !head && peer.Zone != m.Zone {
 				t.Errorf("%s asks %s in another zone", m.Name, peer.Name)
 			}
 		}
 	}
-	if len(watchers) != 2 || !watchers["a-000"] || !watchers["b-000"] {
-		t.Errorf("watchers %v, want the first of two zones", watchers)
+	if len(watchers) != 3 || !watchers["a-000"] || !watchers["b-000"] || !watchers["c-000"] {
+		t.Errorf("watchers %v, want the first of three zones", watchers)
 	}
-	if len(heads) != 10 || !heads["e-000"] || !heads["e-001"] {
-		t.Errorf("heads %v, want two a zone", heads)
+	if len(seekers) != 10 || !seekers["e-000"] || !seekers["e-001"] {
+		t.Errorf("%v seek the lease, want two a zone", seekers)
 	}
 	// Each question to a watcher is of a head, or of its own zone's nodes.
-	if asked["a-000"] != 57+8 || asked["e-000"] != 57 || asked["c-001"] != 57 {
+	if asked["a-000"] != 56+12 || asked["e-000"] != 56 || asked["c-001"] != 56 {
 		t.Errorf("shares %v", asked)
 	}
 }
 
-func TestNodesAskBothOfAPairInTurn(t *testing.T) {
+func TestNodesAskThreeInTurn(t *testing.T) {
 	members := fleet()
 	r := knowing(members[40], members)
-	first, second, third := expectPeer(t, r, start), expectPeer(t, r, start), expectPeer(t, r, start)
-	if first.Name == second.Name || first.Name != third.Name {
-		t.Errorf("asked %s, %s and %s", first.Name, second.Name, third.Name)
+	seen := make(map[ids.VM]bool)
+	first := expectPeer(t, r, start)
+	seen[first.Name] = true
+	for range 2 {
+		seen[expectPeer(t, r, start).Name] = true
+	}
+	if fourth := expectPeer(t, r, start); len(seen) != 3 || fourth.Name != first.Name {
+		t.Errorf("asked %v, then %s after %s", seen, fourth.Name, first.Name)
+	}
+}
+
+// A watcher that the store has stopped answering asks the other watchers, and watches again
+// once its pulses are answered.
+func TestSilentWatcherAsksTheOthers(t *testing.T) {
+	members := fleet()
+	r := knowing(Member{Name: "a-000", Zone: "a"}, members)
+	expectStore(t, r, start)
+	r.Silent(true)
+	for range 3 {
+		if peer := expectPeer(t, r, start); peer.Name != "b-000" && peer.Name != "c-000" && peer.Name != "d-000" {
+			t.Errorf("asks %s", peer.Name)
+		}
+	}
+	if r.Watcher(start) || !r.Head(start) {
+		t.Error("a silent watcher watches for others, or no longer seeks the lease")
+	}
+	r.Silent(false)
+	expectStore(t, r, start)
+}
+
+// One that waits at the store asks the other watchers beside it.
+func TestWatcherAsksTheOthersBeside(t *testing.T) {
+	members := fleet()
+	r := knowing(Member{Name: "a-000", Zone: "a"}, members)
+	var turn Turn
+	seen := make(map[ids.VM]bool)
+	for range 3 {
+		peer, ok := r.Beside(start, &turn)
+		if !ok || peer.Name == "a-000" {
+			t.Fatalf("asks %s, %t", peer.Name, ok)
+		}
+		seen[peer.Name] = true
+	}
+	if !seen["b-000"] || !seen["c-000"] {
+		t.Errorf("asks %v", seen)
+	}
+	alone := knowing(members[0], members[:1])
+	if peer, ok := alone.Beside(start, &turn); ok {
+		t.Errorf("a node alone asks %s", peer.Name)
+	}
+}
+
+// A node that reaches the store and no peer stays there for a while, and then asks a peer.
+func TestDesertedNodeStaysAtTheStore(t *testing.T) {
+	members := fleet()
+	r := knowing(members[40], members)
+	for range MaxSilent {
+		r.Failed(start, expectPeer(t, r, start).Name)
+	}
+	r.Deserted(start)
+	r.Served(start)
+	expectStore(t, r, start.Add(servedFor-time.Millisecond))
+	expectPeer(t, r, start.Add(servedFor))
+}
+
+func TestFirstWatcherFindsASilentConnectionFirst(t *testing.T) {
+	members := fleet()
+	for name, want := range map[ids.VM]time.Duration{"a-000": time.Second, "b-000": 2 * time.Second, "c-000": 3 * time.Second, "a-040": time.Second} {
+		if got := knowing(Member{Name: name}, members).WatchWait(time.Second); got != want {
+			t.Errorf("%s waits %v, want %v", name, got, want)
+		}
 	}
 }
 
@@ -119,7 +188,7 @@
 		}
 	}
 	for i, peers := range asked {
-		if len(peers) < 2 {
+		if len(peers) < 3 {
 			t.Errorf("collection %d is asked for at %v only", i, peers)
 		}
 	}
@@ -129,7 +198,8 @@
 	members := zone("a", 10)
 	r := knowing(members[9], members)
 	seen := make(map[ids.VM]bool)
-	for range 8 {
+	// With two others left the node is one of the first three itself.
+	for range 7 {
 		peer := expectPeer(t, r, start)
 		if seen[peer.Name] {
 			t.Errorf("%s is asked again at once", peer.Name)
@@ -146,7 +216,11 @@
 		t.Errorf("%s is asked again as soon as the first time", peer.Name)
 	}
 	r.Answered(peer.Name)
-	if again := expectPeer(t, r, now); again.Name != peer.Name && expectPeer(t, r, now).Name != peer.Name {
+	again := false
+	for range 3 {
+		again = again || expectPeer(t, r, now).Name == peer.Name
+	}
+	if !again {
 		t.Errorf("%s is not asked after it answered", peer.Name)
 	}
 }
@@ -181,7 +255,7 @@
 		r.Answered(peer.Name)
 	}
 	found := false
-	for range 2 {
+	for range 3 {
 		found = found || expectPeer(t, r, start.Add(behindFor)).Name == first.Name
 	}
 	if !found {
@@ -226,7 +300,7 @@
 // A store that turns some nodes away is watched on by one that it serves.
 func TestNodeThatTheStoreServesGoesOnThere(t *testing.T) {
 	members := fleet()
-	r := knowing(Member{Name: "c-000", Zone: "c"}, members)
+	r := knowing(Member{Name: "d-000", Zone: "d"}, members)
 	now := start
 	for way, peer := next(r, now); way == Peer; way, peer = next(r, now) {
 		r.Behind(now, peer.Name)
@@ -242,13 +316,13 @@
 		r.Served(now)
 	}
 	now = now.Add(servedFor)
-	peer := expectPeer(t, r, now)
-	r.Behind(now, peer.Name)
+	for range sourceCount {
+		r.Behind(now, expectPeer(t, r, now).Name)
+	}
 	expectStore(t, r, now)
 	r.Served(now)
 	now = now.Add(servedFor)
-	peer = expectPeer(t, r, now)
-	r.Answered(peer.Name)
+	r.Answered(expectPeer(t, r, now).Name)
 	expectPeer(t, r, now)
 }
 
@@ -292,3 +366,17 @@
 	}
 	expectStore(t, r, start)
 }
+
+// A store that has become slow is given more time, one that is sound is doubted soon.
+func TestPulseAllowsForASlowStore(t *testing.T) {
+	var p Pulse
+	for _, one := range []struct{ took, allowed time.Duration }{
+		{4 * time.Millisecond, pulseLate}, {200 * time.Millisecond, 600 * time.Millisecond}, {time.Minute, pulseLatest},
+	} {
+		p.Sent(start)
+		p.Answered(start.Add(one.took))
+		if got := p.Allowed(); got != one.allowed {
+			t.Errorf("%v allowed after %v", got, one.took)
+		}
+	}
+}
--- a/decide/roster/spread_test.go
+++ b/decide/roster/spread_test.go
@@ -6,21 +6,22 @@
 	"slices"
 	"testing"
 	"time"
+
+	"mimosaarch.example/core/ids"
 )
 
 // Times of the calls by which nodes learn, as their callers bound them.
 const (
 	step         = 25 * time.Millisecond
 	watchWait    = 3 * time.Second
-	watchSilent  = 3400 * time.Millisecond
-	peerWait     = 900 * time.Millisecond
-	peerSilent   = 1300 * time.Millisecond
+	watchSlack   = 400 * time.Millisecond
+	peerSilent   = PeerWait + PeerSilence
 	dialSilent   = 150 * time.Millisecond
-	maxAge       = 3600 * time.Millisecond
-	hopAge       = time.Second
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = 800 * time.Millisecond
 	askEvery     = 200 * time.Millisecond
+	// callSilent bounds a call that does not wait.
+	callSilent = 1200 * time.Millisecond
 )
 
 // slowBy is how late a slow node answers its peers.
@@ -68,6 +69,9 @@
 	fault  fault
 	// follows are what it learns of each collection.
 	follows [collections]*learner
+	pulse   Pulse
+	// pulsing tells that a pulse is under way.
+	pulsing, silent bool
 }
 
 // newVM makes a node that learned each collection's version at a moment.
@@ -86,20 +90,31 @@
 	heard time.Duration
 	hops  int
 
-	turn    Turn
-	calling bool
-	way     Way
-	peer    *vm
-	began   time.Duration
+	turn, beside Turn
+	calling      bool
+	way          Way
+	peer         *vm
+	began        time.Duration
 	// unreached: the peer did not take the connection. silent: it went silent.
 	unreached, silent bool
 	// readyAt is when the peer had its answer, zero before.
 	readyAt time.Duration
-	behind  int
-	pause   time.Duration
-	fails   int
-	lost    bool
-	asked   time.Duration
+	// asides is the question beside a watch, nil for none.
+	asides *question
+	behind int
+	// unanswered counts the peers in a row that did not answer.
+	unanswered int
+	pause      time.Duration
+	fails      int
+	lost       bool
+	asked      time.Duration
+}
+
+// question is one to a peer.
+type question struct {
+	peer           *vm
+	began, readyAt time.Duration
+	unreached      bool
 }
 
 // world is a fleet and its store.
@@ -108,15 +123,16 @@
 	version int
 	away    bool
 	nodes   []*vm
+	byName  map[ids.VM]*vm
 	rand    *rand.Rand
 	calls   int
-	// one has nodes ask the same one of their peers always: a fault to be found.
+	// one has nodes learn from one source each, without pulses: a fault to be found.
 	one bool
 }
 
 // newWorld makes a fleet that knows the first version.
 func newWorld(members []Member, seed uint64) *world {
-	w := &world{version: 1, rand: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{version: 1, rand: rand.New(rand.NewPCG(seed, 1)), byName: make(map[ids.VM]*vm)}
 	for _, m := range members {
 		n := newVM(m, members, 1, 0)
 		for _, l := range n.follows {
@@ -124,6 +140,7 @@
 			l.pause = time.Duration(w.rand.Int64N(int64(time.Second)))
 		}
 		w.nodes = append(w.nodes, n)
+		w.byName[m.Name] = n
 	}
 	return w
 }
@@ -138,6 +155,7 @@
 			if n.fault == killed || n.fault == frozen {
 				continue
 			}
+			w.beat(n)
 			for i := range n.follows {
 				w.turn(n, i)
 			}
@@ -160,12 +178,54 @@
 	switch {
 	case !l.calling:
 	case l.way == Store:
-		w.watch(n, l)
+		w.watch(n, i)
 	default:
 		w.ask(n, l, l.peer.follows[i])
 	}
 }
 
+// beat sends a pulse, and looks whether the last one was answered.
+func (w *world) beat(n *vm) {
+	hears := n.fault.reachesStore() || n.fault == rejected
+	if n.pulsing {
+		took := w.time().Sub(n.pulse.sentAt)
+		switch {
+		case hears && !w.away:
+			n.pulse.Answered(w.time())
+			n.pulsing = false
+			w.silent(n, false)
+			for _, l := range n.follows {
+				if l.calling && l.way == Store && n.fault != rejected {
+					l.heard, l.hops = w.now, 0
+				}
+			}
+		case took >= callSilent:
+			n.pulsing = false
+		case took >= n.pulse.Allowed():
+			w.silent(n, true)
+		}
+	}
+	atStore := n.silent
+	for _, l := range n.follows {
+		atStore = atStore || l.calling && l.way == Store
+	}
+	if atStore && !w.one && !n.pulsing && w.time().Sub(n.pulse.sentAt) >= PulseEvery {
+		n.pulse.Sent(w.time())
+		n.pulsing = true
+	}
+}
+
+// silent notes whether the store answers a node; its watches end where it does not.
+func (w *world) silent(n *vm, silent bool) {
+	n.silent = silent
+	n.roster.Silent(silent)
+	for _, l := range n.follows {
+		if silent && l.calling && l.way == Store {
+			w.failed(l)
+		}
+	}
+}
+
 // reachable reports whether a peer answers a node.
 func reachable(n, p *vm) bool {
 	away := func(f fault) bool { return f == cut || f == alone }
@@ -181,29 +241,83 @@
 	l.calling, l.way, l.began = true, way, w.now
 	l.unreached, l.silent, l.readyAt = false, false, 0
 	if way == Store {
-		w.calls++
+		w.toStore(n, l)
 		return
 	}
-	at := slices.IndexFunc(w.nodes, func(p *vm) bool { return p.member.Name == m.Name })
-	l.peer = w.nodes[at]
+	l.peer = w.named(m)
 	l.unreached = !reachable(n, l.peer)
 }
 
+// named gives the node of a member.
+func (w *world) named(m Member) *vm {
+	return w.byName[m.Name]
+}
+
+// toStore begins a watch of the store.
+func (w *world) toStore(n *vm, l *learner) {
+	l.calling, l.way, l.began, l.silent, l.asides, l.unanswered = true, Store, w.now, false, nil, 0
+	if n.silent {
+		w.failed(l)
+		return
+	}
+	w.calls++
+}
+
 // watch looks whether a watch of the store ends.
-func (w *world) watch(n *vm, l *learner) {
-	took := w.now - l.began
+func (w *world) watch(n *vm, i int) {
+	l := n.follows[i]
+	took, wait := w.now-l.began, n.roster.WatchWait(watchWait)
 	switch {
 	case n.fault == cut || n.fault == unheard || l.silent:
-		if took >= watchSilent {
+		if took >= wait+watchSlack {
 			w.failed(l)
+			return
 		}
 	case w.away || n.fault == rejected:
 		w.failed(l)
-	case w.version > l.version || took >= watchWait:
+		return
+	case w.version > l.version || took >= wait:
 		l.version, l.heard, l.hops = w.version, w.now, 0
 		n.roster.Served(w.time())
 		w.answered(l)
+		return
+	}
+	if !w.one {
+		w.askBeside(n, i)
+	}
+}
+
+// askBeside has one that waits at the store ask the watchers meanwhile.
+func (w *world) askBeside(n *vm, i int) {
+	l := n.follows[i]
+	q := l.asides
+	if q == nil {
+		if m, ok := n.roster.Beside(w.time(), &l.beside); ok {
+			p := w.named(m)
+			l.asides = &question{peer: p, began: w.now, unreached: !reachable(n, p)}
+		}
+		return
+	}
+	took, p := w.now-q.began, q.peer.follows[i]
+	if !reachable(n, q.peer) {
+		if q.peer.fault == killed || took >= peerSilent || q.unreached && took >= dialSilent {
+			n.roster.Failed(w.time(), q.peer.member.Name)
+			l.asides = nil
+		}
+		return
+	}
+	if q.readyAt == 0 && (p.version > l.version || took >= PeerWait || p.lost) {
+		q.readyAt = w.now
+	}
+	if q.readyAt == 0 || q.peer.fault == slow && w.now-q.readyAt < slowBy {
+		if took >= peerSilent {
+			n.roster.Failed(w.time(), q.peer.member.Name)
+			l.asides = nil
+		}
+		return
 	}
+	n.roster.Reached(q.peer.member.Name)
+	l.version, l.asides = max(l.version, p.version), nil
 }
 
 // ask looks whether a question to a peer, that follows as p does, ends.
@@ -213,7 +327,7 @@
 		w.unanswered(n, l, took)
 		return
 	}
-	if l.readyAt == 0 && (p.version > l.version || took >= peerWait || p.lost) {
+	if l.readyAt == 0 && (p.version > l.version || took >= PeerWait || p.lost) {
 		l.readyAt = w.now
 	}
 	if l.readyAt == 0 || l.peer.fault == slow && w.now-l.readyAt < slowBy {
@@ -223,10 +337,11 @@
 		return
 	}
 	age := w.now - p.heard
-	if p.lost || p.hops > 1 || age > maxAge+time.Duration(p.hops)*hopAge {
+	l.unanswered = 0
+	if p.lost || p.hops > MaxHops || age > MaxAge+time.Duration(p.hops)*HopAge {
 		n.roster.Behind(w.time(), l.peer.member.Name)
 		l.calling = false
-		if l.behind++; l.behind >= 2 {
+		if l.behind++; l.behind >= MaxBehind {
 			w.failed(l)
 		}
 		return
@@ -237,28 +352,31 @@
 }
 
 // unanswered ends a question to a peer that does not answer, once its time is over.
-// One that took the connection and is silent leaves the store.
+// One that took the connection and is silent leaves the store, as do several in a row.
 func (w *world) unanswered(n *vm, l *learner, took time.Duration) {
 	if l.peer.fault != killed && took < peerSilent && (!l.unreached || took < dialSilent) {
 		return
 	}
 	n.roster.Failed(w.time(), l.peer.member.Name)
 	l.calling = false
-	if took >= peerWait {
-		l.calling, l.way, l.began = true, Store, w.now
-		l.silent = false
-		w.calls++
+	l.unanswered++
+	switch {
+	case l.unanswered >= MaxSilent:
+		n.roster.Deserted(w.time())
+		w.toStore(n, l)
+	case took >= PeerWait:
+		w.toStore(n, l)
 	}
 }
 
 // answered ends a call with news of the store.
 func (w *world) answered(l *learner) {
-	l.calling, l.lost, l.fails, l.behind = false, false, 0, 0
+	l.calling, l.lost, l.fails, l.behind, l.unanswered = false, false, 0, 0, 0
 }
 
 // failed ends a call without.
 func (w *world) failed(l *learner) {
-	l.calling, l.lost, l.behind = false, true, 0
+	l.calling, l.lost, l.behind, l.unanswered = false, true, 0, 0
 	wait := min(backoffFirst<<min(l.fails, 10), backoffMost)
 	l.fails++
 	l.pause = w.now + wait/2 + time.Duration(w.rand.Int64N(int64(wait)))
@@ -333,6 +451,8 @@
 	oneFaultBound = time.Second
 	// twoFaultsBound is how long a change may take beside two.
 	twoFaultsBound = 1500 * time.Millisecond
+	// allCutBound is how long one may take where all watchers are cut off.
+	allCutBound = 2 * time.Second
 )
 
 // oneFault has nodes of all places in a fleet meet each fault, with a change at each of many
@@ -358,21 +478,31 @@
 	return runs, late
 }
 
+// eachSize runs a test for each size of a fleet, side by side.
+func eachSize(t *testing.T, test func(t *testing.T, members []Member)) {
+	for _, members := range sizes() {
+		t.Run(fmt.Sprint(len(members)), func(t *testing.T) {
+			t.Parallel()
+			test(t, members)
+		})
+	}
+}
+
 // Whatever happens to one node, all know a change in time.
 func TestChangeReachesAllBesideAnyOneFault(t *testing.T) {
-	for _, members := range sizes() {
+	eachSize(t, func(t *testing.T, members []Member) {
 		moments := 250 * time.Millisecond
 		if len(members) > 50 {
 			moments = 4 * time.Second
 		}
 		runs, late := oneFault(members, moments, false)
-		t.Logf("%d nodes: %d runs", len(members), runs)
+		t.Logf("%d runs", runs)
 		if len(late) > 0 {
-			t.Errorf("%d nodes: %d late, the first: %s", len(members), len(late), late[0])
+			t.Errorf("%d late, the first: %s", len(late), late[0])
 		}
-	}
+	})
 	if _, late := oneFault(small(), 250*time.Millisecond, true); len(late) == 0 {
-		t.Error("nodes that ask one peer only are not found to be late: the check finds nothing")
+		t.Error("nodes that learn from one source each are not found to be late: the check finds nothing")
 	}
 }
 
@@ -403,7 +533,7 @@
 // Whatever happens to two nodes, together or up to 2 s apart, and lasts: all that the store
 // serves know a change in time.
 func TestChangeReachesAllBesideAnyTwoFaults(t *testing.T) {
-	for _, members := range sizes() {
+	eachSize(t, func(t *testing.T, members []Member) {
 		var late []string
 		runs := 0
 		play := func(first, second int, f, g fault) {
@@ -426,14 +556,39 @@
 			drawn := r.Perm(len(at))
 			play(at[drawn[0]], at[drawn[1]], killed+fault(r.IntN(int(faults-1))), killed+fault(r.IntN(int(faults-1))))
 		}
-		t.Logf("%d nodes: %d runs", len(members), runs)
+		t.Logf("%d runs", runs)
 		if len(late) > 0 {
-			t.Errorf("%d nodes: %d late, the first: %s", len(members), len(late), late[0])
+			t.Errorf("%d late, the first: %s", len(late), late[0])
+		}
+	})
+}
+
+// All watchers are silently cut off from the store together: those that it serves still
+// know a change before upstreams that leave must be left alone.
+func TestChangeReachesAllWhileAllWatchersAreCutOff(t *testing.T) {
+	for _, members := range sizes() {
+		for seed := range uint64(20) {
+			w := newWorld(members, seed)
+			w.run(time.Second + time.Duration(w.rand.IntN(40))*step)
+			for _, n := range w.nodes {
+				if n.roster.Watcher(w.time()) {
+					w.set(n, unheard)
+				}
+			}
+			w.run(time.Duration(w.rand.IntN(60)) * step)
+			w.version++
+			w.run(allCutBound)
+			if late := w.late(fault.reachesStore); len(late) > 0 {
+				t.Errorf("%d nodes, seed %d: %d late, as %s", len(members), seed, len(late), late[0])
+			}
+			if len(members) > 50 && seed >= 4 {
+				break
+			}
 		}
 	}
 }
 
-// A store that turns both watchers away, and a third of the others, serves the rest:
+// A store that turns all watchers away, and a third of the others, serves the rest:
 // all know a change within 2 s.
 func TestChangeReachesAllWhileTheStoreTurnsWatchersAway(t *testing.T) {
 	for _, members := range [][]Member{small(), fleet()} {
@@ -516,7 +671,7 @@
 			w.run(restMost)
 			w.calls = 0
 			w.run(30 * time.Second)
-			if w.calls > 2*pairSize*collections*int(30*time.Second/watchWait) {
+			if w.calls > 2*sourceCount*collections*int(30*time.Second/watchWait) {
 				t.Errorf("%d nodes, seed %d: %d calls in 30 quiet seconds", len(members), seed, w.calls)
 			}
 			t.Logf("%d nodes, seed %d: %d calls in 20 s of faults, %d in 30 quiet seconds", len(members), seed, during, w.calls)
--- /dev/null
+++ b/decide/roster/times.go
@@ -0,0 +1,32 @@
+package roster
+
+import "time"
+
+// A change must be in force everywhere within 2 s, and an upstream that leaves gets nothing
+// new after that, half a second of which goes to links and requests under way. Nodes ask in
+// turn, and news pass two nodes: what one question takes at the most bounds the whole.
+const (
+	// PeerWait is how long a peer's answer may wait for news. What one peer does not know,
+	// being cut off, another is asked for after it.
+	PeerWait = 300 * time.Millisecond
+	// PeerSilence is how much longer than that a peer may be silent before it counts as
+	// standing still. One that is sending is not silent.
+	PeerSilence = 300 * time.Millisecond
+	// AskFor is how long a node tries peers before the store counts as lost: those of other
+	// zones behind a cut take no connection, until a node of the own zone is found.
+	AskFor = 1500 * time.Millisecond
+	// MaxSilent is how many peers in a row may not answer before a node asks the store: it
+	// may be the node that is cut off from its peers.
+	MaxSilent = sourceCount
+	// MaxBehind is how many peers in a row may be without news of the store.
+	MaxBehind = sourceCount
+	// MaxAge is how old the view of a node that watches the store may be, whose pulses are
+	// answered in time.
+	MaxAge = 1500 * time.Millisecond
+	// HopAge is what each node between may add: its wait for an answer, and the way.
+	HopAge = time.Second
+	// MaxHops is the most nodes between the store and one that may be asked: those that
+	// watch the store and the heads of zones. Nodes whose lists of the fleet differ could
+	// else wait for each other in a ring.
+	MaxHops = 1
+)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -51,6 +51,7 @@
 	Configs   listwatch.Source[routing.Config]
 	Upstreams listwatch.Source[directory.Upstream]
 	Members   Members
+	Pulser    Pulser
 	Lease     leader.Store
 	Engines   Engines
 	Headers   forward.Headers
@@ -92,6 +93,7 @@
 	configs   *configs
 	upstreams *upstreams
 	peers     *peers
+	pulse     *pulse
 	fleet     *fleet
 	server    *forward.Server
 	keeper    *leader.Keeper
@@ -124,6 +126,9 @@
 	n.configs = &configs{log: log, news: n.news}
 	n.upstreams = newUpstreams(holder(settings), log, n.news)
 	n.peers = newPeers(settings, &timedMembers{ports.Members, n.metrics.Took}, n, log)
+	n.pulse = &pulse{
+		store: ports.Pulser, fleet: n.fleet, contacts: []*contact{&n.configs.contact, &n.upstreams.contact}, log: log,
+	}
 	n.server = forward.New(forward.Options{
 		Headers:   ports.Headers,
 		Zone:      settings.Zone,
@@ -330,20 +335,27 @@
 	go n.followUpstreams(ctx)
 	go n.upstreams.expire(ctx)
 	go n.peers.run(ctx)
+	go n.pulse.run(ctx)
 	go n.tellVerdicts(ctx)
 	go n.tellCalls(ctx)
 	go n.keeper.Run(ctx)
 	go n.placer.Run(ctx)
 }
 
+// Names of the collections in logs.
+const (
+	configuration        = "configuration"
+	directoryOfUpstreams = "upstreams"
+)
+
 // follow follows the configuration.
 func (n *Node) follow(ctx context.Context) {
-	options := listwatch.Options{Name: "configuration", Log: n.log, Seed: n.settings.Seed}
+	options := listwatch.Options{Name: configuration, Log: n.log, Seed: n.settings.Seed}
 	listwatch.New(n.sharedConfigs(), n.configs, options).Run(ctx)
 }
 
 // followUpstreams follows the directory.
 func (n *Node) followUpstreams(ctx context.Context) {
-	options := listwatch.Options{Name: "upstreams", Log: n.log, Seed: n.settings.Seed + 1}
+	options := listwatch.Options{Name: directoryOfUpstreams, Log: n.log, Seed: n.settings.Seed + 1}
 	listwatch.New(n.sharedUpstreams(), n.upstreams, options).Run(ctx)
 }
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -26,11 +26,14 @@
 	edition relay.Edition
 	members []roster.Member
 	settled bool
+	// unheard is closed while the store does not answer this node.
+	unheard chan struct{}
+	silent  bool
 }
 
 // newFleet makes the view of a node that knows no others.
 func newFleet(s Settings, now func() time.Time, changed func(nodes int)) *fleet {
-	return &fleet{now: now, changed: changed, known: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
+	return &fleet{now: now, changed: changed, known: make(chan struct{}), unheard: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
 }
 
 // set takes a list of the fleet's nodes as of a revision of the store's. An older
@@ -141,11 +144,61 @@
 	}
 }
 
-// failed, behind and answered tell what came of asking a peer, and served that the
-// store answered.
+// beside gives one that waits at the store a watcher to ask meanwhile; false where there
+// is none.
+func (f *fleet) beside(turn *roster.Turn) (roster.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Beside(f.now(), turn)
+}
+
+// watchWait is how long a watch of the store is to wait where one that watches alone waits
+// so long.
+func (f *fleet) watchWait(alone time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.WatchWait(alone)
+}
+
+// setSilent notes whether the store has stopped answering this node; changed tells that
+// this is new.
+func (f *fleet) setSilent(silent bool) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if silent == f.silent {
+		return false
+	}
+	f.silent = silent
+	f.roster.Silent(silent)
+	if silent {
+		close(f.unheard)
+	} else {
+		f.unheard = make(chan struct{})
+	}
+	return true
+}
+
+// isSilent reports whether the store has stopped answering this node.
+func (f *fleet) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
+// silence gives a channel that is closed once the store has stopped answering this node.
+func (f *fleet) silence() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unheard
+}
+
+// failed, reached, behind and answered tell what came of asking a peer, deserted that
+// several in a row did not answer, and served that the store answered.
 func (f *fleet) failed(name ids.VM)   { f.note(func(r *roster.Roster) { r.Failed(f.now(), name) }) }
+func (f *fleet) reached(name ids.VM)  { f.note(func(r *roster.Roster) { r.Reached(name) }) }
 func (f *fleet) behind(name ids.VM)   { f.note(func(r *roster.Roster) { r.Behind(f.now(), name) }) }
 func (f *fleet) answered(name ids.VM) { f.note(func(r *roster.Roster) { r.Answered(name) }) }
+func (f *fleet) deserted()            { f.note(func(r *roster.Roster) { r.Deserted(f.now()) }) }
 func (f *fleet) served()              { f.note(func(r *roster.Roster) { r.Served(f.now()) }) }
 
 // note changes the roster.
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -9,38 +10,13 @@
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/roster"
 	"mimosaarch.example/decide/routing"
 )
 
-// Watching the store is shared, as decide/roster says. How late news may be:
-// an answer of a peer that waits for news comes at once with them. A peer that
-// froze or lost its power costs an asker peerWait and the call's own bound, 1.3 s;
-// the next answer is the other's. One that the store has stopped answering without
-// its noticing is passed over from the next question on, as its other half tells.
-const (
-	// peerWait is how long a peer's answer may wait. A peer that froze must be
-	// left before a configuration is overdue.
-	peerWait = 900 * time.Millisecond
-	// maxAge is how old the view of a node that watches the store may be. Its
-	// watch brings an answer at least each 3 s.
-	maxAge = 3600 * time.Millisecond
-	// hopAge is what each node between may add: its wait for an answer.
-	hopAge = time.Second
-	// maxHops is the most nodes between the store and one that may be asked: those
-	// that watch the store and the heads of zones. Nodes whose lists of the fleet
-	// differ could else wait for each other in a ring.
-	maxHops = 1
-	// askFor is how long one follower tries peers that do not answer before the
-	// store counts as lost: time for those of other zones behind a cut, at 150 ms
-	// each, until a node of the own zone is found.
-	askFor = 1500 * time.Millisecond
-	// maxBehind is how many peers in a row may be without news of the store.
-	maxBehind = 2
-)
-
 // BehindError tells that no peer has news of the store. Age is that of the last news
 // of the one asked last.
 type BehindError struct {
@@ -53,12 +29,21 @@
 	return "peer " + string(e.Peer) + " had no answer of the store for " + e.Age.String()
 }
 
+// SilentError tells that the store has stopped answering this node.
+type SilentError struct{}
+
+// Error implements error.
+func (*SilentError) Error() string { return "the store does not answer" }
+
 // shared is a listwatch.Source that waits at a peer where one watches the
-// store, and else at the store.
+// store, and else at the store, as decide/roster says.
 type shared[T any] struct {
+	// name is the collection's, for logs.
+	name  string
 	store listwatch.Source[T]
 	fleet *fleet
-	turn  roster.Turn
+	// turn counts the questions to peers, aside those beside a watch of the store.
+	turn, aside roster.Turn
 	// have tells what the node has, to a peer; take takes over a peer's news, asked
 	// for at a moment, and gives the revision up to which they go.
 	have func(peer ids.VM) relay.Have
@@ -87,7 +72,7 @@
 func (s *shared[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
 	s.fleet.await(ctx)
 	began := boottime.Now()
-	for behind := 0; ; {
+	for behind, silent := 0, 0; ; {
 		way, peer := s.fleet.next(&s.turn)
 		if way != roster.Peer {
 			return s.watch(ctx, since, wait)
@@ -98,47 +83,105 @@
 			return listwatch.Changes[T]{Revision: max(since, s.take(peer.Name, news, asked))}, nil
 		}
 		if _, isBehind := err.(*BehindError); isBehind {
-			behind++
-		} else if boottime.Now().Sub(asked) >= peerWait {
+			behind, silent = behind+1, 0
+		} else if silent++; silent >= roster.MaxSilent {
+			s.fleet.deserted()
+			return s.watch(ctx, since, wait)
+		} else if boottime.Now().Sub(asked) >= roster.PeerWait {
 			// It stands still, or its link is too short for what it has to tell: a
-			// configuration with a thousand routes to 57 nodes fills one of 20 Mbit/s
-			// for seconds, while the store's carries it to all in one.
+			// configuration with a thousand routes fills one of 20 Mbit/s for seconds where
+			// many ask, while the store's carries it to all in one.
 			return s.watch(ctx, since, wait)
 		}
-		if behind >= maxBehind || boottime.Now().Sub(began) >= askFor || ctx.Err() != nil {
+		if behind >= roster.MaxBehind || boottime.Now().Sub(began) >= roster.AskFor || ctx.Err() != nil {
 			return listwatch.Changes[T]{}, err
 		}
 	}
 }
 
-// watch waits at the store.
+// watch waits at the store, and asks the other watchers beside: its connection alone may
+// be silent. It ends with a *SilentError once the store has stopped answering this node.
 func (s *shared[T]) watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
-	changes, err := s.store.Watch(ctx, since, wait)
-	if err == nil {
-		s.contact.storeAnswered()
-		s.fleet.served()
+	silence := s.fleet.silence()
+	if s.fleet.isSilent() {
+		return listwatch.Changes[T]{}, &SilentError{}
+	}
+	s.contact.waits.Store(true)
+	defer s.contact.waits.Store(false)
+	var duty sync.WaitGroup
+	defer duty.Wait()
+	beside, end := context.WithCancel(ctx)
+	defer end()
+	duty.Go(func() { s.askBeside(beside) })
+	var changes listwatch.Changes[T]
+	answered := make(chan error, 1)
+	// Ends by its own bound, also after nobody waits for it any more.
+	go func() {
+		var err error
+		changes, err = s.store.Watch(ctx, since, s.fleet.watchWait(wait))
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		if err == nil {
+			s.contact.storeAnswered()
+			s.fleet.served()
+		}
+		return changes, err
+	case <-silence:
+		return listwatch.Changes[T]{}, &SilentError{}
 	}
-	return changes, err
 }
 
-// ask waits at a peer. The error is a *relay.CallError or a *BehindError.
-func (s *shared[T]) ask(ctx context.Context, peer roster.Member) (relay.News, error) {
+// askBeside asks the other watchers in turn until ctx ends.
+func (s *shared[T]) askBeside(ctx context.Context) {
+	for ctx.Err() == nil {
+		peer, known := s.fleet.beside(&s.aside)
+		if !known {
+			return
+		}
+		asked := boottime.Now()
+		news, err := s.question(ctx, peer)
+		if err == nil {
+			s.fleet.reached(peer.Name)
+			s.take(peer.Name, news, asked)
+		}
+		// A peer that is lost itself answers at once.
+		every.Pause(ctx, roster.PeerWait-boottime.Now().Sub(asked))
+	}
+}
+
+// question waits at a peer for its news. The error is a *relay.CallError.
+func (s *shared[T]) question(ctx context.Context, peer roster.Member) (relay.News, error) {
 	have := s.have(peer.Name)
-	have.WaitMs = peerWait.Milliseconds()
+	have.WaitMs = roster.PeerWait.Milliseconds()
 	have.Members = s.fleet.have()
 	asked := boottime.Now()
 	news, err := relay.Ask(ctx, peer.Peer, have)
 	if err != nil {
-		s.passedOver("peer_silent", have.Want, peer.Name, asked).Err(err).Send()
-		s.fleet.failed(peer.Name)
+		if ctx.Err() == nil {
+			s.passedOver("peer_silent", peer.Name, asked).Err(err).Send()
+			s.fleet.failed(peer.Name)
+		}
 		return relay.News{}, err
 	}
 	if news.Members != nil {
 		s.fleet.set(news.Members, news.MembersRevision)
 	}
+	return news, nil
+}
+
+// ask waits at a peer for news of the store. The error is a *relay.CallError or a
+// *BehindError.
+func (s *shared[T]) ask(ctx context.Context, peer roster.Member) (relay.News, error) {
+	asked := boottime.Now()
+	news, err := s.question(ctx, peer)
+	if err != nil {
+		return relay.News{}, err
+	}
 	age := time.Duration(news.AgeMs) * time.Millisecond
-	if news.Lost || news.Hops > maxHops || age > maxAge+time.Duration(news.Hops)*hopAge {
-		s.passedOver("peer_behind", have.Want, peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
+	if news.Lost || news.Hops > roster.MaxHops || age > roster.MaxAge+time.Duration(news.Hops)*roster.HopAge {
+		s.passedOver("peer_behind", peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
 		s.fleet.behind(peer.Name)
 		return relay.News{}, &BehindError{Peer: peer.Name, Age: age}
 	}
@@ -148,13 +191,14 @@
 }
 
 // passedOver begins the line of a question that brought nothing.
-func (s *shared[T]) passedOver(event string, want relay.Want, peer ids.VM, asked time.Time) *zerolog.Event {
-	return s.log.Info().Str("event", event).Str("kind", string(want)).Str("peer", string(peer)).Dur("took_ms", boottime.Now().Sub(asked))
+func (s *shared[T]) passedOver(event string, peer ids.VM, asked time.Time) *zerolog.Event {
+	return s.log.Info().Str("event", event).Str("kind", s.name).Str("peer", string(peer)).Dur("took_ms", boottime.Now().Sub(asked))
 }
 
 // sharedConfigs shares the watch of the configuration.
 func (n *Node) sharedConfigs() listwatch.Source[routing.Config] {
 	return &shared[routing.Config]{
+		name:    configuration,
 		store:   n.ports.Configs,
 		fleet:   n.fleet,
 		contact: &n.configs.contact,
@@ -175,6 +219,7 @@
 // sharedUpstreams shares the watch of the directory.
 func (n *Node) sharedUpstreams() listwatch.Source[directory.Upstream] {
 	return &shared[directory.Upstream]{
+		name:    directoryOfUpstreams,
 		store:   n.ports.Upstreams,
 		fleet:   n.fleet,
 		contact: &n.upstreams.contact,
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -56,12 +56,12 @@
 	return listwatch.Changes[routing.Config]{}, errAway
 }
 
-// follower makes the source of a node that is third of its zone, behind peers at two
-// addresses.
+// follower makes the source of a node that is fourth of its zone, behind peers at three
+// addresses, of which the last two are the same.
 func follower(first, second string) (*shared[routing.Config], *awayStore) {
-	members := zone("a", 3)
-	members[0].Peer, members[1].Peer = first, second
-	f := newFleet(Settings{VM: members[2].Name, Zone: "a"}, time.Now, func(int) {})
+	members := zone("a", 4)
+	members[0].Peer, members[1].Peer, members[2].Peer = first, second, second
+	f := newFleet(Settings{VM: members[3].Name, Zone: "a"}, time.Now, func(int) {})
 	f.set(members, 1)
 	store := &awayStore{}
 	return &shared[routing.Config]{
@@ -121,7 +121,7 @@
 func TestStoreThatNoPeerReachesIsLostWithoutACall(t *testing.T) {
 	_, one := serveNews(t, relay.News{AgeMs: 60_000})
 	// News that come over too many nodes may have gone in a ring.
-	_, other := serveNews(t, relay.News{AgeMs: 100, Hops: maxHops + 1})
+	_, other := serveNews(t, relay.News{AgeMs: 100, Hops: roster.MaxHops + 1})
 	s, store := follower(one, other)
 	_, err := s.Watch(t.Context(), 5, time.Second)
 	var behind *BehindError
@@ -156,7 +156,7 @@
 
 // A list of nodes that was read too early comes right by what peers tell.
 func TestListOfNodesComesFromPeers(t *testing.T) {
-	all := append(zone("a", 3), zone("b", 2)...)
+	all := append(zone("a", 4), zone("b", 2)...)
 	peer, address := serveNews(t, relay.News{ConfigRevision: 7, Members: all, MembersRevision: 9})
 	s, _ := follower(address, address)
 	if _, err := s.Watch(t.Context(), 5, time.Second); err != nil {
@@ -194,14 +194,148 @@
 }
 
 func TestNodeWaitsForTheListOfNodes(t *testing.T) {
-	f := newFleet(Settings{VM: "a-02", Zone: "a"}, time.Now, func(int) {})
+	f := newFleet(Settings{VM: "a-03", Zone: "a"}, time.Now, func(int) {})
 	f.set(zone("a", 1), 1)
 	if f.isSettled() || f.head() || f.watches() {
 		t.Error("a node acts by a list that it is not in")
 	}
-	f.set(zone("a", 3), 2)
+	f.set(zone("a", 4), 2)
 	f.await(t.Context())
 	if way, _ := f.next(new(roster.Turn)); way != roster.Peer {
 		t.Errorf("way %v", way)
 	}
 }
+
+// mute is a store that answers nothing, and counts its calls.
+type mute struct {
+	awayStore
+	called chan struct{}
+}
+
+func (s *mute) Watch(ctx context.Context, _ int64, _ time.Duration) (listwatch.Changes[routing.Config], error) {
+	s.called <- struct{}{}
+	<-ctx.Done()
+	return listwatch.Changes[routing.Config]{}, ctx.Err()
+}
+
+// watcher makes the source of a node that watches a store, beside others at one address.
+func watcher(store listwatch.Source[routing.Config], others string) *shared[routing.Config] {
+	s, _ := follower(others, others)
+	members := zone("a", 4)
+	for i := range members {
+		members[i].Peer = others
+	}
+	s.store, s.fleet = store, newFleet(Settings{VM: members[0].Name, Zone: "a"}, time.Now, func(int) {})
+	s.fleet.set(members, 1)
+	return s
+}
+
+// A watch that waits ends as soon as the store is found not to answer, and none begins
+// before it answers again.
+func TestWatchEndsWhenTheStoreFallsSilent(t *testing.T) {
+	_, others := serveNews(t, relay.News{})
+	store := &mute{called: make(chan struct{}, 10)}
+	s := watcher(store, others)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.watch(t.Context(), 5, time.Minute)
+		ended <- err
+	}()
+	<-store.called
+	s.fleet.setSilent(true)
+	var silent *SilentError
+	if err := <-ended; !errors.As(err, &silent) {
+		t.Errorf("error %v", err)
+	}
+	if _, err := s.watch(t.Context(), 5, time.Minute); !errors.As(err, &silent) || len(store.called) != 0 {
+		t.Errorf("error %v after %d more calls", err, len(store.called))
+	}
+	s.fleet.setSilent(false)
+	go func() { _, _ = s.watch(t.Context(), 5, time.Minute) }()
+	<-store.called
+}
+
+// The connection of a watch alone may be silent: what another watcher knows is taken over
+// beside it.
+func TestWatcherTakesOverWhatAnotherKnows(t *testing.T) {
+	_, others := serveNews(t, relay.News{ConfigRevision: 7, AgeMs: 5})
+	s := watcher(&mute{called: make(chan struct{}, 1)}, others)
+	took := make(chan int64, 100)
+	s.take = func(_ ids.VM, news relay.News, _ time.Time) int64 {
+		took <- news.ConfigRevision
+		return news.ConfigRevision
+	}
+	ctx, end := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = s.watch(ctx, 5, time.Minute)
+	}()
+	if revision := <-took; revision != 7 {
+		t.Errorf("revision %d", revision)
+	}
+	// Answers that come at once are not asked for at once again.
+	time.Sleep(2 * roster.PeerWait)
+	if n := len(took); n > 3 {
+		t.Errorf("%d more questions in %v", n, 2*roster.PeerWait)
+	}
+	end()
+	<-ended
+}
+
+// A node whose peers take no connection asks the store, and goes on there.
+func TestNodeThatReachesNoPeerAsksTheStore(t *testing.T) {
+	s, store := follower("127.0.0.1:1", "127.0.0.1:1")
+	began := time.Now()
+	if _, err := s.Watch(t.Context(), 5, time.Second); !errors.Is(err, errAway) || store.watches != 1 {
+		t.Errorf("error %v after %d calls", err, store.watches)
+	}
+	if took := time.Since(began); took > roster.PeerWait+roster.PeerSilence {
+		t.Errorf("after %v", took)
+	}
+}
+
+// pulsed is a store whose pulses end when told, with an error or none.
+type pulsed struct{ ends chan error }
+
+func (s *pulsed) Pulse(context.Context) error { return <-s.ends }
+
+// A store that does not answer a pulse in time has fallen silent; its next answer, of
+// whatever kind, ends that and vouches for the watches that wait there.
+func TestPulseFindsAStoreThatDoesNotAnswer(t *testing.T) {
+	f := newFleet(Settings{VM: "a-00", Zone: "a"}, time.Now, func(int) {})
+	waiting, idle := &contact{}, &contact{}
+	waiting.waits.Store(true)
+	store := &pulsed{ends: make(chan error)}
+	p := &pulse{store: store, fleet: f, contacts: []*contact{waiting, idle}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.beat(t.Context())
+	}()
+	select {
+	case <-f.silence():
+	case <-time.After(2 * time.Second):
+		t.Fatal("never silent")
+	}
+	store.ends <- errAway
+	<-ended
+	if !f.isSilent() || !p.due() {
+		t.Error("a pulse without an answer ends the silence, or the last of the pulses")
+	}
+	go func() { store.ends <- nil }()
+	p.beat(t.Context())
+	if f.isSilent() {
+		t.Error("an answer does not end the silence")
+	}
+	if age, _ := waiting.age(boottime.Now()); age > time.Second {
+		t.Errorf("a watch that waits is %v old", age)
+	}
+	if age, _ := idle.age(boottime.Now()); age != never {
+		t.Errorf("a collection that nobody watches is %v old", age)
+	}
+	waiting.waits.Store(false)
+	if p.due() {
+		t.Error("pulses are sent though nothing waits at the store")
+	}
+}
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -46,7 +46,11 @@
 }
 
 // contact is when the store last answered about one collection.
-type contact struct{ heard atomic.Pointer[sighting] }
+type contact struct {
+	heard atomic.Pointer[sighting]
+	// waits tells that a watch waits at the store.
+	waits atomic.Bool
+}
 
 // sighting is an answer of the store that this node knows of.
 type sighting struct {
@@ -58,6 +62,14 @@
 // storeAnswered notes an answer to this node.
 func (c *contact) storeAnswered() { c.heard.Store(&sighting{at: boottime.Now()}) }
 
+// pulsed notes that the store answers this node: a watch that waits there would tell of
+// changes.
+func (c *contact) pulsed() {
+	if c.waits.Load() {
+		c.storeAnswered()
+	}
+}
+
 // peerAnswered notes the answer of a peer that the store answered that long ago,
 // over so many hops.
 func (c *contact) peerAnswered(age time.Duration, hops int) {
