What a node finds of its peers for one collection is kept apart from the others

Symptom: by search for the cause of the shared turn elsewhere, not from callers: where the store refuses one collection to most nodes, all watchers among them, and serves it to two others, these never learn a change of it.

Cause: since when no peer has news of the store, which peers are behind and when to ask the store next stood once for all collections. Each fresh answer about the configuration ended the search for the directory.

Change: roster.Asker holds all of it for one collection; a Roster keeps only what is true of the node and its peers. The store is asked once all peers of the turn are behind, not after the first one; one that is behind is left out for longer than a turn takes.

--- /dev/null
+++ b/decide/roster/asker.go
@@ -0,0 +1,147 @@
+package roster
+
+import (
+	"maps"
+	"time"
+
+	"mimosaarch.example/core/backoff"
+	"mimosaarch.example/core/ids"
+)
+
+// Waits of one that asks.
+const (
+	// behindFor is how long a peer that has no news of the store is left out while
+	// another one has them: longer than it takes to ask all in turn.
+	behindFor = (sourceCount + 1) * PeerWait
+	// tryStep times a node's rank behind the watchers is how long its peers have no news
+	// of the store before it asks the store itself: while that is away ten more nodes a
+	// second ask, instead of all at once, and where it turns all watchers and a third of
+	// the others away one that it serves has a change in less than a second.
+	tryStep = 100 * time.Millisecond
+	// tryFirst is the pause between such calls of one node; it doubles up to
+	// tryMost.
+	tryFirst = time.Second
+	tryMost  = 8 * time.Second
+	// servedFor is how long a node whose call the store answered goes on there
+	// before it asks its peers again.
+	servedFor = 5 * time.Second
+)
+
+// Asker decides where one collection is learnt from, by the node's view of the fleet. Make
+// it with Roster.Asker.
+//
+// What its peers know of its collection is kept apart from other collections: two that
+// shared a turn and asked alternately would each ask the same peer always, and what one
+// finds at a peer tells nothing of the other.
+type Asker struct {
+	roster *Roster
+	// turn counts the questions, and aside those beside a watch of the store.
+	turn, aside int
+	// behindUntil are the peers that answered without news of the store.
+	behindUntil map[ids.VM]time.Time
+	// awaySince is since when no peer had news of the store, zero while one has;
+	// tries counts the own calls since the store answered one, the next being due
+	// at tryAt. Until servedUntil the store is asked.
+	awaySince, tryAt, servedUntil time.Time
+	tries                         int
+	// served tells that the store answered, and no peer was asked since.
+	served bool
+}
+
+// Next tells where to learn what is new, and the peer to ask.
+func (a *Asker) Next(now time.Time) (Way, Member) {
+	r := a.roster
+	if !r.settled {
+		return Unsettled, Member{}
+	}
+	peers, watches := r.sources(now)
+	if watches || a.stays(now) || a.try(now) {
+		return Store, Member{}
+	}
+	a.turn++
+	// Nodes that wait at the same peers are spread over them by their places.
+	from := r.place + a.turn
+	for i := range peers {
+		if m := peers[(from+i)%len(peers)]; !now.Before(a.behindUntil[m.Name]) {
+			return Peer, m
+		}
+	}
+	return Peer, peers[from%len(peers)]
+}
+
+// Beside gives a watcher to ask while a watch waits at the store; false where there is
+// none.
+func (a *Asker) Beside(now time.Time) (Member, bool) {
+	r := a.roster
+	peers, _ := r.first(now, r.ranks, sourceCount, true)
+	if len(peers) == 0 {
+		return Member{}, false
+	}
+	a.aside++
+	return peers[(r.place+a.aside)%len(peers)], true
+}
+
+// stays reports whether to go on at the store, which answered while no peer had news of
+// it.
+func (a *Asker) stays(now time.Time) bool {
+	return !a.roster.silent && !a.awaySince.IsZero() && now.Before(a.servedUntil)
+}
+
+// try reports whether to ask the store, as no peer has news of it.
+func (a *Asker) try(now time.Time) bool {
+	if a.roster.silent || a.awaySince.IsZero() || a.served {
+		return false
+	}
+	if now.Sub(a.awaySince) < time.Duration(a.roster.rank())*tryStep || now.Before(a.tryAt) {
+		return false
+	}
+	a.tryAt = now.Add(backoff.Doubled(tryFirst, tryMost, a.tries))
+	a.tries++
+	return true
+}
+
+// Behind tells that a peer answered, without news of the store. Where all have, the store
+// is asked.
+func (a *Asker) Behind(now time.Time, name ids.VM) {
+	a.roster.Reached(name)
+	maps.DeleteFunc(a.behindUntil, func(_ ids.VM, until time.Time) bool { return !now.Before(until) })
+	a.behindUntil[name] = now.Add(behindFor)
+	a.served = false
+	peers, _ := a.roster.sources(now)
+	for _, m := range peers {
+		if _, behind := a.behindUntil[m.Name]; !behind {
+			return
+		}
+	}
+	a.away(now)
+}
+
+// Deserted tells that peers in a row did not answer: the store is asked for a while.
+func (a *Asker) Deserted(now time.Time) {
+	a.served = false
+	a.away(now)
+}
+
+// away notes that no peer has news of the store.
+func (a *Asker) away(now time.Time) {
+	if a.awaySince.IsZero() {
+		a.awaySince = now
+	}
+}
+
+// Answered tells that a peer answered with news of the store, or that there are
+// none.
+func (a *Asker) Answered(name ids.VM) {
+	a.roster.Reached(name)
+	delete(a.behindUntil, name)
+	a.awaySince, a.tryAt, a.servedUntil, a.tries, a.served = time.Time{}, time.Time{}, time.Time{}, 0, false
+}
+
+// Served tells that the store answered this node.
+func (a *Asker) Served(now time.Time) {
+	if a.served {
+		return
+	}
+	a.servedUntil, a.served = now.Add(servedFor), true
+	a.tryAt, a.tries = time.Time{}, 0
+}
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -26,7 +26,6 @@
 	"slices"
 	"time"
 
-	"mimosaarch.example/core/backoff"
 	"mimosaarch.example/core/ids"
 )
 
@@ -46,28 +45,12 @@
 	leaseSeekers = 2
 )
 
-// Waits of a node.
 const (
 	// restFirst is how long a peer that did not answer is left out; it doubles up
 	// to restMost, as some entries are of nodes that no longer exist. A process
 	// that was killed is back in less than a second.
 	restFirst = 500 * time.Millisecond
 	restMost  = time.Minute
-	// behindFor is how long a peer that has no news of the store is left out while
-	// another one has them.
-	behindFor = 500 * time.Millisecond
-	// tryStep times a node's rank behind the watchers is how long its peers have no news
-	// of the store before it asks the store itself: while that is away ten more nodes a
-	// second ask, instead of all at once, and where it turns all watchers and a third of
-	// the others away one that it serves has a change in less than a second.
-	tryStep = 100 * time.Millisecond
-	// tryFirst is the pause between such calls of one node; it doubles up to
-	// tryMost.
-	tryFirst = time.Second
-	tryMost  = 8 * time.Second
-	// servedFor is how long a node whose call the store answered goes on there
-	// before it asks its peers again.
-	servedFor = 5 * time.Second
 )
 
 // Way is where a node is to learn what is new.
@@ -82,17 +65,6 @@
 	Peer
 )
 
-// Turn counts the questions of one that asks peers in turn. Each collection that a node
-// follows has its own: two that shared one, and asked by turns, would each ask the same
-// peer always, and learn nothing from the other if that peer knows nothing.
-type Turn int
-
-// next goes on to the next peer.
-func (t *Turn) next() int {
-	*t++
-	return int(*t)
-}
-
 // Roster is one node's view of the fleet. Make it with New.
 type Roster struct {
 	own  ids.VM
@@ -101,7 +73,7 @@
 	settled bool
 	members []Member
 	// ranks are the members of all zones, the first of each zone before the second
-	// of any, so that the watchers lie in two zones. own is rank at.
+	// of any, so that the watchers lie in several zones. own is rank at.
 	ranks []Member
 	at    int
 	// heads are the members of the own zone in order.
@@ -109,23 +81,14 @@
 	peers map[ids.VM]*belief
 	// place is the own one in the zone.
 	place int
-	// awaySince is since when no peer had news of the store, zero while one has;
-	// tries counts the own calls since the store answered one, the next being due
-	// at tryAt. Until servedUntil this node learns from the store.
-	awaySince, tryAt, servedUntil time.Time
-	tries                         int
-	// served tells that the store answered, and no peer was asked since.
-	served bool
 	// silent tells that the store has stopped answering this node.
 	silent bool
 }
 
-// belief is what is known of one peer.
+// belief is what is known of one peer that did not answer.
 type belief struct {
 	restUntil time.Time
 	rest      time.Duration
-	// behindUntil: it answered, without news of the store.
-	behindUntil time.Time
 }
 
 // New makes the view of a node that knows no others.
@@ -133,6 +96,11 @@
 	return &Roster{own: own, zone: zone, peers: make(map[ids.VM]*belief)}
 }
 
+// Asker makes one that learns by the view, for each collection that the node follows.
+func (r *Roster) Asker() *Asker {
+	return &Asker{roster: r, behindUntil: make(map[ids.VM]time.Time)}
+}
+
 // Set takes the list of the fleet's nodes.
 func (r *Roster) Set(members []Member) {
 	r.members = members
@@ -173,38 +141,6 @@
 	return slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == r.own || m.Peer == "" })
 }
 
-// Next tells one that asks in turn where to learn what is new, and the peer to ask.
-func (r *Roster) Next(now time.Time, turn *Turn) (Way, Member) {
-	if !r.settled {
-		return Unsettled, Member{}
-	}
-	peers, watches := r.sources(now)
-	if watches || r.stays(now) {
-		return Store, Member{}
-	}
-	// Nodes that wait at the same peers are spread over them by their places.
-	from := r.place + turn.next()
-	for i := range peers {
-		if m := peers[(from+i)%len(peers)]; !now.Before(r.of(m.Name).behindUntil) {
-			return Peer, m
-		}
-	}
-	if r.try(now) {
-		return Store, Member{}
-	}
-	return Peer, peers[from%len(peers)]
-}
-
-// Beside gives one that waits at the store a watcher to ask meanwhile; false where there
-// is none.
-func (r *Roster) Beside(now time.Time, turn *Turn) (Member, bool) {
-	peers, _ := r.first(now, r.ranks, sourceCount, true)
-	if len(peers) == 0 {
-		return Member{}, false
-	}
-	return peers[(r.place+turn.next())%len(peers)], true
-}
-
 // WatchWait is how long the node's watch of the store is to wait for a change where one
 // that watches alone waits so long. The first watcher finds a connection that went silent
 // as early as that; the others wait longer, as they have the first one's news beside.
@@ -262,6 +198,14 @@
 	return peers, false
 }
 
+// rank is the own place behind the watchers.
+func (r *Roster) rank() int {
+	if r.at < 0 {
+		return len(r.ranks)
+	}
+	return max(r.at-sourceCount, 0)
+}
+
 // of gives the belief about a peer.
 func (r *Roster) of(name ids.VM) *belief {
 	b := r.peers[name]
@@ -272,30 +216,6 @@
 	return b
 }
 
-// stays reports whether the node goes on at the store, which answered while no peer had
-// news of it.
-func (r *Roster) stays(now time.Time) bool {
-	return !r.silent && !r.awaySince.IsZero() && now.Before(r.servedUntil)
-}
-
-// try reports whether the node is to ask the store itself, as no peer has news of
-// it.
-func (r *Roster) try(now time.Time) bool {
-	if r.silent || r.awaySince.IsZero() || r.served {
-		return false
-	}
-	rank := max(r.at-sourceCount, 0)
-	if r.at < 0 {
-		rank = len(r.ranks)
-	}
-	if now.Sub(r.awaySince) < time.Duration(rank)*tryStep || now.Before(r.tryAt) {
-		return false
-	}
-	r.tryAt = now.Add(backoff.Doubled(tryFirst, tryMost, r.tries))
-	r.tries++
-	return true
-}
-
 // Failed leaves a peer that did not answer out for a while.
 func (r *Roster) Failed(now time.Time, name ids.VM) {
 	b := r.of(name)
@@ -303,44 +223,9 @@
 	b.restUntil = now.Add(b.rest)
 }
 
-// Behind tells that a peer answered, without news of the store.
-func (r *Roster) Behind(now time.Time, name ids.VM) {
-	b := r.of(name)
-	b.rest, b.restUntil = 0, time.Time{}
-	b.behindUntil = now.Add(behindFor)
-	r.served = false
-	if r.awaySince.IsZero() {
-		r.awaySince = now
-	}
-}
-
 // Reached tells that a peer answered.
 func (r *Roster) Reached(name ids.VM) { delete(r.peers, name) }
 
-// Deserted tells that peers in a row did not answer: the store is asked for a while.
-func (r *Roster) Deserted(now time.Time) {
-	r.served = false
-	if r.awaySince.IsZero() {
-		r.awaySince = now
-	}
-}
-
 // Silent tells whether the store has stopped answering this node, which asks its peers
 // until it does again.
 func (r *Roster) Silent(silent bool) { r.silent = silent }
-
-// Answered tells that a peer answered with news of the store, or that there are
-// none.
-func (r *Roster) Answered(name ids.VM) {
-	r.Reached(name)
-	r.awaySince, r.tryAt, r.servedUntil, r.tries, r.served = time.Time{}, time.Time{}, time.Time{}, 0, false
-}
-
-// Served tells that the store answered this node.
-func (r *Roster) Served(now time.Time) {
-	if r.served {
-		return
-	}
-	r.servedUntil, r.served = now.Add(servedFor), true
-	r.tryAt, r.tries = time.Time{}, 0
-}
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -100,11 +100,18 @@
 	return f.settled
 }
 
-// next tells one that asks in turn where to learn what is new.
-func (f *fleet) next(turn *roster.Turn) (roster.Way, roster.Member) {
+// asker makes one that learns by the view.
+func (f *fleet) asker() *roster.Asker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Next(f.now(), turn)
+	return f.roster.Asker()
+}
+
+// next tells where to learn what is new.
+func (f *fleet) next(a *roster.Asker) (roster.Way, roster.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return a.Next(f.now())
 }
 
 // watches reports whether the node is one of those that watch the store for all.
@@ -144,12 +151,12 @@
 	}
 }
 
-// beside gives one that waits at the store a watcher to ask meanwhile; false where there
-// is none.
-func (f *fleet) beside(turn *roster.Turn) (roster.Member, bool) {
+// beside gives a watcher to ask while a watch waits at the store; false where there is
+// none.
+func (f *fleet) beside(a *roster.Asker) (roster.Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Beside(f.now(), turn)
+	return a.Beside(f.now())
 }
 
 // watchWait is how long a watch of the store is to wait where one that watches alone waits
@@ -192,18 +199,23 @@
 	return f.unheard
 }
 
-// failed, reached, behind and answered tell what came of asking a peer, deserted that
-// several in a row did not answer, and served that the store answered.
-func (f *fleet) failed(name ids.VM)   { f.note(func(r *roster.Roster) { r.Failed(f.now(), name) }) }
-func (f *fleet) reached(name ids.VM)  { f.note(func(r *roster.Roster) { r.Reached(name) }) }
-func (f *fleet) behind(name ids.VM)   { f.note(func(r *roster.Roster) { r.Behind(f.now(), name) }) }
-func (f *fleet) answered(name ids.VM) { f.note(func(r *roster.Roster) { r.Answered(name) }) }
-func (f *fleet) deserted()            { f.note(func(r *roster.Roster) { r.Deserted(f.now()) }) }
-func (f *fleet) served()              { f.note(func(r *roster.Roster) { r.Served(f.now()) }) }
+// failed and reached tell whether a peer answered.
+func (f *fleet) failed(name ids.VM)  { f.note(func() { f.roster.Failed(f.now(), name) }) }
+func (f *fleet) reached(name ids.VM) { f.note(func() { f.roster.Reached(name) }) }
+
+// behind and answered tell whether a peer had news of the store, deserted that several in
+// a row did not answer, and served that the store answered.
+func (f *fleet) behind(a *roster.Asker, name ids.VM) { f.note(func() { a.Behind(f.now(), name) }) }
+
+func (f *fleet) answered(a *roster.Asker, name ids.VM) {
+	f.note(func() { a.Answered(name) })
+}
+func (f *fleet) deserted(a *roster.Asker) { f.note(func() { a.Deserted(f.now()) }) }
+func (f *fleet) served(a *roster.Asker)   { f.note(func() { a.Served(f.now()) }) }
 
-// note changes the roster.
-func (f *fleet) note(change func(*roster.Roster)) {
+// note changes the roster, or what one that asks knows.
+func (f *fleet) note(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	change(f.roster)
+	change()
 }
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -42,8 +42,7 @@
 	name  string
 	store listwatch.Source[T]
 	fleet *fleet
-	// turn counts the questions to peers, aside those beside a watch of the store.
-	turn, aside roster.Turn
+	asker *roster.Asker
 	// have tells what the node has, to a peer; take takes over a peer's news, asked
 	// for at a moment, and gives the revision up to which they go.
 	have func(peer ids.VM) relay.Have
@@ -73,7 +72,7 @@
 	s.fleet.await(ctx)
 	began := boottime.Now()
 	for behind, silent := 0, 0; ; {
-		way, peer := s.fleet.next(&s.turn)
+		way, peer := s.fleet.next(s.asker)
 		if way != roster.Peer {
 			return s.watch(ctx, since, wait)
 		}
@@ -85,7 +84,7 @@
 		if _, isBehind := err.(*BehindError); isBehind {
 			behind, silent = behind+1, 0
 		} else if silent++; silent >= roster.MaxSilent {
-			s.fleet.deserted()
+			s.fleet.deserted(s.asker)
 			return s.watch(ctx, since, wait)
 		} else if boottime.Now().Sub(asked) >= roster.PeerWait {
 			// It stands still, or its link is too short for what it has to tell: a
@@ -125,7 +124,7 @@
 	case err := <-answered:
 		if err == nil {
 			s.contact.storeAnswered()
-			s.fleet.served()
+			s.fleet.served(s.asker)
 		}
 		return changes, err
 	case <-silence:
@@ -136,7 +135,7 @@
 // askBeside asks the other watchers in turn until ctx ends.
 func (s *shared[T]) askBeside(ctx context.Context) {
 	for ctx.Err() == nil {
-		peer, known := s.fleet.beside(&s.aside)
+		peer, known := s.fleet.beside(s.asker)
 		if !known {
 			return
 		}
@@ -182,10 +181,10 @@
 	age := time.Duration(news.AgeMs) * time.Millisecond
 	if news.Lost || news.Hops > roster.MaxHops || age > roster.MaxAge+time.Duration(news.Hops)*roster.HopAge {
 		s.passedOver("peer_behind", peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
-		s.fleet.behind(peer.Name)
+		s.fleet.behind(s.asker, peer.Name)
 		return relay.News{}, &BehindError{Peer: peer.Name, Age: age}
 	}
-	s.fleet.answered(peer.Name)
+	s.fleet.answered(s.asker, peer.Name)
 	s.contact.peerAnswered(age, news.Hops+1)
 	return news, nil
 }
@@ -201,6 +200,7 @@
 		name:    configuration,
 		store:   n.ports.Configs,
 		fleet:   n.fleet,
+		asker:   n.fleet.asker(),
 		contact: &n.configs.contact,
 		took:    n.metrics.Took,
 		log:     n.log,
@@ -222,6 +222,7 @@
 		name:    directoryOfUpstreams,
 		store:   n.ports.Upstreams,
 		fleet:   n.fleet,
+		asker:   n.fleet.asker(),
 		contact: &n.upstreams.contact,
 		took:    n.metrics.Took,
 		log:     n.log,
