--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -13,9 +13,9 @@
 // from the store or stands still, another tells with the next answer, whichever two
 // of them fail.
 //
-// A watcher that the store has silently stopped answering finds that by its pulses,
+// A watcher that the store has silently stopped answering finds that by its probes,
 // tells those that wait at it, and asks the other watchers like any node. While its
-// pulses are answered it asks them too, beside its watch, as the connection of the
+// probes are answered it asks them too, beside its watch, as the connection of the
 // watch alone may be silent.
 //
 // A Roster is used by one goroutine at a time and reads no clock.
@@ -96,9 +96,9 @@
 	return &Roster{own: own, zone: zone, peers: make(map[ids.VM]*belief)}
 }
 
-// Asker makes one that learns by the view, for each collection that the node follows.
-func (r *Roster) Asker() *Asker {
-	return &Asker{roster: r, behindUntil: make(map[ids.VM]time.Time)}
+// Selector makes one that learns by the view, for each collection that the node follows.
+func (r *Roster) Selector() *Selector {
+	return &Selector{roster: r, behindUntil: make(map[ids.VM]time.Time)}
 }
 
 // Set takes the list of the fleet's nodes.
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -31,13 +31,13 @@
 // view is that of a node which follows one collection.
 type view struct {
 	*Roster
-	*Asker
+	*Selector
 }
 
 // newView makes the view of a node that knows no others.
 func newView(own ids.VM, zone ids.Zone) view {
 	r := New(own, zone)
-	return view{r, r.Asker()}
+	return view{r, r.Selector()}
 }
 
 // knowing makes the view of a node that knows the members.
@@ -114,7 +114,7 @@
 }
 
 // A watcher that the store has stopped answering asks the other watchers, and watches again
-// once its pulses are answered.
+// once its probes are answered.
 func TestSilentWatcherAsksTheOthers(t *testing.T) {
 	members := fleet()
 	r := knowing(Member{Name: "a-000", Zone: "a"}, members)
@@ -180,9 +180,9 @@
 	members := fleet()
 	r := knowing(members[40], members)
 	asked := [2]map[ids.VM]bool{{}, {}}
-	askers := [2]*Asker{r.Asker, r.Roster.Asker()}
+	selectors := [2]*Selector{r.Selector, r.Roster.Selector()}
 	for range 4 {
-		for i, a := range askers {
+		for i, a := range selectors {
 			_, peer := a.Next(start)
 			asked[i][peer.Name] = true
 		}
@@ -366,10 +366,10 @@
 }
 
 // A store that has become slow is given more time, one that is sound is doubted soon.
-func TestPulseAllowsForASlowStore(t *testing.T) {
-	var p Pulse
+func TestProbeAllowsForASlowStore(t *testing.T) {
+	var p Probe
 	for _, one := range []struct{ took, allowed time.Duration }{
-		{4 * time.Millisecond, pulseLate}, {200 * time.Millisecond, 600 * time.Millisecond}, {time.Minute, pulseLatest},
+		{4 * time.Millisecond, probeLate}, {200 * time.Millisecond, 600 * time.Millisecond}, {time.Minute, probeLatest},
 	} {
 		p.Sent(start)
 		p.Answered(start.Add(one.took))
--- a/decide/roster/asker.go
+++ b/decide/roster/selector.go
@@ -8,7 +8,7 @@
 	"mimosaarch.example/core/ids"
 )
 
-// Waits of one that asks.
+// Waits of a selector.
 const (
 	// behindFor is how long a peer that has no news of the store is left out while
 	// another one has them: longer than it takes to ask all in turn.
@@ -34,13 +34,13 @@
 	maxBehind     = sourceCount
 )
 
-// Asker decides where one collection is learnt from, by the node's view of the fleet. Make
-// it with Roster.Asker.
+// Selector decides where one collection is learnt from, by the node's view of the fleet. Make
+// it with Roster.Selector.
 //
 // What its peers know of its collection is kept apart from other collections: two that
 // shared a turn and asked alternately would each ask the same peer always, and what one
 // finds at a peer tells nothing of the other.
-type Asker struct {
+type Selector struct {
 	roster *Roster
 	// turn counts the questions, and aside those beside a watch of the store.
 	turn, aside int
@@ -60,21 +60,21 @@
 }
 
 // Next tells where to learn what is new, and the peer to ask.
-func (a *Asker) Next(now time.Time) (Way, Member) {
-	r := a.roster
+func (s *Selector) Next(now time.Time) (Way, Member) {
+	r := s.roster
 	if !r.settled {
 		return Unsettled, Member{}
 	}
 	peers, watches := r.sources(now)
-	if watches || a.direct || a.stays(now) || a.try(now) {
-		a.direct, a.unanswered = false, 0
+	if watches || s.direct || s.stays(now) || s.try(now) {
+		s.direct, s.unanswered = false, 0
 		return Store, Member{}
 	}
-	a.turn++
+	s.turn++
 	// Nodes that wait at the same peers are spread over them by their places.
-	from := r.place + a.turn
+	from := r.place + s.turn
 	for i := range peers {
-		if m := peers[(from+i)%len(peers)]; !now.Before(a.behindUntil[m.Name]) {
+		if m := peers[(from+i)%len(peers)]; !now.Before(s.behindUntil[m.Name]) {
 			return Peer, m
 		}
 	}
@@ -83,100 +83,100 @@
 
 // Beside gives a watcher to ask while a watch waits at the store; false where there is
 // none.
-func (a *Asker) Beside(now time.Time) (Member, bool) {
-	r := a.roster
+func (s *Selector) Beside(now time.Time) (Member, bool) {
+	r := s.roster
 	peers, _ := r.first(now, r.ranks, sourceCount, true)
 	if len(peers) == 0 {
 		return Member{}, false
 	}
-	a.aside++
-	return peers[(r.place+a.aside)%len(peers)], true
+	s.aside++
+	return peers[(r.place+s.aside)%len(peers)], true
 }
 
 // stays reports whether to go on at the store, which answered while no peer had news of
 // it.
-func (a *Asker) stays(now time.Time) bool {
-	return !a.roster.silent && !a.awaySince.IsZero() && now.Before(a.servedUntil)
+func (s *Selector) stays(now time.Time) bool {
+	return !s.roster.silent && !s.awaySince.IsZero() && now.Before(s.servedUntil)
 }
 
 // try reports whether to ask the store, as no peer has news of it.
-func (a *Asker) try(now time.Time) bool {
-	if a.roster.silent || a.awaySince.IsZero() || a.served {
+func (s *Selector) try(now time.Time) bool {
+	if s.roster.silent || s.awaySince.IsZero() || s.served {
 		return false
 	}
-	if now.Sub(a.awaySince) < time.Duration(a.roster.rank())*tryStep || now.Before(a.tryAt) {
+	if now.Sub(s.awaySince) < time.Duration(s.roster.rank())*tryStep || now.Before(s.tryAt) {
 		return false
 	}
-	a.tryAt = now.Add(backoff.Doubled(tryFirst, tryMost, a.tries))
-	a.tries++
+	s.tryAt = now.Add(backoff.Doubled(tryFirst, tryMost, s.tries))
+	s.tries++
 	return true
 }
 
 // Behind tells that a peer answered, without news of the store. Where all have, the store
 // is asked.
-func (a *Asker) Behind(now time.Time, name ids.VM) {
-	a.roster.Reached(name)
-	maps.DeleteFunc(a.behindUntil, func(_ ids.VM, until time.Time) bool { return !now.Before(until) })
-	a.behindUntil[name] = now.Add(behindFor)
-	a.served = false
-	a.behind++
-	a.unanswered = 0
-	peers, _ := a.roster.sources(now)
+func (s *Selector) Behind(now time.Time, name ids.VM) {
+	s.roster.Reached(name)
+	maps.DeleteFunc(s.behindUntil, func(_ ids.VM, until time.Time) bool { return !now.Before(until) })
+	s.behindUntil[name] = now.Add(behindFor)
+	s.served = false
+	s.behind++
+	s.unanswered = 0
+	peers, _ := s.roster.sources(now)
 	for _, m := range peers {
-		if _, behind := a.behindUntil[m.Name]; !behind {
+		if _, behind := s.behindUntil[m.Name]; !behind {
 			return
 		}
 	}
-	a.away(now)
+	s.away(now)
 }
 
 // Unanswered tells that a peer did not answer a question that took so long. Several that
 // take no connection show a node that is cut off from its peers: the store is asked, for a
 // while. So it is, once, where one took the connection: it stands still, or its link is too
 // thin for what it has to tell, while the store's carries a large configuration to all.
-func (a *Asker) Unanswered(now time.Time, name ids.VM, took time.Duration) {
-	a.roster.Failed(now, name)
-	a.unanswered++
-	if a.unanswered >= maxUnanswered {
-		a.served = false
-		a.away(now)
-		a.direct = true
+func (s *Selector) Unanswered(now time.Time, name ids.VM, took time.Duration) {
+	s.roster.Failed(now, name)
+	s.unanswered++
+	if s.unanswered >= maxUnanswered {
+		s.served = false
+		s.away(now)
+		s.direct = true
 	}
-	a.direct = a.direct || took >= PeerWait
+	s.direct = s.direct || took >= PeerWait
 }
 
 // GivesUp reports whether the search for news, begun at a moment, is over without: enough
 // peers had none, or it took too long. The next one begins anew.
-func (a *Asker) GivesUp(now, began time.Time) bool {
-	if a.behind < maxBehind && now.Sub(began) < askFor {
+func (s *Selector) GivesUp(now, began time.Time) bool {
+	if s.behind < maxBehind && now.Sub(began) < askFor {
 		return false
 	}
-	a.behind, a.unanswered = 0, 0
+	s.behind, s.unanswered = 0, 0
 	return true
 }
 
 // away notes that no peer has news of the store.
-func (a *Asker) away(now time.Time) {
-	if a.awaySince.IsZero() {
-		a.awaySince = now
+func (s *Selector) away(now time.Time) {
+	if s.awaySince.IsZero() {
+		s.awaySince = now
 	}
 }
 
 // Answered tells that a peer answered with news of the store, or that there are
 // none.
-func (a *Asker) Answered(name ids.VM) {
-	a.roster.Reached(name)
-	delete(a.behindUntil, name)
-	a.awaySince, a.tryAt, a.servedUntil, a.tries, a.served = time.Time{}, time.Time{}, time.Time{}, 0, false
-	a.behind, a.unanswered = 0, 0
+func (s *Selector) Answered(name ids.VM) {
+	s.roster.Reached(name)
+	delete(s.behindUntil, name)
+	s.awaySince, s.tryAt, s.servedUntil, s.tries, s.served = time.Time{}, time.Time{}, time.Time{}, 0, false
+	s.behind, s.unanswered = 0, 0
 }
 
 // Served tells that the store answered this node.
-func (a *Asker) Served(now time.Time) {
-	a.behind = 0
-	if a.served {
+func (s *Selector) Served(now time.Time) {
+	s.behind = 0
+	if s.served {
 		return
 	}
-	a.servedUntil, a.served = now.Add(servedFor), true
-	a.tryAt, a.tries = time.Time{}, 0
+	s.servedUntil, s.served = now.Add(servedFor), true
+	s.tryAt, s.tries = time.Time{}, 0
 }
--- a/decide/roster/spread_test.go
+++ b/decide/roster/spread_test.go
@@ -71,24 +71,24 @@
 	fault  fault
 	// follows are what it learns of each collection.
 	follows [collections]*learner
-	pulse   Pulse
-	// pulsing tells that a pulse is under way.
-	pulsing, silent bool
+	probe   Probe
+	// probing tells that a probe is under way.
+	probing, silent bool
 }
 
 // newVM makes a node that learned each collection's version at a moment.
 func newVM(m Member, members []Member, version int, heard time.Duration) *vm {
 	n := &vm{roster: knowing(m, members).Roster, member: m}
 	for i := range n.follows {
-		n.follows[i] = &learner{asker: n.roster.Asker(), version: version, heard: heard}
+		n.follows[i] = &learner{selector: n.roster.Selector(), version: version, heard: heard}
 	}
 	return n
 }
 
 // learner follows one collection, with the call that it has under way.
 type learner struct {
-	asker   *Asker
-	version int
+	selector *Selector
+	version  int
 	// heard is when the store last answered on the way to here, over hops.
 	heard time.Duration
 	hops  int
@@ -127,7 +127,7 @@
 	byName  map[ids.VM]*vm
 	rand    *rand.Rand
 	calls   int
-	// one has nodes learn from one source each, without pulses: a fault to be found.
+	// one has nodes learn from one source each, without probes: a fault to be found.
 	one bool
 }
 
@@ -188,15 +188,15 @@
 	}
 }
 
-// beat sends a pulse, and looks whether the last one was answered.
+// beat sends a probe, and looks whether the last one was answered.
 func (w *world) beat(n *vm) {
 	hears := n.fault.reachesStore() || n.fault == rejected || n.fault == partial
-	if n.pulsing {
-		took := w.time().Sub(n.pulse.sentAt)
+	if n.probing {
+		took := w.time().Sub(n.probe.sentAt)
 		switch {
 		case hears && !w.away:
-			n.pulse.Answered(w.time())
-			n.pulsing = false
+			n.probe.Answered(w.time())
+			n.probing = false
 			w.silent(n, false)
 			for _, l := range n.follows {
 				if l.calling && l.way == Store && n.fault != rejected {
@@ -204,8 +204,8 @@
 				}
 			}
 		case took >= callSilent:
-			n.pulsing = false
-		case took >= n.pulse.Allowed():
+			n.probing = false
+		case took >= n.probe.Allowed():
 			w.silent(n, true)
 		}
 	}
@@ -213,9 +213,9 @@
 	for _, l := range n.follows {
 		atStore = atStore || l.calling && l.way == Store
 	}
-	if atStore && !w.one && !n.pulsing && w.time().Sub(n.pulse.sentAt) >= PulseEvery {
-		n.pulse.Sent(w.time())
-		n.pulsing = true
+	if atStore && !w.one && !n.probing && w.time().Sub(n.probe.sentAt) >= ProbeEvery {
+		n.probe.Sent(w.time())
+		n.probing = true
 	}
 }
 
@@ -239,9 +239,9 @@
 // call begins the next call of a follower.
 func (w *world) call(n *vm, l *learner) {
 	if w.one {
-		l.asker.turn = 0
+		l.selector.turn = 0
 	}
-	way, m := l.asker.Next(w.time())
+	way, m := l.selector.Next(w.time())
 	l.calling, l.way, l.began = true, way, w.now
 	l.unreached, l.silent, l.readyAt = false, false, 0
 	if way == Store {
@@ -282,7 +282,7 @@
 		return
 	case w.version > l.version || took >= wait:
 		l.version, l.heard, l.hops = w.version, w.now, 0
-		l.asker.Served(w.time())
+		l.selector.Served(w.time())
 		w.answered(l)
 		return
 	}
@@ -296,7 +296,7 @@
 	l := n.follows[i]
 	q := l.asides
 	if q == nil {
-		if m, ok := l.asker.Beside(w.time()); ok {
+		if m, ok := l.selector.Beside(w.time()); ok {
 			p := w.named(m)
 			l.asides = &question{peer: p, began: w.now, unreached: !reachable(n, p)}
 		}
@@ -342,11 +342,11 @@
 	}
 	age := w.now - p.heard
 	if p.lost || p.hops > MaxHops || age > MaxAge+time.Duration(p.hops)*HopAge {
-		l.asker.Behind(w.time(), l.peer.member.Name)
+		l.selector.Behind(w.time(), l.peer.member.Name)
 		w.inVain(l)
 		return
 	}
-	l.asker.Answered(l.peer.member.Name)
+	l.selector.Answered(l.peer.member.Name)
 	l.version, l.heard, l.hops = max(l.version, p.version), p.heard, p.hops+1
 	w.answered(l)
 }
@@ -356,14 +356,14 @@
 	if l.peer.fault != killed && took < peerSilent && (!l.unreached || took < dialSilent) {
 		return
 	}
-	l.asker.Unanswered(w.time(), l.peer.member.Name, took)
+	l.selector.Unanswered(w.time(), l.peer.member.Name, took)
 	w.inVain(l)
 }
 
 // inVain ends a question that brought nothing.
 func (w *world) inVain(l *learner) {
 	l.calling = false
-	if l.asker.GivesUp(w.time(), start.Add(l.searched)) {
+	if l.selector.GivesUp(w.time(), start.Add(l.searched)) {
 		w.failed(l)
 	}
 }
--- a/decide/roster/times.go
+++ b/decide/roster/times.go
@@ -12,7 +12,7 @@
 	// PeerSilence is how much longer than that a peer may be silent before it counts as
 	// standing still. One that is sending is not silent.
 	PeerSilence = 300 * time.Millisecond
-	// MaxAge is how old the view of a node that watches the store may be, whose pulses are
+	// MaxAge is how old the view of a node that watches the store may be, whose probes are
 	// answered in time.
 	MaxAge = 1500 * time.Millisecond
 	// HopAge is what each node between may add: its wait for an answer, and the way.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -51,7 +51,7 @@
 	Configs   listwatch.Source[routing.Config]
 	Upstreams listwatch.Source[directory.Upstream]
 	Members   Members
-	Pulser    Pulser
+	Prober    Prober
 	Lease     leader.Store
 	Engines   Engines
 	Headers   forward.Headers
@@ -93,7 +93,7 @@
 	configs   *configs
 	upstreams *upstreams
 	peers     *peers
-	pulse     *pulse
+	probe     *probe
 	fleet     *fleet
 	server    *forward.Server
 	keeper    *leader.Keeper
@@ -125,8 +125,8 @@
 	n.configs = &configs{log: log, news: n.news}
 	n.upstreams = newUpstreams(holder(settings), log, n.news)
 	n.peers = newPeers(settings, &timedMembers{ports.Members, n.metrics.Took}, n, log)
-	n.pulse = &pulse{
-		store: ports.Pulser, fleet: n.fleet, contacts: []*contact{&n.configs.contact, &n.upstreams.contact}, log: log,
+	n.probe = &probe{
+		store: ports.Prober, fleet: n.fleet, contacts: []*contact{&n.configs.contact, &n.upstreams.contact}, log: log,
 	}
 	n.server = forward.New(forward.Options{
 		Headers:   ports.Headers,
@@ -334,7 +334,7 @@
 	go n.followUpstreams(ctx)
 	go n.upstreams.expire(ctx)
 	go n.peers.run(ctx)
-	go n.pulse.run(ctx)
+	go n.probe.run(ctx)
 	go n.tellVerdicts(ctx)
 	go n.tellCalls(ctx)
 	go n.keeper.Run(ctx)
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -100,15 +100,15 @@
 	return f.settled
 }
 
-// asker makes one that learns by the view.
-func (f *fleet) asker() *roster.Asker {
+// selector makes one that learns by the view.
+func (f *fleet) selector() *roster.Selector {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Asker()
+	return f.roster.Selector()
 }
 
 // next tells where to learn what is new.
-func (f *fleet) next(a *roster.Asker) (roster.Way, roster.Member) {
+func (f *fleet) next(a *roster.Selector) (roster.Way, roster.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return a.Next(f.now())
@@ -153,7 +153,7 @@
 
 // beside gives a watcher to ask while a watch waits at the store; false where there is
 // none.
-func (f *fleet) beside(a *roster.Asker) (roster.Member, bool) {
+func (f *fleet) beside(a *roster.Selector) (roster.Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return a.Beside(f.now())
@@ -201,7 +201,7 @@
 
 // unanswered and reached tell whether a peer answered, behind and answered whether it had
 // news of the store, and served that the store answered.
-func (f *fleet) unanswered(a *roster.Asker, name ids.VM, took time.Duration) {
+func (f *fleet) unanswered(a *roster.Selector, name ids.VM, took time.Duration) {
 	f.note(func() { a.Unanswered(f.now(), name, took) })
 }
 
@@ -209,15 +209,15 @@
 	f.note(func() { f.roster.Reached(name) })
 }
 
-func (f *fleet) behind(a *roster.Asker, name ids.VM) {
+func (f *fleet) behind(a *roster.Selector, name ids.VM) {
 	f.note(func() { a.Behind(f.now(), name) })
 }
 
-func (f *fleet) answered(a *roster.Asker, name ids.VM) {
+func (f *fleet) answered(a *roster.Selector, name ids.VM) {
 	f.note(func() { a.Answered(name) })
 }
 
-func (f *fleet) served(a *roster.Asker) {
+func (f *fleet) served(a *roster.Selector) {
 	f.note(func() { a.Served(f.now()) })
 }
 
@@ -227,7 +227,7 @@
 }
 
 // givesUp reports whether a search for news is over without.
-func (f *fleet) givesUp(a *roster.Asker, began time.Time) bool {
+func (f *fleet) givesUp(a *roster.Selector, began time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return a.GivesUp(f.now(), began)
--- a/node/entry/pulse.go
+++ b/node/entry/probe.go
@@ -11,33 +11,33 @@
 	"mimosaarch.example/decide/roster"
 )
 
-// Pulser is the platform's store as far as it answers at all.
-type Pulser interface {
-	// Pulse makes a call that costs the store little. The error tells that no answer
+// Prober is the platform's store as far as it answers at all.
+type Prober interface {
+	// Probe makes a call that costs the store little. The error tells that no answer
 	// came, of whatever kind.
-	Pulse(ctx context.Context) error
+	Probe(ctx context.Context) error
 }
 
-// pulse finds out whether the store still answers this node while it waits there.
-type pulse struct {
-	store    Pulser
+// probe finds out whether the store still answers this node while it waits there.
+type probe struct {
+	store    Prober
 	fleet    *fleet
 	contacts []*contact
 	log      zerolog.Logger
-	timing   roster.Pulse
+	timing   roster.Probe
 }
 
 // run works until ctx ends.
-func (p *pulse) run(ctx context.Context) {
-	every.Do(ctx, roster.PulseEvery, func() {
+func (p *probe) run(ctx context.Context) {
+	every.Do(ctx, roster.ProbeEvery, func() {
 		if p.due() {
-			p.beat(ctx)
+			p.send(ctx)
 		}
 	})
 }
 
 // due reports whether a watch waits at the store, or would if that answered.
-func (p *pulse) due() bool {
+func (p *probe) due() bool {
 	for _, c := range p.contacts {
 		if c.waits.Load() {
 			return true
@@ -46,11 +46,11 @@
 	return p.fleet.isSilent()
 }
 
-// beat sends one pulse and waits for what becomes of it.
-func (p *pulse) beat(ctx context.Context) {
+// send sends one probe and waits for what becomes of it.
+func (p *probe) send(ctx context.Context) {
 	p.timing.Sent(boottime.Now())
 	answered := make(chan error, 1)
-	go func() { answered <- p.store.Pulse(ctx) }()
+	go func() { answered <- p.store.Probe(ctx) }()
 	late := time.NewTimer(p.timing.Allowed())
 	defer late.Stop()
 	select {
@@ -62,21 +62,21 @@
 	}
 }
 
-// ended takes the end of a pulse. One without an answer leaves things as they are: a call
+// ended takes the end of a probe. One without an answer leaves things as they are: a call
 // that failed at once, as its connection was reset, tells nothing of the next.
-func (p *pulse) ended(err error) {
+func (p *probe) ended(err error) {
 	if err != nil {
 		return
 	}
 	p.timing.Answered(boottime.Now())
 	p.set(false)
 	for _, c := range p.contacts {
-		c.pulsed()
+		c.probed()
 	}
 }
 
 // set notes whether the store has stopped answering.
-func (p *pulse) set(silent bool) {
+func (p *probe) set(silent bool) {
 	if p.fleet.setSilent(silent) {
 		p.log.Info().Str("event", "store_silent").Bool("silent", silent).Dur("allowed_ms", p.timing.Allowed()).Send()
 	}
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -39,10 +39,10 @@
 // store, and else at the store, as decide/roster says.
 type shared[T any] struct {
 	// name is the collection's, for logs.
-	name  string
-	store listwatch.Source[T]
-	fleet *fleet
-	asker *roster.Asker
+	name     string
+	store    listwatch.Source[T]
+	fleet    *fleet
+	selector *roster.Selector
 	// have tells what the node has, to a peer; take takes over a peer's news, asked
 	// for at a moment, and gives the revision up to which they go.
 	have func(peer ids.VM) relay.Have
@@ -71,7 +71,7 @@
 	s.fleet.await(ctx)
 	began := boottime.Now()
 	for {
-		way, peer := s.fleet.next(s.asker)
+		way, peer := s.fleet.next(s.selector)
 		if way != roster.Peer {
 			return s.watch(ctx, since, wait)
 		}
@@ -80,7 +80,7 @@
 		if err == nil {
 			return listwatch.Changes[T]{Revision: max(since, s.take(peer.Name, news, asked))}, nil
 		}
-		if ctx.Err() != nil || s.fleet.givesUp(s.asker, began) {
+		if ctx.Err() != nil || s.fleet.givesUp(s.selector, began) {
 			return listwatch.Changes[T]{}, err
 		}
 	}
@@ -112,7 +112,7 @@
 	case err := <-answered:
 		if err == nil {
 			s.contact.storeAnswered()
-			s.fleet.served(s.asker)
+			s.fleet.served(s.selector)
 		}
 		return changes, err
 	case <-silence:
@@ -123,7 +123,7 @@
 // askBeside asks the other watchers in turn until ctx ends.
 func (s *shared[T]) askBeside(ctx context.Context) {
 	for ctx.Err() == nil {
-		peer, known := s.fleet.beside(s.asker)
+		peer, known := s.fleet.beside(s.selector)
 		if !known {
 			return
 		}
@@ -166,16 +166,16 @@
 	asked := boottime.Now()
 	news, err := s.question(ctx, peer)
 	if err != nil {
-		s.fleet.unanswered(s.asker, peer.Name, boottime.Now().Sub(asked))
+		s.fleet.unanswered(s.selector, peer.Name, boottime.Now().Sub(asked))
 		return relay.News{}, err
 	}
 	age := time.Duration(news.AgeMs) * time.Millisecond
 	if news.Lost || news.Hops > roster.MaxHops || age > roster.MaxAge+time.Duration(news.Hops)*roster.HopAge {
 		s.passedOver("peer_behind", peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
-		s.fleet.behind(s.asker, peer.Name)
+		s.fleet.behind(s.selector, peer.Name)
 		return relay.News{}, &BehindError{Peer: peer.Name, Age: age}
 	}
-	s.fleet.answered(s.asker, peer.Name)
+	s.fleet.answered(s.selector, peer.Name)
 	s.contact.peerAnswered(age, news.Hops+1)
 	return news, nil
 }
@@ -188,13 +188,13 @@
 // sharedConfigs shares the watch of the configuration.
 func (n *Node) sharedConfigs() listwatch.Source[routing.Config] {
 	return &shared[routing.Config]{
-		name:    configuration,
-		store:   n.ports.Configs,
-		fleet:   n.fleet,
-		asker:   n.fleet.asker(),
-		contact: &n.configs.contact,
-		took:    n.metrics.Took,
-		log:     n.log,
+		name:     configuration,
+		store:    n.ports.Configs,
+		fleet:    n.fleet,
+		selector: n.fleet.selector(),
+		contact:  &n.configs.contact,
+		took:     n.metrics.Took,
+		log:      n.log,
 		have: func(ids.VM) relay.Have {
 			return relay.Have{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
@@ -210,14 +210,14 @@
 // sharedUpstreams shares the watch of the directory.
 func (n *Node) sharedUpstreams() listwatch.Source[directory.Upstream] {
 	return &shared[directory.Upstream]{
-		name:    directoryOfUpstreams,
-		store:   n.ports.Upstreams,
-		fleet:   n.fleet,
-		asker:   n.fleet.asker(),
-		contact: &n.upstreams.contact,
-		took:    n.metrics.Took,
-		log:     n.log,
-		have:    n.upstreams.have,
+		name:     directoryOfUpstreams,
+		store:    n.ports.Upstreams,
+		fleet:    n.fleet,
+		selector: n.fleet.selector(),
+		contact:  &n.upstreams.contact,
+		took:     n.metrics.Took,
+		log:      n.log,
+		have:     n.upstreams.have,
 		take: func(peer ids.VM, news relay.News, asked time.Time) int64 {
 			if news.Revision > 0 {
 				n.upstreams.merge(peer, news, asked)
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -65,7 +65,7 @@
 	f.set(members, 1)
 	store := &awayStore{}
 	return &shared[routing.Config]{
-		store: store, fleet: f, asker: f.asker(), contact: &contact{},
+		store: store, fleet: f, selector: f.selector(), contact: &contact{},
 		took: func(string, time.Duration) {},
 		have: func(ids.VM) relay.Have { return relay.Have{Want: relay.WantConfig} },
 		take: func(_ ids.VM, news relay.News, _ time.Time) int64 { return news.ConfigRevision },
@@ -201,7 +201,7 @@
 	}
 	f.set(zone("a", 4), 2)
 	f.await(t.Context())
-	if way, _ := f.next(f.asker()); way != roster.Peer {
+	if way, _ := f.next(f.selector()); way != roster.Peer {
 		t.Errorf("way %v", way)
 	}
 }
@@ -227,7 +227,7 @@
 	}
 	s.store, s.fleet = store, newFleet(Settings{VM: members[0].Name, Zone: "a"}, boottime.Now, func(int) {})
 	s.fleet.set(members, 1)
-	s.asker = s.fleet.asker()
+	s.selector = s.fleet.selector()
 	return s
 }
 
@@ -296,23 +296,23 @@
 	}
 }
 
-// pulsed is a store whose pulses end when told, with an error or none.
-type pulsed struct{ ends chan error }
+// probed is a store whose probes end when told, with an error or none.
+type probed struct{ ends chan error }
 
-func (s *pulsed) Pulse(context.Context) error { return <-s.ends }
+func (s *probed) Probe(context.Context) error { return <-s.ends }
 
-// A store that does not answer a pulse in time has fallen silent; its next answer, of
+// A store that does not answer a probe in time has fallen silent; its next answer, of
 // whatever kind, ends that and vouches for the watches that wait there.
-func TestPulseFindsAStoreThatDoesNotAnswer(t *testing.T) {
+func TestProbeFindsAStoreThatDoesNotAnswer(t *testing.T) {
 	f := newFleet(Settings{VM: "a-00", Zone: "a"}, boottime.Now, func(int) {})
 	waiting, idle := &contact{}, &contact{}
 	waiting.waits.Store(true)
-	store := &pulsed{ends: make(chan error)}
-	p := &pulse{store: store, fleet: f, contacts: []*contact{waiting, idle}}
+	store := &probed{ends: make(chan error)}
+	p := &probe{store: store, fleet: f, contacts: []*contact{waiting, idle}}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		p.beat(t.Context())
+		p.send(t.Context())
 	}()
 	select {
 	case <-f.silence():
@@ -322,10 +322,10 @@
 	store.ends <- errAway
 	<-ended
 	if !f.isSilent() || !p.due() {
-		t.Error("a pulse without an answer ends the silence, or the last of the pulses")
+		t.Error("a probe without an answer ends the silence, or the last of the probes")
 	}
 	go func() { store.ends <- nil }()
-	p.beat(t.Context())
+	p.send(t.Context())
 	if f.isSilent() {
 		t.Error("an answer does not end the silence")
 	}
@@ -337,6 +337,6 @@
 	}
 	waiting.waits.Store(false)
 	if p.due() {
-		t.Error("pulses are sent though nothing waits at the store")
+		t.Error("probes are sent though nothing waits at the store")
 	}
 }
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -62,9 +62,9 @@
 // storeAnswered notes an answer to this node.
 func (c *contact) storeAnswered() { c.heard.Store(&sighting{at: boottime.Now()}) }
 
-// pulsed notes that the store answers this node: a watch that waits there would tell of
+// probed notes that the store answers this node: a watch that waits there would tell of
 // changes.
-func (c *contact) pulsed() {
+func (c *contact) probed() {
 	if c.waits.Load() {
 		c.storeAnswered()
 	}
