A watch that begins is vouched for at once, and others wait for it as before

Cause: as all nodes start together the followers ask their watchers some 0.1 s before these have news, whose view counted only once a probe was answered, up to 0.6 s after their watch began. All peers of a follower were behind, and the first of rank turned to the store, as its rank was counted from behind the watchers, and stayed there for 5 s: 25 watches for each of four nodes.

Test: TestWatchThatBeginsIsProbedAtOnce.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -198,12 +198,12 @@
 	return peers, false
 }
 
-// rank is the own place behind the watchers.
+// rank is the own place among all members, the last for one that is not listed.
 func (r *Roster) rank() int {
 	if r.at < 0 {
 		return len(r.ranks)
 	}
-	return max(r.at-sourceCount, 0)
+	return r.at
 }
 
 // of gives the belief about a peer.
--- a/decide/roster/selector.go
+++ b/decide/roster/selector.go
@@ -13,10 +13,11 @@
 	// behindFor is how long a peer that has no news of the store is left out while
 	// another one has them: longer than it takes to ask all in turn.
 	behindFor = (sourceCount + 1) * PeerWait
-	// tryStep times a node's rank behind the watchers is how long its peers have no news
-	// of the store before it asks the store itself: while that is away ten more nodes a
-	// second ask, instead of all at once, and where it turns all watchers and a third of
-	// the others away one that it serves has a change in less than a second.
+	// tryStep times a node's rank is how long its peers have no news of the store before
+	// it asks the store itself: while that is away ten more nodes a second ask, instead of
+	// all at once, and where it turns all watchers and a third of the others away one that
+	// it serves has a change in less than a second. Watchers that start together with all
+	// others have their first news sooner.
 	tryStep = 100 * time.Millisecond
 	// tryFirst is the pause between such calls of one node; it doubles up to
 	// tryMost.
@@ -44,8 +45,10 @@
 	roster *Roster
 	// turn counts the questions, and aside those beside a watch of the store.
 	turn, aside int
-	// behindUntil are the peers that answered without news of the store.
+	// behindUntil are the peers that answered without news of the store, the first of them
+	// at behindSince.
 	behindUntil map[ids.VM]time.Time
+	behindSince time.Time
 	// awaySince is since when no peer had news of the store, zero while one has;
 	// tries counts the own calls since the store answered one, the next being due
 	// at tryAt. Until servedUntil the store is asked.
@@ -117,6 +120,9 @@
 func (s *Selector) Behind(now time.Time, name ids.VM) {
 	s.roster.Reached(name)
 	maps.DeleteFunc(s.behindUntil, func(_ ids.VM, until time.Time) bool { return !now.Before(until) })
+	if len(s.behindUntil) == 0 {
+		s.behindSince = now
+	}
 	s.behindUntil[name] = now.Add(behindFor)
 	s.served = false
 	s.behind++
@@ -127,7 +133,7 @@
 			return
 		}
 	}
-	s.away(now)
+	s.away(s.behindSince)
 }
 
 // Unanswered tells that a peer did not answer a question that took so long. Several that
@@ -155,10 +161,10 @@
 	return true
 }
 
-// away notes that no peer has news of the store.
-func (s *Selector) away(now time.Time) {
+// away notes that no peer has news of the store since a moment.
+func (s *Selector) away(since time.Time) {
 	if s.awaySince.IsZero() {
-		s.awaySince = now
+		s.awaySince = since
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -125,9 +125,7 @@
 	n.configs = &configs{log: log, news: n.news}
 	n.upstreams = newUpstreams(holder(settings), log, n.news)
 	n.peers = newPeers(settings, &timedMembers{ports.Members, n.metrics.Took}, n, log)
-	n.probe = &probe{
-		store: ports.Prober, fleet: n.fleet, contacts: []*contact{&n.configs.contact, &n.upstreams.contact}, log: log,
-	}
+	n.probe = newProbe(ports.Prober, n.fleet, log, &n.configs.contact, &n.upstreams.contact)
 	n.server = forward.New(forward.Options{
 		Headers:   ports.Headers,
 		Zone:      settings.Zone,
--- a/node/entry/probe.go
+++ b/node/entry/probe.go
@@ -7,7 +7,6 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/core/boottime"
-	"mimosaarch.example/core/every"
 	"mimosaarch.example/decide/roster"
 )
 
@@ -25,15 +24,39 @@
 	contacts []*contact
 	log      zerolog.Logger
 	timing   roster.Probe
+	// soon is told that one is wanted before its time.
+	soon chan struct{}
+}
+
+// newProbe makes the duty for watches of some collections.
+func newProbe(store Prober, f *fleet, log zerolog.Logger, contacts ...*contact) *probe {
+	return &probe{store: store, fleet: f, contacts: contacts, log: log, soon: make(chan struct{}, 1)}
+}
+
+// hurry has a probe sent at once, or after the one under way. A watch that begins tells
+// nothing until something changes; its view counts once a probe is answered.
+func (p *probe) hurry() {
+	select {
+	case p.soon <- struct{}{}:
+	default:
+	}
 }
 
 // run works until ctx ends.
 func (p *probe) run(ctx context.Context) {
-	every.Do(ctx, roster.ProbeEvery, func() {
+	ticker := time.NewTicker(roster.ProbeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-p.soon:
+		}
 		if p.due() {
 			p.send(ctx)
 		}
-	})
+	}
 }
 
 // due reports whether a watch waits at the store, or would if that answered.
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -47,8 +47,10 @@
 	// for at a moment, and gives the revision up to which they go.
 	have func(peer ids.VM) relay.Have
 	take func(peer ids.VM, news relay.News, asked time.Time) int64
-	// contact is told when the store or a peer answered.
+	// contact is told when the store or a peer answered; hurry is told that a watch begins
+	// while the store was not heard of lately.
 	contact *contact
+	hurry   func()
 	took    func(name string, d time.Duration)
 	// log takes a line for each question to a peer that brought nothing.
 	log zerolog.Logger
@@ -95,6 +97,9 @@
 	}
 	s.contact.waits.Store(true)
 	defer s.contact.waits.Store(false)
+	if age, _ := s.contact.age(boottime.Now()); age > roster.MaxAge {
+		s.hurry()
+	}
 	var duty sync.WaitGroup
 	defer duty.Wait()
 	beside, end := context.WithCancel(ctx)
@@ -193,6 +198,7 @@
 		fleet:    n.fleet,
 		selector: n.fleet.selector(),
 		contact:  &n.configs.contact,
+		hurry:    n.probe.hurry,
 		took:     n.metrics.Took,
 		log:      n.log,
 		have: func(ids.VM) relay.Have {
@@ -215,6 +221,7 @@
 		fleet:    n.fleet,
 		selector: n.fleet.selector(),
 		contact:  &n.upstreams.contact,
+		hurry:    n.probe.hurry,
 		took:     n.metrics.Took,
 		log:      n.log,
 		have:     n.upstreams.have,
--- a/node/entry/share_test.go
+++ b/node/entry/share_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
@@ -65,7 +67,7 @@
 	f.set(members, 1)
 	store := &awayStore{}
 	return &shared[routing.Config]{
-		store: store, fleet: f, selector: f.selector(), contact: &contact{},
+		store: store, fleet: f, selector: f.selector(), contact: &contact{}, hurry: func() {},
 		took: func(string, time.Duration) {},
 		have: func(ids.VM) relay.Have { return relay.Have{Want: relay.WantConfig} },
 		take: func(_ ids.VM, news relay.News, _ time.Time) int64 { return news.ConfigRevision },
@@ -296,6 +298,23 @@
 	}
 }
 
+// A watch that begins is vouched for at once: until then its node has no news to give, and
+// others would turn to the store themselves.
+func TestWatchThatBeginsIsProbedAtOnce(t *testing.T) {
+	_, others := serveNews(t, relay.News{})
+	s := watcher(&mute{called: make(chan struct{}, 1)}, others)
+	store := &probed{ends: make(chan error)}
+	p := newProbe(store, s.fleet, zerolog.Nop(), s.contact)
+	s.hurry = p.hurry
+	go p.run(t.Context())
+	began := time.Now()
+	go func() { _, _ = s.watch(t.Context(), 5, time.Minute) }()
+	store.ends <- nil
+	if took := time.Since(began); took > roster.ProbeEvery/2 {
+		t.Errorf("probed after %v", took)
+	}
+}
+
 // probed is a store whose probes end when told, with an error or none.
 type probed struct{ ends chan error }
 
@@ -308,7 +327,7 @@
 	waiting, idle := &contact{}, &contact{}
 	waiting.waits.Store(true)
 	store := &probed{ends: make(chan error)}
-	p := &probe{store: store, fleet: f, contacts: []*contact{waiting, idle}}
+	p := newProbe(store, f, zerolog.Nop(), waiting, idle)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
