--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"time"
+
+	"mimosaarch.example/core/every"
 )
 
 // acceptPause is the wait after a connection could not be accepted.
@@ -20,7 +22,7 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, acceptPause)
+			every.Pause(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -44,16 +46,6 @@
 	}
 }
 
-// pause waits for a time, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // serve answers one peer's calls until the connection ends.
 func (s *Service) serve(ctx context.Context, conn net.Conn) {
 	if s.opts.TLS != nil {
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -43,13 +43,20 @@
 	return n
 }
 
-func serve(t *testing.T, s Source) string {
+// listen opens a socket for the time of the test.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func serve(t *testing.T, s Source) string {
+	t.Helper()
+	l := listen(t)
 	go func() { _ = Serve(t.Context(), l, s) }()
 	return l.Addr().String()
 }
@@ -106,11 +113,7 @@
 // drip relays connections to an address, answers in so many pieces with pauses between.
 func drip(t *testing.T, to string, pieces int, pause time.Duration) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
+	l := listen(t)
 	go func() {
 		asker, err := l.Accept()
 		if err != nil {
@@ -153,14 +156,10 @@
 	if took := time.Since(began); took < 2*roster.PeerSilence {
 		t.Errorf("the answer came after %v: the test shows nothing", took)
 	}
-	still, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = still.Close() }()
+	still := listen(t)
 	const wait = 100 * time.Millisecond
 	began = time.Now()
-	_, err = Ask(t.Context(), still.Addr().String(), Have{WaitMs: wait.Milliseconds()})
+	_, err := Ask(t.Context(), still.Addr().String(), Have{WaitMs: wait.Milliseconds()})
 	var silent *CallError
 	if !errors.As(err, &silent) {
 		t.Errorf("error %v", err)
--- a/core/every/every.go
+++ b/core/every/every.go
@@ -9,6 +9,11 @@
 // Do calls f once in each interval, the first time after one, until ctx ends.
 // Calls do not overlap; intervals that a long call missed are left out.
 func Do(ctx context.Context, interval time.Duration, f func()) {
+	DoOrSooner(ctx, interval, nil, f)
+}
+
+// DoOrSooner is Do that also calls f whenever soon is told.
+func DoOrSooner(ctx context.Context, interval time.Duration, soon <-chan struct{}, f func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -16,12 +21,13 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			// Both may be due after a long call.
-			if ctx.Err() != nil {
-				return
-			}
-			f()
+		case <-soon:
+		}
+		// Several may be due after a long call.
+		if ctx.Err() != nil {
+			return
 		}
+		f()
 	}
 }
 
--- a/core/every/every_test.go
+++ b/core/every/every_test.go
@@ -25,6 +25,21 @@
 	})
 }
 
+func TestDutyIsDoneSoonerWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer stop()
+		soon := make(chan struct{}, 1)
+		var at []time.Duration
+		began := time.Now()
+		time.AfterFunc(300*time.Millisecond, func() { soon <- struct{}{} })
+		DoOrSooner(ctx, time.Second, soon, func() { at = append(at, time.Since(began)) })
+		if len(at) != 3 || at[0] != 300*time.Millisecond || at[1] != time.Second {
+			t.Errorf("called after %v", at)
+		}
+	})
+}
+
 func TestMissedIntervalsAreLeftOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithTimeout(t.Context(), 10500*time.Millisecond)
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -226,6 +226,13 @@
 // Reached tells that a peer answered.
 func (r *Roster) Reached(name ids.VM) { delete(r.peers, name) }
 
-// Silent tells whether the store has stopped answering this node, which asks its peers
-// until it does again.
-func (r *Roster) Silent(silent bool) { r.silent = silent }
+// SetSilent notes whether the store has stopped answering this node, which asks its peers
+// until it does again; changed tells that this is new.
+func (r *Roster) SetSilent(silent bool) (changed bool) {
+	changed = r.silent != silent
+	r.silent = silent
+	return changed
+}
+
+// Silent reports whether the store has stopped answering this node.
+func (r *Roster) Silent() bool { return r.silent }
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -119,7 +119,7 @@
 	members := fleet()
 	r := knowing(Member{Name: "a-000", Zone: "a"}, members)
 	expectStore(t, r, start)
-	r.Silent(true)
+	r.SetSilent(true)
 	for range 3 {
 		if peer := expectPeer(t, r, start); peer.Name != "b-000" && peer.Name != "c-000" && peer.Name != "d-000" {
 			t.Errorf("asks %s", peer.Name)
@@ -128,7 +128,7 @@
 	if r.Watcher(start) || !r.Head(start) {
 		t.Error("a silent watcher watches for others, or no longer seeks the lease")
 	}
-	r.Silent(false)
+	r.SetSilent(false)
 	expectStore(t, r, start)
 }
 
--- a/decide/roster/times.go
+++ b/decide/roster/times.go
@@ -15,10 +15,16 @@
 	// MaxAge is how old the view of a node that watches the store may be, whose probes are
 	// answered in time.
 	MaxAge = 1500 * time.Millisecond
-	// HopAge is what each node between may add: its wait for an answer, and the way.
-	HopAge = time.Second
+	// hopAge is what each node between may add: its wait for an answer, and the way.
+	hopAge = time.Second
 	// MaxHops is the most nodes between the store and one that may be asked: those that
 	// watch the store and the heads of zones. Nodes whose lists of the fleet differ could
 	// else wait for each other in a ring.
 	MaxHops = 1
 )
+
+// Fresh reports whether news are taken of a peer that the store answered, over so many
+// nodes, that long ago.
+func Fresh(age time.Duration, hops int) bool {
+	return hops <= MaxHops && age <= MaxAge+time.Duration(hops)*hopAge
+}
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -28,7 +28,6 @@
 	settled bool
 	// unheard is closed while the store does not answer this node.
 	unheard chan struct{}
-	silent  bool
 }
 
 // newFleet makes the view of a node that knows no others.
@@ -172,11 +171,9 @@
 func (f *fleet) setSilent(silent bool) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if silent == f.silent {
+	if !f.roster.SetSilent(silent) {
 		return false
 	}
-	f.silent = silent
-	f.roster.Silent(silent)
 	if silent {
 		close(f.unheard)
 	} else {
@@ -189,7 +186,7 @@
 func (f *fleet) isSilent() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.silent
+	return f.roster.Silent()
 }
 
 // silence gives a channel that is closed once the store has stopped answering this node.
--- a/node/entry/probe.go
+++ b/node/entry/probe.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/core/every"
 	"mimosaarch.example/decide/roster"
 )
 
@@ -44,19 +45,11 @@
 
 // run works until ctx ends.
 func (p *probe) run(ctx context.Context) {
-	ticker := time.NewTicker(roster.ProbeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-p.soon:
-		}
+	every.DoOrSooner(ctx, roster.ProbeEvery, p.soon, func() {
 		if p.due() {
 			p.send(ctx)
 		}
-	}
+	})
 }
 
 // due reports whether a watch waits at the store, or would if that answered.
--- a/node/entry/share.go
+++ b/node/entry/share.go
@@ -78,7 +78,7 @@
 			return s.watch(ctx, since, wait)
 		}
 		asked := boottime.Now()
-		news, err := s.ask(ctx, peer)
+		news, err := s.ask(ctx, peer, asked)
 		if err == nil {
 			return listwatch.Changes[T]{Revision: max(since, s.take(peer.Name, news, asked))}, nil
 		}
@@ -133,7 +133,7 @@
 			return
 		}
 		asked := boottime.Now()
-		news, err := s.question(ctx, peer)
+		news, err := s.question(ctx, peer, asked)
 		switch {
 		case err == nil:
 			s.fleet.reached(peer.Name)
@@ -146,12 +146,11 @@
 	}
 }
 
-// question waits at a peer for its news. The error is a *relay.CallError.
-func (s *shared[T]) question(ctx context.Context, peer roster.Member) (relay.News, error) {
+// question, asked at a moment, waits at a peer for its news. The error is a *relay.CallError.
+func (s *shared[T]) question(ctx context.Context, peer roster.Member, asked time.Time) (relay.News, error) {
 	have := s.have(peer.Name)
 	have.WaitMs = roster.PeerWait.Milliseconds()
 	have.Members = s.fleet.have()
-	asked := boottime.Now()
 	news, err := relay.Ask(ctx, peer.Peer, have)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -165,17 +164,16 @@
 	return news, nil
 }
 
-// ask waits at a peer for news of the store. The error is a *relay.CallError or a
+// ask, at a moment, waits at a peer for news of the store. The error is a *relay.CallError or a
 // *BehindError.
-func (s *shared[T]) ask(ctx context.Context, peer roster.Member) (relay.News, error) {
-	asked := boottime.Now()
-	news, err := s.question(ctx, peer)
+func (s *shared[T]) ask(ctx context.Context, peer roster.Member, asked time.Time) (relay.News, error) {
+	news, err := s.question(ctx, peer, asked)
 	if err != nil {
 		s.fleet.unanswered(s.selector, peer.Name, boottime.Now().Sub(asked))
 		return relay.News{}, err
 	}
 	age := time.Duration(news.AgeMs) * time.Millisecond
-	if news.Lost || news.Hops > roster.MaxHops || age > roster.MaxAge+time.Duration(news.Hops)*roster.HopAge {
+	if news.Lost || !roster.Fresh(age, news.Hops) {
 		s.passedOver("peer_behind", peer.Name, asked).Dur("age_ms", age).Int("hops", news.Hops).Bool("lost", news.Lost).Send()
 		s.fleet.behind(s.selector, peer.Name)
 		return relay.News{}, &BehindError{Peer: peer.Name, Age: age}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"mimosaarch.example/core/every"
 )
 
 // Times of a planned stop.
@@ -29,7 +31,7 @@
 	n.log.Info().Str("event", "stopping").Int64("active", n.server.Active()).Send()
 	limit, done := context.WithDeadline(ctx, began.Add(n.settings.Grace-killSlack))
 	defer done()
-	wait(limit, readinessLag)
+	every.Pause(limit, readinessLag)
 	// What comes later could no longer be finished within the grace.
 	_ = l.callers.Close()
 	whole := n.server.Drain(limit)
@@ -43,13 +45,3 @@
 	n.logCalls()
 	time.Sleep(lastPause)
 }
-
-// wait waits for d unless ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
