Zones are mended while the engines that leave them still serve

The wait stood for the promise that planned stops cut nobody off, as new tilings took layers from engines that alone served them; no order does that any more, so it kept nothing.

Change: zones that engines leave as planned are mended 0.5 s after the word, long enough for an empty engine in the place of one to be seen; the one that leaves counts as missing.

TestNothingNeeded- MovesNearAPlannedLeaving demanded the fault; TestZoneIsMendedSoonAfterAPlannedLeaving replaces it, with bounds on both sides of each wait.

--- a/adapter/placer/shortage.go
+++ b/adapter/placer/shortage.go
@@ -13,16 +13,15 @@
 // Waits while layers are missing.
 const (
 	// moveAfter is how long a zone must lack layers before engines that hold
-	// others are moved: most engines that crash are back, empty, in less. It counts
-	// from the moment at which an engine that leaves is gone, as what passes through
-	// it is served until then.
+	// others are moved: most engines that crash are back, empty, in less.
 	moveAfter = 2500 * time.Millisecond
 	// urgentAfter is the same while fewer than half of the zones hold every layer:
 	// long enough for a widened neighbour's order to be sent.
 	urgentAfter = 300 * time.Millisecond
-	// plannedFor is how long after an engine of a zone was last seen to leave those there
-	// that alone serve their layers are not moved: what passes through the engines that
-	// stay is served, and they load no new layers until it has ended.
+	// plannedAfter is the same where engines leave as planned, which do not come back: long
+	// enough for an empty one that replaces them to be seen.
+	plannedAfter = 500 * time.Millisecond
+	// plannedFor is how long a zone counts as one that engines leave as planned.
 	plannedFor = 6 * time.Second
 	// lostAfter is the silence after which an engine counts as lost before its
 	// entry is gone, which takes three missed heartbeats, 3.6 s: with several
@@ -53,16 +52,12 @@
 }
 
 // movable gives the zones that have lacked layers for long, those of engines that
-// leave not counted as missing.
+// leave counted as missing.
 func (p *Placer) movable(now time.Time, service ids.Service, whole, left map[ids.Zone]bool, urgent bool) map[ids.Zone]bool {
 	move := make(map[ids.Zone]bool)
-	wait := moveAfter
-	if urgent {
-		wait = urgentAfter
-	}
 	for zone, ok := range whole {
 		key := zoneOf{service, zone}
-		if ok || left[zone] {
+		if ok {
 			delete(p.holeSince, key)
 			continue
 		}
@@ -71,7 +66,14 @@
 			since = now
 		}
 		p.holeSince[key] = since
-		move[zone] = now.Sub(since) >= wait && !p.planned(now, key)
+		wait := moveAfter
+		switch {
+		case urgent:
+			wait = urgentAfter
+		case left[zone] || p.planned(now, key):
+			wait = plannedAfter
+		}
+		move[zone] = now.Sub(since) >= wait
 	}
 	return move
 }
--- a/adapter/placer/shortage_test.go
+++ b/adapter/placer/shortage_test.go
@@ -111,11 +111,12 @@
 	f.silent[ids.Upstream(id)] = d
 }
 
-// Where an engine leaves, those that alone serve their layers are not moved for a while,
-// also where its entry goes without a word though it answered to the last; after one that
-// had fallen silent they are.
-func TestNothingNeededMovesNearAPlannedLeaving(t *testing.T) {
-	for _, how := range []string{"leaves", "vanishes", "silent"} {
+// Guards against zones that stay without layers for seconds after each planned leaving, as
+// engines that alone serve theirs were not moved. They are soon, also where an entry goes
+// without a word though its engine answered to the last; an empty engine that comes in
+// its place is awaited. After one that had fallen silent, which may come back, they wait.
+func TestZoneIsMendedSoonAfterAPlannedLeaving(t *testing.T) {
+	for how, after := range map[string]time.Duration{"leaves": plannedAfter, "vanishes": plannedAfter, "silent": moveAfter} {
 		f := newFleet()
 		play(t, f, true, func() {
 			f.engine("a", 0, 5)
@@ -128,18 +129,20 @@
 			switch how {
 			case "leaves":
 				f.leave("a")
+			case "vanishes":
+				f.gone("a")
 			case "silent":
 				f.silence("a", lostAfter)
 				time.Sleep(time.Second)
+				f.gone("a")
 			}
-			f.gone("a")
-			time.Sleep(moveAfter + time.Second)
-			if got := f.given(); len(got) > 0 != (how == "silent") {
-				t.Errorf("%s: orders %v", how, got)
+			time.Sleep(after - tick)
+			if got := f.given(); len(got) > 0 {
+				t.Errorf("%s: orders %v before %s", how, got, after)
 			}
-			time.Sleep(plannedFor)
-			if got := f.given(); len(got) == 0 && how != "silent" {
-				t.Errorf("%s: the layers were never loaded", how)
+			time.Sleep(3 * tick)
+			if got := f.given(); len(got) == 0 {
+				t.Errorf("%s: no orders after %s", how, after)
 			}
 		})
 	}
