--- a/adapter/placer/leavings_test.go
+++ b/adapter/placer/leavings_test.go
@@ -380,8 +380,19 @@
 func (s *site) Lapsed() lease.Status { return lease.Status{} }
 func (s *site) StepDown()            {}
 
-// playLeavings plays a site with a placer for a time after leavings began.
-func playLeavings(t *testing.T, s *site, engines int, over, until time.Duration) {
+// leavingsOf says how many engines leave, over which time, and how many streams begin each
+// second.
+type leavingsOf struct {
+	engines int
+	over    time.Duration
+	streams int
+}
+
+// playFor is how long a site is watched once leavings begin.
+const playFor = 30 * time.Second
+
+// playLeavings plays a site with a placer.
+func playLeavings(t *testing.T, s *site, l leavingsOf) {
 	t.Helper()
 	table, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "s", Model: siteModel}}})
 	if err != nil {
@@ -401,35 +412,63 @@
 		})
 		go p.Run(ctx)
 		time.Sleep(20 * time.Second)
-		go s.repeat(ctx, time.Second/60, s.begin)
+		go s.repeat(ctx, time.Second/time.Duration(l.streams), s.begin)
 		time.Sleep(longStream)
 		go s.repeat(ctx, sampleEvery, s.watch)
-		go s.leavings(engines, over)
-		time.Sleep(until)
+		go s.leavings(l.engines, l.over)
+		time.Sleep(playFor)
 		cancel()
 		time.Sleep(2 * longStream)
 		synctest.Wait()
 	})
 }
 
+// playSites plays drawn sites in which so many engines leave in a row, with so many streams
+// begun each second.
+func playSites(t *testing.T, sites, engines, streams int) []*site {
+	t.Helper()
+	played := make([]*site, sites)
+	t.Run("sites", func(t *testing.T) {
+		for seed := range played {
+			t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(uint64(seed))
+				played[seed] = s
+				playLeavings(t, s, leavingsOf{engines: engines, over: 8 * time.Second, streams: streams})
+				if s.lost > 0 {
+					t.Errorf("%d of %d streams that were cut found no engines in %s", s.lost, s.cut, patienceMidway)
+				}
+			})
+		}
+	})
+	return played
+}
+
 // TestZonesAreWholeAgainSoonAfterLeavingsInARow: zones whose engines can hold the model hold
 // it again, in the mean over the drawn sites, within the time in which the streams in the way
 // end and the largest engine loads its layers. No stream is lost.
 func TestZonesAreWholeAgainSoonAfterLeavingsInARow(t *testing.T) {
 	const sites = 24
 	sum, cut, refused, runs := time.Duration(0), 0, 0, 0
-	for seed := range uint64(sites) {
-		s := newSite(seed)
-		playLeavings(t, s, 6, 8*time.Second, 30*time.Second)
+	for _, s := range playSites(t, sites, 6, 60) {
 		sum += s.longest
 		cut, refused, runs = cut+s.cut, refused+s.refused, runs+s.runs
-		if s.lost > 0 {
-			t.Errorf("seed %d: %d of %d streams that were cut found no engines in %s", seed, s.lost, s.cut, patienceMidway)
-		}
 	}
 	t.Logf("without a whole copy for %s in the mean; %d streams cut, %d of %d refused", sum/sites, cut, refused, runs)
-	if most := longStream + loadingOf("large"); sum/sites > most {
-		t.Errorf("zones that can hold the model lack layers for up to %s in the mean, want %s", sum/sites, most)
+	if bound := longStream + loadingOf("large"); sum/sites > bound {
+		t.Errorf("zones that can hold the model lack layers for up to %s in the mean, want %s", sum/sites, bound)
+	}
+}
+
+// TestEachZoneIsWholeAgainAfterManyLeavings: where more engines leave under more streams, each
+// zone that can hold the model holds it again within the time in which the streams in the way
+// of two moves, one after the other, end and the largest engine loads. No stream is lost.
+func TestEachZoneIsWholeAgainAfterManyLeavings(t *testing.T) {
+	bound := 2*longStream + loadingOf("large")
+	for seed, s := range playSites(t, 40, 8, 80) {
+		if s.longest > bound {
+			t.Errorf("seed %d: a zone that can hold the model lacks layers for %s, want %s", seed, s.longest, bound)
+		}
 	}
 }
 
