A layer that nobody runs costs more than any way to run it

Cause: a missing layer cost as much as 60 layers loaded. Where streams take long to end, which counts for each engine that gives up layers, that is less than three or four such engines: the search then left the layer out, and the plan fell back to the tiling that counts no streams, so to the longest row of moves. On a model that loads faster it is less than one.

Change: the cost is above that of all engines giving up layers and loading the model.

--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -14,8 +14,6 @@
 	// change: each serves nothing new in the layers that it gives up until another
 	// has loaded them.
 	orderLayers = 2
-	// missingLayers is the cost of a layer that nobody runs, above that of any way to run it.
-	missingLayers = 60
 )
 
 // tile is a stretch of the model that one engine runs in a new tiling.
@@ -51,9 +49,11 @@
 // partial finds the cheapest way to run each layer at most once by engines in the order in
 // which they lie along the model. Each engine that gives up layers costs ending.
 func partial(m *layered.Model, along []Engine, o Options, ending int) *tile {
+	// A layer that nobody runs costs more than any way to run it.
+	missing := 1 + len(along)*(m.Layers+orderLayers+ending)
 	best := make([]*tile, m.Layers+1)
 	best[0] = &tile{engine: -1}
-	withMissing(best)
+	withMissing(best, missing)
 	for i, e := range along {
 		next := slices.Clone(best)
 		most := capacity(m, e, o)
@@ -68,17 +68,17 @@
 				}
 			}
 		}
-		withMissing(next)
+		withMissing(next, missing)
 		best = next
 	}
 	return best[m.Layers]
 }
 
-// withMissing adds to the ways up to each layer those that leave the last one out.
-func withMissing(best []*tile) {
+// withMissing adds to the ways up to each layer those that leave the last one out, at a cost.
+func withMissing(best []*tile, missing int) {
 	for to := 1; to < len(best); to++ {
 		before := best[to-1]
-		if cost := before.cost + missingLayers; best[to] == nil || cost < best[to].cost {
+		if cost := before.cost + missing; best[to] == nil || cost < best[to].cost {
 			best[to] = &tile{cost: cost, missing: before.missing + 1, engine: -1, from: to - 1, before: before}
 		}
 	}
