A report of load is of the time at which it was asked for

A possible crash ends without one only when a report of the same process life is taken for newer than the loss. Reports were dated when they were read: one that an engine gave just before it crashed, read after the loss, cleared the crash.

Change: a report is dated when it was asked for.

--- a/decide/router/event.go
+++ b/decide/router/event.go
@@ -92,7 +92,7 @@
 // LoadSeen is an engine's report of itself, polled or relayed by a peer.
 type LoadSeen struct {
 	Report engineapi.LoadReport
-	// At is when the report was received on this node's clock.
+	// At is when the report was asked for on this node's clock: the engine lived then.
 	At time.Time
 }
 
--- a/node/polls.go
+++ b/node/polls.go
@@ -153,7 +153,8 @@
 func (p *polls) ask(id ids.Upstream, address string) {
 	ctx, done := context.WithTimeout(p.node.ctx, pollTimeout)
 	defer done()
-	report, err := p.poller.Fetch(ctx, address)
+	seen, err := p.fetch(ctx, address)
+	report := seen.Report
 	p.mu.Lock()
 	delete(p.asking, id)
 	p.mu.Unlock()
@@ -164,5 +165,13 @@
 	}
 	p.node.epochs.Note(address, report.Epoch)
 	p.node.orderReported(report)
-	p.node.tell(router.LoadSeen{Report: report, At: time.Now()})
+	p.node.tell(seen)
+}
+
+// fetch gets an engine's report, of the time at which it was asked for: the engine may have
+// ended between its answer and the moment at which this is read.
+func (p *polls) fetch(ctx context.Context, address string) (router.LoadSeen, error) {
+	asked := time.Now()
+	report, err := p.poller.Fetch(ctx, address)
+	return router.LoadSeen{Report: report, At: asked}, err
 }
