--- a/decide/placement/relocate.go
+++ b/decide/placement/relocate.go
@@ -22,7 +22,7 @@
 func relocating(m *layered.Model, engines []Engine, room Options) ([]Engine, *tile) {
 	along := alongModel(engines)
 	ending := endingLayers(m, along)
-	best := partial(m, along, room, ending)
+	best := tiling(m, along, room, ending)
 	gaps := holes(coverage(m, along))
 	free := relocatable(along)
 	for range maxRelocated {
@@ -30,7 +30,7 @@
 		for _, id := range free {
 			for _, gap := range gaps {
 				other := relocate(along, id, gap)
-				if t := partial(m, other, room, ending); t.cost < last.cost {
+				if t := tiling(m, other, room, ending); t.cost < last.cost {
 					moved, last = other, t
 				}
 			}
--- a/decide/placement/shift.go
+++ b/decide/placement/shift.go
@@ -53,7 +53,7 @@
 	for _, room := range []Options{room, fullest(m)} {
 		// Without the cost of streams that end, for engines that wait for each other.
 		for _, ending := range []int{endingLayers(m, along), 0} {
-			last := partial(m, along, room, ending)
+			last := tiling(m, along, room, ending)
 			if orders := steps(m, along, last, room); last.missing == 0 && len(orders) > 0 {
 				return orders
 			}
--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -37,18 +37,10 @@
 	return along
 }
 
-// tiling finds the cheapest way to run every layer once by engines in the order
-// in which they lie along the model; nil if there is none.
-func tiling(m *layered.Model, along []Engine, o Options) *tile {
-	if last := partial(m, along, o, endingLayers(m, along)); last.missing == 0 {
-		return last
-	}
-	return nil
-}
-
-// partial finds the cheapest way to run each layer at most once by engines in the order in
-// which they lie along the model. Each engine that gives up layers costs ending.
-func partial(m *layered.Model, along []Engine, o Options, ending int) *tile {
+// tiling finds the cheapest way to run each layer once by engines in the order in which
+// they lie along the model; it leaves layers out where there is none. Each engine that gives
+// up layers costs ending.
+func tiling(m *layered.Model, along []Engine, o Options, ending int) *tile {
 	// A layer that nobody runs costs more than any way to run it.
 	missing := 1 + len(along)*(m.Layers+orderLayers+ending)
 	best := make([]*tile, m.Layers+1)
--- a/decide/placement/tiling_test.go
+++ b/decide/placement/tiling_test.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// wholeTiling gives the cheapest tiling that leaves no layer out; nil if there is none.
+func wholeTiling(m *layered.Model, engines []Engine) *tile {
+	along := alongModel(engines)
+	if last := tiling(m, along, widest(m), endingLayers(m, along)); last.missing == 0 {
+		return last
+	}
+	return nil
+}
+
 // overlap counts the layers in both ranges.
 func overlap(a, b layered.Range) int { return max(min(a.To, b.To)-max(a.From, b.From), 0) }
 
@@ -109,7 +118,7 @@
 			engines = slices.Delete(engines, i, i+1)
 		}
 		engines[r.IntN(len(engines))].Fixed = true
-		if Whole(m, engines)["a"] || tiling(m, alongModel(engines), widest(m)) == nil {
+		if Whole(m, engines)["a"] || wholeTiling(m, engines) == nil {
 			continue
 		}
 		tiled++
@@ -146,12 +155,12 @@
 		engines = apply(engines, Plan(m, engines, Options{}))
 		i := r.IntN(len(engines))
 		engines = slices.Delete(engines, i, i+1)
-		if Whole(m, engines)["a"] || tiling(m, alongModel(engines), widest(m)) == nil {
+		if Whole(m, engines)["a"] || wholeTiling(m, engines) == nil {
 			continue
 		}
 		next := func() []Order {
 			along := alongModel(engines)
-			return steps(m, along, tiling(m, along, widest(m)), widest(m))
+			return steps(m, along, wholeTiling(m, engines), widest(m))
 		}
 		orders := next()
 		for i := range engines {
