--- a/adapter/placer/leavings_test.go
+++ b/adapter/placer/leavings_test.go
@@ -4,60 +4,44 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
-	"mimosaarch.example/decide/routing"
 )
 
 // Guards against zones that stay without a whole copy of the model while engines leave as
 // planned in a row, and against callers who lose streams then. See
 // docs/incidents/zones-broken-by-leavings-in-a-row.md.
 
-// leavingsOf says how many engines leave, over which time, and how many streams begin each
-// second.
-type leavingsOf struct {
-	engines int
-	over    time.Duration
-	streams int
-}
-
-// playFor is how long a site is watched once leavings begin.
-const playFor = 30 * time.Second
+// Times of a played site.
+const (
+	// settlesFor is how long its engines have to load the model.
+	settlesFor = 20 * time.Second
+	// leavingsOver is the time in which engines leave.
+	leavingsOver = 8 * time.Second
+	// playFor is how long it is watched once leavings begin.
+	playFor = 30 * time.Second
+)
 
-// playLeavings plays a site with a placer.
-func playLeavings(t *testing.T, s *site, l leavingsOf) {
+// playLeavings plays a site with a placer, from which so many engines leave, with so many
+// streams begun each second.
+func playLeavings(t *testing.T, s *site, engines, streams int) {
 	t.Helper()
-	table, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "s", Model: siteModel}}})
-	if err != nil {
-		t.Fatal(err)
+	o := Options{
+		Engines: s, Lease: s, Fenced: true, Restarted: func(ids.Life) {},
+		SilentFor: func(*directory.Upstream) time.Duration { return 0 },
 	}
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		p := New(Options{
-			Table: func() *routing.Table { return table },
-			View: func() *directory.View {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return s.dir.View()
-			},
-			Engines: s, Lease: s, Fenced: true, Now: time.Now, Log: zerolog.Nop(),
-			Count: func(string, int64) {}, Restarted: func(ids.Life) {}, SilentFor: func(*directory.Upstream) time.Duration { return 0 },
-		})
-		go p.Run(ctx)
-		time.Sleep(20 * time.Second)
-		go repeat(ctx, time.Second/time.Duration(l.streams), s.begin)
+	playPlacer(t, siteModel, &s.mu, s.dir, o, func(ctx context.Context) {
+		callers, hangUp := context.WithCancel(ctx)
+		time.Sleep(settlesFor)
+		go repeat(callers, time.Second/time.Duration(streams), s.begin)
 		time.Sleep(longStream)
-		go repeat(ctx, sampleEvery, s.watch)
-		go s.leavings(l.engines, l.over)
+		go repeat(callers, sampleEvery, s.watch)
+		go s.leavings(engines, leavingsOver)
 		time.Sleep(playFor)
-		cancel()
+		hangUp()
 		time.Sleep(2 * longStream)
-		synctest.Wait()
 	})
 }
 
@@ -72,7 +56,7 @@
 				t.Parallel()
 				s := newSite(uint64(seed))
 				played[seed] = s
-				playLeavings(t, s, leavingsOf{engines: engines, over: 8 * time.Second, streams: streams})
+				playLeavings(t, s, engines, streams)
 				if s.lost > 0 {
 					t.Errorf("%d of %d streams that were cut found no engines in %s", s.lost, s.cut, patienceMidway)
 				}
--- a/adapter/placer/placer_test.go
+++ b/adapter/placer/placer_test.go
@@ -118,30 +118,38 @@
 	return out
 }
 
+// playModel has 10 layers on one kind of card.
+var playModel = &layered.Model{
+	Layers: 10, LayerMB: 10, KVTokenBytes: 10, StepMs: 1, Stride: 1, LoadSeconds: 10,
+	Cards: map[string]layered.Card{"card": {MemoryMB: 100, StepFactor: 1, ReadFactor: 1}},
+}
+
 // play runs the duty over a fleet, in a bubble of its own clock.
 func play(t *testing.T, f *fleet, fenced bool, story func()) {
 	t.Helper()
-	table, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "s", Model: &layered.Model{
-		Layers: 10, LayerMB: 10, KVTokenBytes: 10, StepMs: 1, Stride: 1, LoadSeconds: 10,
-		Cards: map[string]layered.Card{"card": {MemoryMB: 100, StepFactor: 1, ReadFactor: 1}},
-	}}}})
+	o := Options{Engines: f, Lease: f, Fenced: fenced, Restarted: f.restarted, SilentFor: f.silentFor}
+	playPlacer(t, playModel, &f.mu, f.dir, o, func(context.Context) { story() })
+}
+
+// playPlacer runs the duty over the engines of one model until the story ends, in a bubble of
+// its own clock; mu guards the directory.
+func playPlacer(t *testing.T, m *layered.Model, mu *sync.Mutex, dir *directory.Directory, o Options, story func(context.Context)) {
+	t.Helper()
+	table, err := routing.Build(routing.Config{Services: []routing.Service{{Name: "s", Model: m}}})
 	if err != nil {
 		t.Fatal(err)
 	}
+	o.Table = func() *routing.Table { return table }
+	o.View = func() *directory.View {
+		mu.Lock()
+		defer mu.Unlock()
+		return dir.View()
+	}
+	o.Now, o.Log, o.Count = time.Now, zerolog.Nop(), func(string, int64) {}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		p := New(Options{
-			Table: func() *routing.Table { return table },
-			View: func() *directory.View {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				return f.dir.View()
-			},
-			Engines: f, Lease: f, Fenced: fenced, Now: time.Now, Log: zerolog.Nop(),
-			Count: func(string, int64) {}, Restarted: f.restarted, SilentFor: f.silentFor,
-		})
-		go p.Run(ctx)
-		story()
+		go New(o).Run(ctx)
+		story(ctx)
 		cancel()
 		synctest.Wait()
 	})
--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"mimosaarch.example/core/layered"
 )
@@ -55,7 +56,7 @@
 				if cost == math.MaxInt {
 					continue
 				}
-				if cost += before.cost; next[to] == nil || cost < next[to].cost {
+				if cost += before.cost; cost < next[to].cost {
 					next[to] = &tile{cost: cost, missing: before.missing, engine: i, from: from, before: before}
 				}
 			}
@@ -108,8 +109,8 @@
 	for _, e := range along {
 		passMs += m.PassMs(m.Cards[e.Card], e.will().Len(), fewStreams, m.Prompt+m.Answer)
 	}
-	seconds := m.Answer / float64(max(m.Stride, 1)) * passMs / 1000
-	return int(seconds / m.LoadSeconds * float64(m.Layers))
+	answer := time.Duration(m.Answer / float64(max(m.Stride, 1)) * passMs * float64(time.Millisecond))
+	return int(answer.Seconds() / m.LoadSeconds * float64(m.Layers))
 }
 
 // ordersOf gives the orders of a tiling that may be given now, which keep what there is
