--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -36,7 +36,7 @@
 				budget.RecordFirst(now)
 				firsts = append(firsts, at)
 			}
-			for at >= calm && budget.Allow(now, outcome.UpstreamLost) {
+			for at >= calm && budget.Allow(now, outcome.UpstreamLost, retry.BrokenStream) {
 				sends = append(sends, at)
 			}
 		}
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -83,22 +83,21 @@
 	p.budget(service).RecordFirst(p.opts.Now())
 }
 
-// newRequestBudgetFraction is the fraction of the retry budget available to requests
-// whose response has not started. The rest is reserved for streams that would otherwise
-// break off in the middle.
-const newRequestBudgetFraction = 0.6
-
 // allowRetry takes one retry from the budget of a service and reports whether there was
 // one. started is true if part of the response was written to the caller.
 func (p *picker) allowRetry(service ids.Service, reason outcome.Reason, started bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.opts.Now()
-	b := p.budget(service)
-	if !started && !b.AvailableWithin(now, newRequestBudgetFraction) {
-		return false
+	return p.budget(service).Allow(p.opts.Now(), reason, retryKind(started))
+}
+
+// retryKind returns the kind of a retry. broken is true if the response would break
+// off without it.
+func retryKind(broken bool) retry.Kind {
+	if broken {
+		return retry.BrokenStream
 	}
-	return b.Allow(now, reason)
+	return retry.NewRequest
 }
 
 // chooseChain chooses the chain of a request and counts the request on it.
@@ -169,11 +168,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Now()
-	fraction := newRequestBudgetFraction
-	if dead {
-		fraction = 1
-	}
-	if !p.budget(r.Service).AvailableWithin(now, fraction) {
+	if !p.budget(r.Service).Available(now, retryKind(dead)) {
 		return false
 	}
 	other, err := p.chains.Pick(now, m, view, r)
--- a/adapter/placer/simulation_test.go
+++ b/adapter/placer/simulation_test.go
@@ -285,7 +285,7 @@
 	s.budget.RecordFirst(time.Now())
 	length := minStreamTime + time.Duration(s.rand.Float64()*float64(maxStreamTime-minStreamTime))
 	r := &stream{until: time.Now().Add(length)}
-	if !s.tryStart(r, false) && !(s.budget.Allow(time.Now(), outcome.UpstreamBusy) && s.tryStart(r, false)) {
+	if !s.tryStart(r, false) && !(s.budget.Allow(time.Now(), outcome.UpstreamBusy, retry.BrokenStream) && s.tryStart(r, false)) {
 		s.refused++
 	}
 }
@@ -295,7 +295,7 @@
 func (s *simulation) resume(r *stream, until time.Time) {
 	for time.Now().Before(until) {
 		s.mu.Lock()
-		resumed := s.budget.Allow(time.Now(), outcome.UpstreamLost) && s.tryStart(r, true)
+		resumed := s.budget.Allow(time.Now(), outcome.UpstreamLost, retry.BrokenStream) && s.tryStart(r, true)
 		s.mu.Unlock()
 		if resumed {
 			return
--- a/decide/chain/fleet_test.go
+++ b/decide/chain/fleet_test.go
@@ -148,7 +148,7 @@
 	r.Zone, r.JitterSeed = ids.Zone(fmt.Sprintf("z%d", zone+1)), s.rand.Uint64()|1
 	r.Avoid = make(map[ids.Instance]bool)
 	for !s.send(now, n, r) {
-		if len(r.Avoid) == 0 || !n.retries.Allow(now, outcome.UpstreamBusy) {
+		if len(r.Avoid) == 0 || !n.retries.Allow(now, outcome.UpstreamBusy, retry.NewRequest) {
 			s.refused++
 			return
 		}
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -13,6 +13,42 @@
 // length of the window of LimitWindow.
 const BudgetWindow = 10 * time.Second
 
+// newRequestFraction is the fraction of the budget available to NewRequest. The
+// rest is reserved for BrokenStream.
+const newRequestFraction = 0.6
+
+// Kind is the kind of request that asks for a retry. It determines how much of the
+// budget the request may use.
+type Kind int
+
+const (
+	// NewRequest is a request whose response has not begun. It may use only a part
+	// of the budget.
+	NewRequest Kind = iota
+	// BrokenStream is a stream that has begun and breaks off without the retry. It
+	// may use the whole budget.
+	BrokenStream
+)
+
+// kindNames are the names of kinds, indexed by Kind.
+var kindNames = [...]string{"new_request", "broken_stream"}
+
+// String implements fmt.Stringer.
+func (k Kind) String() string {
+	if k < 0 || int(k) >= len(kindNames) {
+		return "invalid"
+	}
+	return kindNames[k]
+}
+
+// budgetFraction returns the fraction of the budget that the kind may use.
+func (k Kind) budgetFraction() float64 {
+	if k == BrokenStream {
+		return 1
+	}
+	return newRequestFraction
+}
+
 // maxReasons is the maximum number of reasons with a counter of their own.
 // Further reasons share the counter of the empty reason.
 const maxReasons = 64
@@ -24,8 +60,9 @@
 
 // Budget is the retry budget of one service. It keeps retries from overloading a
 // failing service. Averaged over BudgetWindow, it allows at most ratio retries
-// per first attempt, plus a minimum rate for services with few requests. It is
-// not safe for concurrent use.
+// per first attempt, plus a minimum rate for services with few requests. Retries of
+// either Kind count, but a NewRequest leaves a part of the budget to a BrokenStream.
+// It is not safe for concurrent use.
 type Budget struct {
 	ratio, minRate float64
 	// firstAttempts and retries are exponentially decayed counts, as of last.
@@ -68,15 +105,11 @@
 	b.windowFirstAttempts.add(now)
 }
 
-// Available reports whether Allow would grant a retry now. It does not consume
-// the budget.
-func (b *Budget) Available(now time.Time) bool { return b.AvailableWithin(now, 1) }
-
-// AvailableWithin reports whether a retry would be granted if only the given
-// fraction of the budget, 0 to 1, existed. Less important retries thus leave the
-// rest of the budget to others. It does not consume the budget.
-func (b *Budget) AvailableWithin(now time.Time, fraction float64) bool {
+// Available reports whether Allow would grant a retry of the given kind now. It
+// does not consume the budget.
+func (b *Budget) Available(now time.Time, kind Kind) bool {
 	b.decay(now)
+	fraction := kind.budgetFraction()
 	allowance := b.ratio*b.firstAttempts + b.minRate*BudgetWindow.Seconds()
 	return b.retries+1 <= allowance*fraction && b.windowAllows(now, fraction)
 }
@@ -93,10 +126,10 @@
 	return float64(b.windowRetries.sum)+1 <= limit*fraction
 }
 
-// Allow consumes one retry if the budget permits it and reports whether it does.
-// It counts the decision under reason.
-func (b *Budget) Allow(now time.Time, reason outcome.Reason) bool {
-	allowed := b.Available(now)
+// Allow consumes one retry if the budget permits one of the given kind, and reports
+// whether it does. It counts the decision under reason.
+func (b *Budget) Allow(now time.Time, reason outcome.Reason, kind Kind) bool {
+	allowed := b.Available(now, kind)
 	if allowed {
 		b.retries++
 		b.windowRetries.add(now)
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"mimosaarch.example/core/fleet"
@@ -215,7 +216,7 @@
 		now = now.Add(time.Second / rate)
 		b.RecordFirst(now)
 		for range 3 {
-			if b.Allow(now, outcome.ConnectFailed) {
+			if b.Allow(now, outcome.ConnectFailed, BrokenStream) {
 				allowed++
 			}
 		}
@@ -230,6 +231,65 @@
 	}
 }
 
+// Retries of new requests must leave a part of the budget, and of the limit in a
+// window, to streams that would break off.
+func TestNewRequestsLeaveAReserve(t *testing.T) {
+	const ample = 1000
+	// Both budgets allow ten retries at once.
+	newBudgets := map[string]func() *Budget{
+		"decaying": func() *Budget { return NewBudget(fleet.RetryPolicy{BudgetMin: 1}) },
+		"window": func() *Budget {
+			b := NewBudget(fleet.RetryPolicy{BudgetMin: ample})
+			b.LimitWindow(0, 10)
+			return b
+		},
+	}
+	type demand struct {
+		kind Kind
+		// want is how many of ample retries are allowed.
+		want int
+	}
+	for _, test := range []struct {
+		name    string
+		demands []demand
+	}{
+		{"new requests first", []demand{{NewRequest, 6}, {BrokenStream, 4}, {NewRequest, 0}}},
+		{"streams first", []demand{{BrokenStream, 10}, {NewRequest, 0}}},
+		{"an unknown kind is a new request", []demand{{Kind(2), 6}, {BrokenStream, 4}}},
+	} {
+		for limit, newBudget := range newBudgets {
+			t.Run(test.name+"/"+limit, func(t *testing.T) {
+				b := newBudget()
+				var got []demand
+				for _, d := range test.demands {
+					got = append(got, demand{d.kind, allowedOf(t, b, d.kind, ample)})
+				}
+				if diff := cmp.Diff(test.demands, got, cmp.AllowUnexported(demand{})); diff != "" {
+					t.Errorf("allowed retries (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// allowedOf returns how many of the given number of retries the budget allows at one
+// moment. Available must agree with Allow.
+func allowedOf(t *testing.T, b *Budget, kind Kind, retries int) int {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	allowed := 0
+	for range retries {
+		available := b.Available(now, kind)
+		if b.Allow(now, outcome.UpstreamLost, kind) != available {
+			t.Fatalf("%v: Available reports %v, Allow does not", kind, available)
+		}
+		if available {
+			allowed++
+		}
+	}
+	return allowed
+}
+
 func TestBackoffStaysWithinItsBound(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for attempt := ids.Attempt(1); attempt < 80; attempt++ {
--- a/decide/router/attempt.go
+++ b/decide/router/attempt.go
@@ -42,6 +42,9 @@
 	r.unreserve(req)
 	r.releaseQueueSlot(req, ev.Phase == outcome.Finished)
 	req.resume = nil
+	if ev.Tokens > 0 {
+		req.responseBegun = true
+	}
 	if !rejoining && !ev.Phase.ProvesNotRun() {
 		req.mayHaveRun = true
 	}
--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -7,6 +7,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/quarantine"
+	"mimosaarch.example/decide/retry"
 	"mimosaarch.example/decide/topology"
 )
 
@@ -69,6 +70,8 @@
 	lostAt []ids.Upstream
 	// mayHaveRun is true if an attempt may have run the request.
 	mayHaveRun bool
+	// responseBegun is true once the caller has received a token.
+	responseBegun bool
 	// claim is the record of the claim that this request holds in the platform;
 	// nil if none.
 	claim *ClaimRecord
@@ -111,6 +114,14 @@
 // request's stream, which have their own limit.
 func (q *request) starts() int { return int(q.attempt) - q.busyCount - q.rejoins }
 
+// retryKind returns the kind of the request's next retry.
+func (q *request) retryKind() retry.Kind {
+	if q.responseBegun {
+		return retry.BrokenStream
+	}
+	return retry.NewRequest
+}
+
 // remaining returns the time until the deadline; never negative.
 func (q *request) remaining(now time.Time) time.Duration {
 	return max(0, q.deadline.Sub(now))
--- a/decide/router/retry.go
+++ b/decide/router/retry.go
@@ -39,7 +39,7 @@
 		Attempts:          req.starts(),
 		MaxAttempts:       req.svc.profile.Retry.Attempts,
 		Remaining:         req.remaining(r.now),
-		BudgetAllows:      req.svc.budget.Available(r.now),
+		BudgetAllows:      req.svc.budget.Available(r.now, req.retryKind()),
 		Delivered:         ev.Tokens,
 		Continuable:       req.svc.isModel(),
 		Resumable:         req.svc.isModel(),
@@ -73,7 +73,7 @@
 // retry queues the request again after its backoff, to be sent to another
 // upstream. It fails the request if the retry budget is used up.
 func (r *Router) retry(req *request, ev AttemptEnded) {
-	if !req.svc.budget.Allow(r.now, ev.Reason) {
+	if !req.svc.budget.Allow(r.now, ev.Reason, req.retryKind()) {
 		r.giveUp(req, outcome.Refuse(outcome.RetryBudget, "", r.withJitter(defaultRetryAfter)))
 		return
 	}
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -458,3 +460,41 @@
 		t.Errorf("%d starts, want the %d allowed: %q", starts, most, s.text)
 	}
 }
+
+// Retries of new requests must leave a part of the budget to streams that would break
+// off in the middle.
+func TestNewRequestsLeaveRetriesToBrokenStreams(t *testing.T) {
+	s := newScript()
+	s.step(newArrival("stream", nil))
+	s.expect(t, "send stream attempt 1")
+	stream := s.sent[0]
+	s.useUpRetriesOfNewRequests(t)
+	s.step(AttemptEnded{
+		ID: stream.ID, Attempt: stream.Attempt, Phase: outcome.Started, Reason: outcome.StageFailed, Tokens: 3,
+	})
+	s.tick(pastBackoff)
+	s.expect(t, "send stream attempt 2")
+	// An attempt that was not sent reports no tokens.
+	s.step(AttemptEnded{ID: stream.ID, Attempt: 2, Phase: outcome.NotSent, Reason: outcome.RingFull})
+	s.tick(pastBackoff)
+	s.expect(t, "send stream attempt 3")
+}
+
+// useUpRetriesOfNewRequests passes new requests whose attempts fail unsent until one
+// of them gets no retry.
+func (s *script) useUpRetriesOfNewRequests(t *testing.T) {
+	t.Helper()
+	const requests = 90
+	for i := range requests {
+		id := ids.Request(fmt.Sprintf("new-%d", i))
+		s.text = nil
+		s.step(newArrival(id, nil))
+		s.step(AttemptEnded{ID: id, Attempt: 1, Phase: outcome.NotSent, Reason: outcome.RingFull})
+		if slices.Contains(s.text, fmt.Sprintf("finish %s not_run retry_budget", id)) {
+			s.text = nil
+			return
+		}
+		s.step(CallerGone{ID: id})
+	}
+	t.Fatalf("%d new requests all got a retry", requests)
+}
