--- a/adapter/placer/simulation_test.go
+++ b/adapter/placer/simulation_test.go
@@ -34,6 +34,9 @@
 	resumeTimeout = 2 * time.Second
 	// resumeInterval is the pause between attempts to resume a stream.
 	resumeInterval = 150 * time.Millisecond
+	// fullEngineCooldown is how long a stream that resumes avoids an engine that
+	// refused it.
+	fullEngineCooldown = 400 * time.Millisecond
 	// sampleInterval is the time between two samples of the zones' gaps.
 	sampleInterval = 100 * time.Millisecond
 )
@@ -64,8 +67,35 @@
 type stream struct {
 	chain chain.Chain
 	until time.Time
+	// avoidUntil holds the engines that refused the stream, with the time after
+	// which they are tried again.
+	avoidUntil map[ids.Instance]time.Time
 }
 
+// avoided returns the engines that the stream must not use now.
+func (r *stream) avoided(now time.Time) map[ids.Instance]bool {
+	avoid := make(map[ids.Instance]bool)
+	for id, until := range r.avoidUntil {
+		if now.Before(until) {
+			avoid[id] = true
+		}
+	}
+	return avoid
+}
+
+// sendResult is how an attempt to start or resume a stream ended.
+type sendResult int
+
+const (
+	// accepted: all engines of the chain accepted the stream.
+	accepted sendResult = iota
+	// unsent: there is no chain, or a new request's chain has an engine known to be
+	// full. Nothing was sent.
+	unsent
+	// refused: an engine of the chain refused the stream.
+	refused
+)
+
 // simulation is a fleet of engines with streams through them.
 type simulation struct {
 	mu             sync.Mutex
@@ -232,18 +262,20 @@
 	return chain.Request{Service: "s", Zone: "x", PromptTokens: simModel.MeanPromptTokens, OutputTokens: simModel.MeanOutputTokens, OutputStarted: started, JitterSeed: s.rand.Uint64() | 1}
 }
 
-// tryStart starts a stream on a chain and reports whether all its engines accepted
-// it.
-func (s *simulation) tryStart(r *stream, started bool) bool {
+// send sends a stream through a chain.
+func (s *simulation) send(r *stream, started bool) sendResult {
 	now := time.Now()
-	c, err := s.picker.Pick(now, simModel, s.dir.View(), s.chainRequest(started))
+	request := s.chainRequest(started)
+	request.Avoid = r.avoided(now)
+	c, err := s.picker.Pick(now, simModel, s.dir.View(), request)
 	if err != nil || !started && s.picker.FullEngine(now, c) != nil {
-		return false
+		return unsent
 	}
 	for _, h := range c {
 		if e := s.engines[h.Engine.ID]; e.ended || !e.up.Layers.Covers(h.Layers) || !s.hasMemory(e, h.Layers) {
 			s.conditionTable.RefusedFull(now, h.Engine.ID)
-			return false
+			r.avoidUntil[h.Engine.ID] = now.Add(fullEngineCooldown)
+			return refused
 		}
 	}
 	r.chain = c
@@ -252,7 +284,7 @@
 	}
 	s.picker.RequestStarted(now, c, s.chainRequest(started))
 	go s.finish(r, c)
-	return true
+	return accepted
 }
 
 // hasMemory reports whether an engine has KV cache left for one more stream.
@@ -276,31 +308,45 @@
 	}
 }
 
-// startStream simulates a request, which is refused if neither the first nor a
-// second chain accepts it.
+// startStream simulates a request. It is sent once more if an engine refuses it and
+// the retry budget allows, but not if nothing could be sent.
 func (s *simulation) startStream() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
 	s.budget.RecordFirst(time.Now())
 	length := minStreamTime + time.Duration(s.rand.Float64()*float64(maxStreamTime-minStreamTime))
-	r := &stream{until: time.Now().Add(length)}
-	if !s.tryStart(r, false) && !(s.budget.Allow(time.Now(), outcome.UpstreamBusy, retry.BrokenStream) && s.tryStart(r, false)) {
+	r := &stream{until: time.Now().Add(length), avoidUntil: make(map[ids.Instance]time.Time)}
+	result := s.send(r, false)
+	if result == refused && s.budget.Allow(time.Now(), outcome.UpstreamBusy, retry.NewRequest) {
+		result = s.send(r, false)
+	}
+	if result != accepted {
 		s.refused++
 	}
 }
 
 // resume tries to continue an interrupted stream on another chain until its caller
-// gives up.
+// gives up. The stream takes a retry before it chooses a chain, keeps the retry while
+// it finds none, and needs another one as soon as an engine refuses it.
 func (s *simulation) resume(r *stream, until time.Time) {
+	paid, reason := false, outcome.UpstreamLost
 	for time.Now().Before(until) {
 		s.mu.Lock()
-		resumed := s.budget.Allow(time.Now(), outcome.UpstreamLost, retry.BrokenStream) && s.tryStart(r, true)
+		paid = paid || s.budget.Allow(time.Now(), reason, retry.BrokenStream)
+		result := unsent
+		if paid {
+			result = s.send(r, true)
+		}
 		s.mu.Unlock()
-		if resumed {
+		switch result {
+		case accepted:
 			return
+		case refused:
+			paid, reason = false, outcome.UpstreamBusy
+		case unsent:
+			time.Sleep(resumeInterval)
 		}
-		time.Sleep(resumeInterval)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
