--- a/decide/placement/repair.go
+++ b/decide/placement/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"mimosaarch.example/core/layered"
 )
@@ -34,43 +35,73 @@
 	return redundantAtStart(serving, r, r.Len()) == r.Len()
 }
 
-// repair returns the next orders on the cheapest way to cover every layer again. It
+// minDrainsSaved is the number of drains that a repair must take less to use the
+// memory of repairReserveStreams requests: engines with less KV cache take fewer
+// requests long after the repair.
+const minDrainsSaved = 1.5
+
+// repair returns the next orders on the fastest way to cover every layer again. It
 // is for zones that lost an engine permanently and whose neighbours cannot close the
 // gap by themselves: engines whose layers their neighbours can take over move to
 // the gap, and others shift their range along the model. It returns nil if the
 // engines do not suffice.
 //
 // An order first adds layers that the engine has memory for and gives up only
-// layers that others serve by then, so a repair takes several rounds. It leaves KV
-// cache for repairReserveStreams requests if that suffices, and else for minReserveStreams.
+// layers that others serve by then, so a repair takes several rounds. A full engine
+// waits until the next one has drained and loaded the layers that it gives up, so
+// a row of full engines drains one after the other. With more memory they move at
+// the same time: a repair leaves KV cache for repairReserveStreams requests unless
+// one that leaves it for minReserveStreams takes minDrainsSaved drains less.
 func repair(m *layered.Model, engines []Engine) []Order {
-	opts := repairOptions(m)
-	if ordered, last := tilingWithRelocation(m, engines, opts); last != nil {
-		if orders := nextOrders(m, ordered, last, opts); len(orders) > 0 || slices.ContainsFunc(engines, Engine.hasPendingOrder) {
-			return orders
+	drain := drainTime(m, inModelOrder(engines))
+	minSaving := time.Duration(minDrainsSaved * float64(drain))
+	best, bestTime := fastest(m, completeGoals(m, engines, repairOptions(m)), drain)
+	if bestTime > minSaving {
+		g, t := fastest(m, completeGoals(m, engines, minReserveOptions(m)), drain)
+		if t < bestTime-minSaving {
+			best, bestTime = g, t
 		}
 	}
+	if bestTime == neverComplete {
+		return nil
+	}
+	return nextOrders(m, best.ordered, best.last, best.opts)
+}
+
+// fastest returns the goal that is reached first, and when.
+func fastest(m *layered.Model, goals []goal, drain time.Duration) (best goal, bestTime time.Duration) {
+	bestTime = neverComplete
+	for _, g := range goals {
+		if t := g.completionTime(m, drain); t < bestTime {
+			best, bestTime = g, t
+		}
+	}
+	return best, bestTime
+}
+
+// completeGoals returns goals within the options' memory that cover every layer.
+func completeGoals(m *layered.Model, engines []Engine, opts Options) []goal {
+	var goals []goal
+	if ordered, last := tilingWithRelocation(m, engines, opts); last != nil {
+		goals = append(goals, goal{ordered, last, opts})
+	}
 	ordered := inModelOrder(engines)
-	for _, opts := range []Options{opts, minReserveOptions(m)} {
-		// The second try ignores the cost of draining, which can keep engines
-		// waiting for each other.
-		for _, drainCost := range []int{drainCostOf(m, ordered), 0} {
-			last := cheapestTiling(m, ordered, opts, drainCost)
-			if orders := nextOrders(m, ordered, last, opts); last.missing == 0 && len(orders) > 0 {
-				return orders
-			}
+	// The cost of draining can keep engines waiting for each other.
+	for _, drainCost := range []int{drainCostOf(m, ordered), 0} {
+		if last := cheapestTiling(m, ordered, opts, drainCost); last.missing == 0 {
+			goals = append(goals, goal{ordered, last, opts})
 		}
 	}
-	return nil
+	return goals
 }
 
 // nextOrders returns the next orders on the way to a tiling.
 func nextOrders(m *layered.Model, ordered []Engine, last *segment, opts Options) []Order {
 	serving := retainedCoverage(m, ordered)
 	var orders []Order
-	for _, goal := range tilingOrders(m, ordered, last, opts) {
-		e := ordered[slices.IndexFunc(ordered, func(e Engine) bool { return e.ID == goal.Engine })]
-		next := nextRange(e.Holds, goal.Layers, capacity(m, e, opts), serving)
+	for _, target := range tilingOrders(m, ordered, last, opts) {
+		e := ordered[slices.IndexFunc(ordered, func(e Engine) bool { return e.ID == target.Engine })]
+		next := nextRange(e.Holds, target.Layers, capacity(m, e, opts), serving)
 		if next == e.Holds {
 			continue
 		}
--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -101,20 +101,23 @@
 	return cost
 }
 
-// drainCostOf returns the time until the streams through an engine end, as the
-// number of layers that could be loaded meanwhile: an engine that gives up layers
-// loads no others before that. The time is that of a mean answer on a chain of the
-// engines.
+// drainCostOf returns drainTime as the number of layers that could be loaded meanwhile.
 func drainCostOf(m *layered.Model, ordered []Engine) int {
 	if m.LoadSeconds <= 0 {
 		return 0
 	}
+	return int(drainTime(m, ordered).Seconds() / m.LoadSeconds * float64(m.Layers))
+}
+
+// drainTime returns the time until the streams through an engine end: an engine that
+// gives up layers loads no others before that. The time is that of a mean answer on a
+// chain of the engines.
+func drainTime(m *layered.Model, ordered []Engine) time.Duration {
 	passMs := 0.0
 	for _, e := range ordered {
 		passMs += m.PassMs(m.Cards[e.Card], e.heldAfterOrder().Len(), repairReserveStreams, m.MeanPromptTokens+m.MeanOutputTokens)
 	}
-	answer := time.Duration(m.MeanOutputTokens / float64(max(m.StepsPerPass, 1)) * passMs * float64(time.Millisecond))
-	return int(answer.Seconds() / m.LoadSeconds * float64(m.Layers))
+	return time.Duration(m.MeanOutputTokens / float64(max(m.StepsPerPass, 1)) * passMs * float64(time.Millisecond))
 }
 
 // tilingOrders returns the orders of a tiling that can be given now. Each engine
