--- a/decide/router/request.go
+++ b/decide/router/request.go
@@ -114,9 +114,10 @@
 // request's stream, which have their own limit.
 func (q *request) starts() int { return int(q.attempt) - q.busyCount - q.rejoins }
 
-// retryKind returns the kind of the request's next retry.
+// retryKind returns the kind of the request's next retry. A plain service has no
+// streams to leave retries to, so all its requests may use the whole budget.
 func (q *request) retryKind() retry.Kind {
-	if q.responseBegun {
+	if q.responseBegun || !q.svc.isModel() {
 		return retry.BrokenStream
 	}
 	return retry.NewRequest
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -11,6 +11,7 @@
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/core/platformapi"
 	"mimosaarch.example/decide/member"
+	"mimosaarch.example/decide/retry"
 )
 
 // pastBackoff is longer than any backoff before a retry.
@@ -480,6 +481,16 @@
 	s.expect(t, "send stream attempt 3")
 }
 
+// Guards against retries that a plain service keeps back although it has no streams.
+func TestPlainRequestsUseTheWholeRetryBudget(t *testing.T) {
+	s := newScript()
+	s.step(newArrival("plain", booking))
+	s.expect(t, "send plain attempt 1")
+	if got := s.router.requests["plain"].retryKind(); got != retry.BrokenStream {
+		t.Errorf("retries of kind %v, want %v", got, retry.BrokenStream)
+	}
+}
+
 // useUpRetriesOfNewRequests passes new requests whose attempts fail unsent until one
 // of them gets no retry.
 func (s *script) useUpRetriesOfNewRequests(t *testing.T) {
