--- a/decide/placement/schedule.go
+++ b/decide/placement/schedule.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// neverComplete is the completion time of a goal that its orders do not reach.
+	// neverComplete is the completion time of a goal that orders do not reach.
 	neverComplete = time.Duration(math.MaxInt64)
 	// maxOrdersPerEngine limits the orders of a simulated schedule.
 	maxOrdersPerEngine = 16
@@ -19,14 +19,16 @@
 // goal is a tiling that a group of engines is to reach, and the memory that the
 // engines may use for weights on the way.
 type goal struct {
+	// ordered are the engines in the order of their segments.
 	ordered []Engine
-	last    *segment
-	opts    Options
+	// last is the last segment of the tiling.
+	last *segment
+	opts Options
 }
 
 // execution is an order that an engine is carrying out in a simulated schedule.
 type execution struct {
-	// engine is the engine's index.
+	// engine is the index of the engine in goal.ordered.
 	engine int
 	doneAt time.Duration
 }
@@ -36,7 +38,7 @@
 // streams through an engine that gives up layers have ended.
 func (g goal) completionTime(m *layered.Model, drain time.Duration) time.Duration {
 	g.ordered = slices.Clone(g.ordered)
-	running := g.start(m, 0, drain)
+	running := g.start(m, drain)
 	now := time.Duration(0)
 	for range maxOrdersPerEngine * len(g.ordered) {
 		if len(findGaps(retainedCoverage(m, g.ordered))) == 0 {
@@ -46,28 +48,34 @@
 			return neverComplete
 		}
 		now = slices.MinFunc(running, func(a, b execution) int { return cmp.Compare(a.doneAt, b.doneAt) }).doneAt
-		running = slices.DeleteFunc(running, func(x execution) bool { return x.doneAt == now && g.finish(x) })
+		running = g.finishUntil(now, running)
 		running = append(running, g.giveOrders(m, now, drain)...)
 	}
 	return neverComplete
 }
 
-// finish lets an engine hold the layers of its order. It returns true.
-func (g goal) finish(x execution) bool {
-	e := &g.ordered[x.engine]
-	e.Holds, e.Target, e.Fixed = e.Target, layered.Range{}, false
-	return true
+// finishUntil lets engines hold the layers of the orders that are done by now, and
+// returns the other executions.
+func (g goal) finishUntil(now time.Duration, running []execution) []execution {
+	return slices.DeleteFunc(running, func(x execution) bool {
+		if x.doneAt > now {
+			return false
+		}
+		e := &g.ordered[x.engine]
+		e.Holds, e.Target, e.Fixed = e.Target, layered.Range{}, false
+		return true
+	})
 }
 
-// start returns the executions of the pending orders and of those given first.
-func (g goal) start(m *layered.Model, now, drain time.Duration) []execution {
+// start returns the executions of the pending orders and of the first new ones.
+func (g goal) start(m *layered.Model, drain time.Duration) []execution {
 	var running []execution
 	for i, e := range g.ordered {
 		if e.hasPendingOrder() {
-			running = append(running, execution{engine: i, doneAt: now + e.orderTime(m, drain)})
+			running = append(running, execution{engine: i, doneAt: e.orderTime(m, drain)})
 		}
 	}
-	return append(running, g.giveOrders(m, now, drain)...)
+	return append(running, g.giveOrders(m, 0, drain)...)
 }
 
 // giveOrders makes the next orders to the goal pending and returns their executions.
