Nodes share the rate limit that an upstream names

An upstream in need names the requests a second that it takes from all nodes together. It got three times as many or more: 52 and 58 requests in 4 s where 27 and 32 are allowed.

Cause: no part of a node reads the limit, so every choice goes on as before. A node that kept to it alone would not do either: nine nodes would take it nine times.

Change: decide/backpressure holds what upstreams ask for. Each node takes an equal share of a limit, spaced evenly from a random moment on; a share that is not used within 1.5 s is lost, so that many idle nodes do not send at once. After the limit ends, the rate doubles each second up to the node's usual one. A response of another process (421), or to a request that was sent before the limit was named, does not end it. The picker asks the table for first choices, second tries, resumed and moved streams, every stage of a chain and probes; engines that run a request already keep it. A node that does not know how many share the upstream sends nothing to it.

New: upstream_limited and upstream_limit_ended in the log, with the share.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/outcome"
@@ -21,9 +22,11 @@
 
 // attempt is one send of a request to an upstream.
 type attempt struct {
-	x      *exchange
-	u      *directory.Upstream
-	conn   *upconn.Conn
+	x    *exchange
+	u    *directory.Upstream
+	conn *upconn.Conn
+	// sentAt is when the request was sent.
+	sentAt time.Time
 	unbind func() bool
 	resp   *upconn.Response
 	// bodyErr receives the result of writing a long body. It is nil if the body was
@@ -73,7 +76,7 @@
 	if x.sends++; x.sends == 1 {
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
-	a.conn = conn
+	a.conn, a.sentAt = conn, x.server.opts.Now()
 	a.unbind = conn.Bind(ctx, watch)
 	if err := a.send(head); err != nil {
 		a.discard()
@@ -110,6 +113,7 @@
 		id := string(resp.Head.Peek(a.x.server.opts.Headers.RequestID))
 		if id == a.x.id || id == "" && !a.conn.Reused() {
 			a.resp = resp
+			a.recordLimit()
 			return a.checkRefusal()
 		}
 		a.x.count("upstream.foreign_answer")
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -29,7 +29,7 @@
 var testHeaders = Headers{
 	RequestID: "Q-Id", DeadlineMs: "Q-Left", Key: "Q-Key", Account: "Q-Account", ExpectUpstream: "Q-Expect",
 	NotRun: "Q-Not-Run", FaultyStage: "Q-Fault", Stages: "Q-Stages", Priority: "Q-Rank", TokenCounts: "Q-Tokens",
-	LengthHint: "Q-Hint", LastEventID: "Q-Last", Load: "Q-Load",
+	LengthHint: "Q-Hint", LastEventID: "Q-Last", Load: "Q-Load", RateLimit: "Q-Limit",
 }
 
 // waitTimeout bounds the waits for conditions and connections.
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -55,6 +55,9 @@
 	// Load carries three counts of an upstream, separated by commas: requests running,
 	// requests queued, and the most requests that it runs at once.
 	Load string
+	// RateLimit names the requests per second that an upstream takes from all nodes
+	// together. Without it an upstream names no limit.
+	RateLimit string
 }
 
 // Engines makes the calls to engines that accompany requests.
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -10,6 +10,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/condition"
 	"mimosaarch.example/decide/directory"
@@ -23,26 +24,28 @@
 	opts    Options
 	crashes *crashTracker
 
-	mu          sync.Mutex
-	nodes       int
-	conditions  *condition.Table
-	chains      *chain.Picker
-	retryAfters *retryafter.Estimator
-	replicas    *replica.Picker
-	budgets     map[ids.Service]*retry.Budget
+	mu           sync.Mutex
+	nodes        int
+	conditions   *condition.Table
+	backpressure *backpressure.Table
+	chains       *chain.Picker
+	retryAfters  *retryafter.Estimator
+	replicas     *replica.Picker
+	budgets      map[ids.Service]*retry.Budget
 }
 
 // newPicker returns a picker for a node that does not know the number of nodes yet.
 func newPicker(o Options, c *crashTracker) *picker {
 	conditions := condition.New()
 	return &picker{
-		opts:        o,
-		crashes:     c,
-		conditions:  conditions,
-		chains:      chain.New(conditions),
-		retryAfters: retryafter.New(),
-		replicas:    replica.New(conditions),
-		budgets:     make(map[ids.Service]*retry.Budget),
+		opts:         o,
+		crashes:      c,
+		conditions:   conditions,
+		backpressure: backpressure.New(o.Seed),
+		chains:       chain.New(conditions),
+		retryAfters:  retryafter.New(),
+		replicas:     replica.New(conditions),
+		budgets:      make(map[ids.Service]*retry.Budget),
 	}
 }
 
@@ -53,6 +56,7 @@
 	p.nodes = n
 	p.chains.SetNodeCount(n)
 	p.replicas.SetNodeCount(n)
+	p.backpressure.SetNodeCount(n)
 	for _, b := range p.budgets {
 		p.applyBudget(b)
 	}
@@ -106,6 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.chain", p.opts.Now().Sub(began)) }()
+	r.Avoid = p.withRefusing(r.Avoid, nil)
 	c, err := p.chains.Pick(p.opts.Now(), m, view, r)
 	if err != nil {
 		return nil, err
@@ -118,6 +123,7 @@
 		return nil, &chain.FullError{Service: r.Service, Engine: full.ID}
 	}
 	p.chains.RequestStarted(p.opts.Now(), c, r)
+	p.recordSends(c, nil)
 	return c, nil
 }
 
@@ -171,6 +177,7 @@
 	if !p.budget(r.Service).Available(now, retryKind(dead)) {
 		return false
 	}
+	r.Avoid = p.withRefusing(r.Avoid, nil)
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil {
 		return false
@@ -186,6 +193,7 @@
 	defer p.mu.Unlock()
 	now := p.opts.Now()
 	r.PinnedFirst = &present[0]
+	r.Avoid = p.withRefusing(r.Avoid, present)
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil || !p.checkTiling(other, m.Layers) {
 		return nil
@@ -195,6 +203,7 @@
 	}
 	p.chains.RequestEnded(now, present, r)
 	p.chains.RequestStarted(now, other, r)
+	p.recordSends(other, present)
 	return other
 }
 
@@ -212,9 +221,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.replica", p.opts.Now().Sub(began)) }()
-	u := p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, avoid, draw)
+	u := p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, p.withRefusing(avoid, nil), draw)
 	if u != nil {
 		p.replicas.RequestStarted(u.ID)
+		p.backpressure.Sent(p.opts.Now(), u.ID)
 	}
 	return u
 }
@@ -316,6 +326,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conditions.Forget(id)
+	p.backpressure.Removed(p.opts.Now(), id)
 	p.chains.Forget(id)
 	p.replicas.Forget(id)
 }
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -43,6 +43,9 @@
 type probe struct {
 	at   time.Time
 	done chan struct{}
+	// skipped is set if the engine was not probed, because it asks for fewer requests. Then
+	// nothing is known about it.
+	skipped bool
 	// dead, slowdown, full and stalled are valid once done is closed.
 	dead     bool
 	slowdown float64
@@ -118,7 +121,7 @@
 	<-probe.done
 	switch {
 	case probe.dead:
-	case probe.full:
+	case probe.full, probe.skipped:
 		p.picker.refusedFull(u)
 	default:
 		p.picker.refusedNotFull(u)
@@ -145,6 +148,11 @@
 		return latest
 	}
 	fresh := &probe{at: now, done: make(chan struct{})}
+	if !p.picker.admitProbe(u.ID) {
+		fresh.skipped = true
+		close(fresh.done)
+		return fresh
+	}
 	p.latest[u.ID] = fresh
 	// The probe serves all that wait for it, so it outlives the request that started it.
 	go p.run(context.WithoutCancel(ctx), u, fresh)
--- /dev/null
+++ b/adapter/forward/ratelimit_test.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// limitedReply returns a handler that answers with status 200 and the given limit.
+func limitedReply(limit string) handler {
+	return func(conn net.Conn, req *fasthttp.Request) bool {
+		return reply(conn, req, 200, "b", "Q-Limit: "+limit)
+	}
+}
+
+// Guards against a node that takes a whole limit for itself, and against a limit that
+// callers do not see.
+func TestNodeTakesItsShareOfALimit(t *testing.T) {
+	limited := newFakeUpstream(t, "a", "plain", limitedReply("0.5"))
+	r := newTestServer(t, limited)
+	r.SetNodes(100)
+	if resp, _ := r.ask(t, "GET", "/safe/x", "first", ""); resp.StatusCode() != 200 || string(resp.Header.Peek("Q-Limit")) != "0.5" {
+		t.Errorf("status %d, limit %q", resp.StatusCode(), resp.Header.Peek("Q-Limit"))
+	}
+	for i := range 20 {
+		r.ask(t, "GET", "/safe/x", fmt.Sprint("r", i), "")
+	}
+	// The share is a request in 267 s, which may be due at any moment.
+	if n := len(limited.requests()); n > 2 {
+		t.Errorf("%d requests to an upstream that takes half a request a second from 100 nodes", n)
+	}
+}
+
+// A malformed limit is counted and limits nothing.
+func TestMalformedLimitIsCounted(t *testing.T) {
+	for _, limit := range []string{"x", "-1", "NaN", "+Inf", "1e999", "3,7"} {
+		r := newTestServer(t, newFakeUpstream(t, "a", "plain", limitedReply(limit)))
+		for i := range 2 {
+			if resp, _ := r.ask(t, "GET", "/safe/x", fmt.Sprint("r", i), ""); resp.StatusCode() != 200 {
+				t.Errorf("limit %q: status %d", limit, resp.StatusCode())
+			}
+		}
+		if n := r.metrics.get("upstream.limit_malformed"); n != 2 {
+			t.Errorf("limit %q: counted %d times, want twice", limit, n)
+		}
+	}
+}
+
+// Guards against a limit that another process at the upstream's address names.
+func TestMisdirectedResponseNamesNoLimit(t *testing.T) {
+	other := newFakeUpstream(t, "a", "plain", refusalReply(421, "Q-Limit: 0"))
+	r := newTestServer(t, other)
+	r.ask(t, "GET", "/safe/x", "r1", "")
+	if n := r.metrics.get("upstream.limits_named"); n != 0 {
+		t.Errorf("%d limits named", n)
+	}
+}
