Nodes tell each other when a rate limit begins and ends

What a node met: it learns that a limit has ended only by a response to its own next request. With 295 nodes and a limit of 3.7 a second that is 106 s after the last one, and all that time its callers' requests go elsewhere or are refused. In the same way each node had to send a request to learn of a new limit.

A node that is told does not tell again, and ignores upstreams that are not in its directory. The rate then rises gradually, as before.

Test: TestEndOfALimitReachesAllNodes (295 nodes; after ten seconds at most half of them had a response without the limit, and told, all of them serve nine tenths of the usual rate ten seconds later), TestLimitsArePublished, TestPeersLimitIsFollowed, TestLimitsReachAllOtherNodes. The test of verdicts keeps its checks and shares its nodes with that of limits.

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -59,12 +59,25 @@
 func (p *picker) limitAnswered(u *directory.Upstream, sentAt time.Time, limit float64, named bool) {
 	p.mu.Lock()
 	change := p.backpressure.LimitAnswered(p.opts.Now(), sentAt, u.ID, limit, named)
+	notice := p.backpressure.LimitNotice(u.ID)
 	p.mu.Unlock()
-	p.logLimit(u.ID, change)
+	if change != backpressure.LimitSame {
+		p.logLimit(u.ID, change, "upstream")
+		p.opts.OnLimit(notice)
+	}
+}
+
+// limitNotified applies a peer's notice about a limit.
+func (p *picker) limitNotified(n backpressure.LimitNotice) {
+	p.mu.Lock()
+	change := p.backpressure.LimitNotified(p.opts.Now(), n)
+	p.mu.Unlock()
+	p.logLimit(n.Upstream, change, "peer")
 }
 
-// logLimit logs and counts a change of the limit that an upstream names.
-func (p *picker) logLimit(id ids.Instance, change backpressure.LimitChange) {
+// logLimit logs and counts a change of the limit that an upstream names. from is who has
+// told this node.
+func (p *picker) logLimit(id ids.Instance, change backpressure.LimitChange, from string) {
 	p.mu.Lock()
 	limit, share := p.backpressure.Limit(id)
 	nodes := p.nodes
@@ -72,11 +85,11 @@
 	switch change {
 	case backpressure.LimitNamed:
 		p.opts.Metrics.Add("upstream.limits_named", 1)
-		p.opts.Log.Info().Str("event", "upstream_limited").Str("upstream", id.String()).
+		p.opts.Log.Info().Str("event", "upstream_limited").Str("upstream", id.String()).Str("from", from).
 			Float64("per_second", limit).Float64("share", share).Int("nodes", nodes).Send()
 	case backpressure.LimitEnded:
 		p.opts.Metrics.Add("upstream.limits_ended", 1)
-		p.opts.Log.Info().Str("event", "upstream_limit_ended").Str("upstream", id.String()).Float64("per_second", limit).Send()
+		p.opts.Log.Info().Str("event", "upstream_limit_ended").Str("upstream", id.String()).Str("from", from).Float64("per_second", limit).Send()
 	}
 }
 
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -19,6 +19,7 @@
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -209,6 +210,7 @@
 	mu        sync.Mutex
 	dir       *directory.Directory
 	published []quarantine.Verdict
+	limits    []backpressure.LimitNotice
 	ready     chan struct{}
 }
 
@@ -219,6 +221,20 @@
 	r.published = append(r.published, v)
 }
 
+// recordLimit is the server's OnLimit.
+func (r *testServer) recordLimit(n backpressure.LimitNotice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, n)
+}
+
+// limitNotices returns the notices about limits so far.
+func (r *testServer) limitNotices() []backpressure.LimitNotice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.limits)
+}
+
 // verdicts returns the verdicts published so far.
 func (r *testServer) verdicts() []quarantine.Verdict {
 	r.mu.Lock()
@@ -273,7 +289,7 @@
 		r.dir.Put(f.Upstream)
 	}
 	r.Server = New(Options{
-		Headers: testHeaders, Zone: "z", Engines: r.engines, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, Ready: r.ready,
+		Headers: testHeaders, Zone: "z", Engines: r.engines, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Ready: r.ready,
 		Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		Table:  r.table.Load,
 		View: func() *directory.View {
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -19,6 +19,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -107,6 +108,10 @@
 	// OnVerdict is called when this node has found a request that crashes upstreams, to
 	// inform the other nodes. It must not block and must be safe for concurrent use.
 	OnVerdict func(quarantine.Verdict)
+	// OnLimit is called when the response of an upstream shows that its rate limit begins,
+	// changes or ends, to inform the other nodes. It must not block and must be safe for
+	// concurrent use.
+	OnLimit func(backpressure.LimitNotice)
 	// OnRestart is called with the new instance of an upstream whose report shows a later
 	// start than the directory knows. It must be safe for concurrent use.
 	OnRestart func(ids.Instance)
--- a/adapter/forward/ratelimit_test.go
+++ b/adapter/forward/ratelimit_test.go
@@ -3,9 +3,15 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/decide/backpressure"
 )
 
 // limitedReply returns a handler that answers with status 200 and the given limit.
@@ -57,3 +63,62 @@
 		t.Errorf("%d limits named", n)
 	}
 }
+
+// Guards against limits that each node has to find out by itself.
+func TestLimitsArePublished(t *testing.T) {
+	var limit atomic.Value
+	limit.Store("3.7")
+	limited := newFakeUpstream(t, "a", "plain", func(conn net.Conn, req *fasthttp.Request) bool {
+		if value := limit.Load().(string); value != "" {
+			return reply(conn, req, 200, "b", "Q-Limit: "+value)
+		}
+		return reply(conn, req, 200, "b")
+	})
+	r := newTestServer(t, limited)
+	n := 0
+	askUntilServed := func() {
+		t.Helper()
+		eventually(t, "the upstream serves another request", func() bool {
+			n++
+			resp, _ := r.ask(t, "GET", "/safe/x", fmt.Sprint("r", n), "")
+			return resp.StatusCode() == 200
+		})
+	}
+	for _, value := range []string{"3.7", "3.8", "0", ""} {
+		limit.Store(value)
+		askUntilServed()
+	}
+	want := []backpressure.LimitNotice{
+		{Upstream: instance("a"), PerSecond: 3.7},
+		{Upstream: instance("a"), PerSecond: 0.5},
+		{Upstream: instance("a")},
+	}
+	if diff := cmp.Diff(want, r.limitNotices()); diff != "" {
+		t.Errorf("notices (-want +got):\n%s", diff)
+	}
+}
+
+// A node follows the limits that its peers tell it, for the upstreams that it knows, and
+// does not publish them again.
+func TestPeersLimitIsFollowed(t *testing.T) {
+	limited := newFakeUpstream(t, "a", "plain", okReply("a"))
+	r := newTestServer(t, limited)
+	r.SetNodes(1_000_000)
+	r.AddLimit(backpressure.LimitNotice{Upstream: instance("unknown"), PerSecond: 1})
+	r.AddLimit(backpressure.LimitNotice{Upstream: instance("a"), PerSecond: 1})
+	r.ask(t, "GET", "/safe/x", "r1", "")
+	expectNoRequests(t, limited)
+	if n := r.metrics.get("upstream.limits_named"); n != 1 {
+		t.Errorf("%d limits named, want 1", n)
+	}
+	if got := r.limitNotices(); len(got) > 0 {
+		t.Errorf("published %v", got)
+	}
+	r.AddLimit(backpressure.LimitNotice{Upstream: instance("a")})
+	r.picker.mu.Lock()
+	admitted := r.picker.backpressure.Admits(boottime.Now().Add(time.Minute), instance("a"))
+	r.picker.mu.Unlock()
+	if !admitted {
+		t.Error("not admitted a minute after the end")
+	}
+}
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -11,6 +11,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 )
@@ -153,6 +154,14 @@
 // AddVerdict applies a peer's verdict on requests that crash upstreams.
 func (s *Server) AddVerdict(v quarantine.Verdict) { s.crashes.addPeerVerdict(v) }
 
+// AddLimit applies a peer's notice about the rate limit of an upstream. A notice about an
+// upstream that is not in the directory is ignored.
+func (s *Server) AddLimit(n backpressure.LimitNotice) {
+	if s.opts.View().Get(n.Upstream) != nil {
+		s.picker.limitNotified(n)
+	}
+}
+
 // confirmAlive connects to an upstream that broke off a connection. If the process has
 // crashed, its host refuses the connection.
 func (s *Server) confirmAlive(u *directory.Upstream) {
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/roster"
@@ -29,6 +30,8 @@
 	methodUpdate = "news"
 	// methodVerdict reports requests that crash upstreams.
 	methodVerdict = "verdict"
+	// methodLimit reports the start and the end of an upstream's rate limit.
+	methodLimit = "limit"
 )
 
 // Timeouts of calls.
@@ -140,6 +143,8 @@
 	UpdateSince(ctx context.Context, req UpdateRequest) Update
 	// ApplyVerdict applies a verdict of a peer.
 	ApplyVerdict(v quarantine.Verdict)
+	// ApplyLimit applies a limit that an upstream has named to a peer.
+	ApplyLimit(n backpressure.LimitNotice)
 }
 
 // Serve answers peers until l is closed, and returns the error of Accept.
@@ -181,6 +186,13 @@
 			}
 			source.ApplyVerdict(v)
 			return nil, nil
+		case r.Method == methodLimit:
+			var n backpressure.LimitNotice
+			if err := json.Unmarshal(*r.Params, &n); err != nil {
+				return nil, invalidParams(err)
+			}
+			source.ApplyLimit(n)
+			return nil, nil
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	}
@@ -225,6 +237,15 @@
 	return nil
 }
 
+// SendLimit sends a notice about a limit to the peer at an address. The error is a
+// *CallError.
+func SendLimit(ctx context.Context, peer string, n backpressure.LimitNotice) error {
+	if err := call(ctx, peer, callTimeout, methodLimit, n, nil); err != nil {
+		return &CallError{peer, err}
+	}
+	return nil
+}
+
 // call makes one call on a new connection. result receives the answer.
 func call(ctx context.Context, peer string, timeout time.Duration, method string, params, result any) error {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -268,3 +289,6 @@
 
 // ApplyVerdict implements Source.
 func (emptySource) ApplyVerdict(quarantine.Verdict) {}
+
+// ApplyLimit implements Source.
+func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/roster"
@@ -25,10 +26,13 @@
 	packed   Packed
 	list     []directory.Upstream
 	verdicts chan quarantine.Verdict
+	limits   chan backpressure.LimitNotice
 }
 
 func (s *fakeSource) ApplyVerdict(v quarantine.Verdict) { s.verdicts <- v }
 
+func (s *fakeSource) ApplyLimit(n backpressure.LimitNotice) { s.limits <- n }
+
 func (s *fakeSource) UpdateSince(_ context.Context, req UpdateRequest) Update {
 	var u Update
 	if s.config.Version > req.ConfigVersion {
@@ -97,6 +101,17 @@
 	}
 }
 
+func TestLimitsAreDelivered(t *testing.T) {
+	s := &fakeSource{limits: make(chan backpressure.LimitNotice, 1)}
+	want := backpressure.LimitNotice{Upstream: ids.Instance{Upstream: "a", StartedMs: 7}, PerSecond: 3.7}
+	if err := SendLimit(t.Context(), serve(t, s), want); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-s.limits; got != want {
+		t.Errorf("received %+v, want %+v", got, want)
+	}
+}
+
 func TestFrozenPeerIsACallError(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/decide/backpressure/backpressure.go
+++ b/decide/backpressure/backpressure.go
@@ -2,11 +2,12 @@
 // and decides for one node which upstreams may get a request now.
 //
 // An upstream may name a rate limit: the requests per second that it takes from all
-// nodes together. The nodes do not coordinate their sends. Each takes an equal share of
-// the limit and spaces its requests evenly, starting at a random moment. A share that is
-// not used is lost after permitLifetime, so that many nodes that have been idle do not
-// send at the same time. This bounds the sum over all nodes, at the price that a limit is
-// used only in part while few of many nodes have requests.
+// nodes together. The nodes tell each other when a limit begins and ends, but do not
+// coordinate their sends. Each takes an equal share of the limit and spaces its requests
+// evenly, starting at a random moment. A share that is not used is lost after
+// permitLifetime, so that many nodes that have been idle do not send at the same time.
+// This bounds the sum over all nodes, at the price that a limit is used only in part while
+// few of many nodes have requests.
 //
 // A Table must be used by one goroutine at a time and reads no clock.
 package backpressure
--- a/decide/backpressure/ratelimit.go
+++ b/decide/backpressure/ratelimit.go
@@ -33,6 +33,30 @@
 	LimitEnded
 )
 
+// LimitNotice tells other nodes what limit an upstream names, in requests per second from
+// all nodes together, 0 for none.
+type LimitNotice struct {
+	Upstream  ids.Instance `json:"upstream"`
+	PerSecond float64      `json:"per_second"`
+}
+
+// LimitNotice returns the notice for other nodes about an upstream.
+func (t *Table) LimitNotice(id ids.Instance) LimitNotice {
+	n := LimitNotice{Upstream: id}
+	if u := t.restricted[id]; u != nil && u.endedAt.IsZero() {
+		n.PerSecond = u.limit
+	}
+	return n
+}
+
+// LimitNotified applies the notice of another node.
+func (t *Table) LimitNotified(now time.Time, n LimitNotice) LimitChange {
+	if n.PerSecond <= 0 {
+		return t.limitEnded(now, n.Upstream)
+	}
+	return t.limitNamed(now, n.Upstream, n.PerSecond)
+}
+
 // LimitAnswered records the limit that a response of an upstream names, in requests per
 // second from all nodes together. named is false if the response names none. sentAt is
 // when its request was sent: only a response to a request that was sent after the limit
@@ -43,15 +67,15 @@
 	u.goneAt = time.Time{}
 	switch {
 	case named:
-		return t.LimitReported(now, id, limit)
+		return t.limitNamed(now, id, limit)
 	case u.limit == 0 || !sentAt.After(u.namedAt):
 		return LimitSame
 	}
-	return t.LimitEndReported(now, id)
+	return t.limitEnded(now, id)
 }
 
-// LimitReported records a limit that an upstream names, for instance to another node.
-func (t *Table) LimitReported(now time.Time, id ids.Instance, limit float64) LimitChange {
+// limitNamed records a limit that an upstream names to this node or another one.
+func (t *Table) limitNamed(now time.Time, id ids.Instance, limit float64) LimitChange {
 	u := t.stateOf(id)
 	if u.limit > 0 {
 		t.advance(now, id, u)
@@ -69,9 +93,9 @@
 	return LimitNamed
 }
 
-// LimitEndReported records that an upstream no longer names a limit, for instance to
-// another node. The rate of this node's requests then rises gradually from its share.
-func (t *Table) LimitEndReported(now time.Time, id ids.Instance) LimitChange {
+// limitEnded records that an upstream no longer names a limit to this node or another
+// one. The rate of this node's requests then rises gradually from its share.
+func (t *Table) limitEnded(now time.Time, id ids.Instance) LimitChange {
 	u := t.upstreams[id]
 	if u == nil || u.limit == 0 || !u.endedAt.IsZero() {
 		return LimitSame
--- a/decide/backpressure/ratelimit_test.go
+++ b/decide/backpressure/ratelimit_test.go
@@ -157,6 +157,52 @@
 	}
 }
 
+// Guards against nodes of a large fleet that hear of the end of a limit only by their own
+// next request, minutes later.
+func TestEndOfALimitReachesAllNodes(t *testing.T) {
+	const size, usual = 295, 40.0 // usual is in requests per second of all nodes
+	f := newFleet(size, 3.7, 1)
+	for _, n := range f.nodes {
+		n.LimitNotified(f.now, LimitNotice{Upstream: engine})
+	}
+	f.now = f.now.Add(time.Hour)
+	f.limit = 0
+	f.run(20*time.Second, usual)
+	for _, n := range f.nodes {
+		n.LimitAnswered(f.now, f.now, engine, 3.7, true)
+	}
+	f.run(10*time.Second, usual)
+	told := 0
+	for _, n := range f.nodes {
+		if notice := n.LimitNotice(engine); notice.PerSecond == 0 {
+			told++
+		}
+	}
+	if told == 0 || told > size/2 {
+		t.Fatalf("%d of %d nodes had a response without a limit", told, size)
+	}
+	for _, n := range f.nodes {
+		n.LimitNotified(f.now, LimitNotice{Upstream: engine})
+	}
+	f.run(10*time.Second, usual)
+	f.sentAt = nil
+	f.run(10*time.Second, usual)
+	if got, least := float64(len(f.sentAt))/10, usual*0.9; got < least {
+		t.Errorf("%.1f requests a second after the end of the limit, want at least %.1f", got, least)
+	}
+}
+
+// A notice that names no limit of a known upstream changes nothing.
+func TestNoticeOfAnEndWithoutALimit(t *testing.T) {
+	n := New(1)
+	if got := n.LimitNotified(start, LimitNotice{Upstream: engine}); got != LimitSame {
+		t.Errorf("change %v", got)
+	}
+	if !n.Admits(start, engine) {
+		t.Error("not admitted")
+	}
+}
+
 // Guards against a limit that is forgotten because the directory has lost the upstream
 // for a while.
 func TestLimitOutlastsAMissingEntry(t *testing.T) {
--- /dev/null
+++ b/node/entry/broadcast_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mimosaarch.example/adapter/relay"
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/backpressure"
+	"mimosaarch.example/decide/quarantine"
+	"mimosaarch.example/decide/roster"
+	"mimosaarch.example/node/telemetry"
+)
+
+// zoneMembers returns n nodes of a zone.
+func zoneMembers(name string, n int) []roster.Member {
+	var out []roster.Member
+	for i := range n {
+		out = append(out, roster.Member{Name: ids.VM(fmt.Sprintf("%s-%02d", name, i)), Zone: ids.Zone(name), PeerAddress: fmt.Sprint(name, i)})
+	}
+	return out
+}
+
+// broadcastRecorder is a relay.Source that records the verdicts and limits it receives.
+type broadcastRecorder struct {
+	verdicts chan quarantine.Verdict
+	limits   chan backpressure.LimitNotice
+}
+
+func (broadcastRecorder) UpdateSince(context.Context, relay.UpdateRequest) relay.Update {
+	return relay.Update{}
+}
+
+func (r broadcastRecorder) ApplyVerdict(v quarantine.Verdict) { r.verdicts <- v }
+
+func (r broadcastRecorder) ApplyLimit(n backpressure.LimitNotice) { r.limits <- n }
+
+// newBroadcastFleet returns a node and the recorder of the three other nodes that listen.
+// A fourth one does not.
+func newBroadcastFleet(t *testing.T) (*Node, broadcastRecorder) {
+	t.Helper()
+	n := &Node{
+		log: zerolog.Nop(), metrics: telemetry.New(), fleet: newFleet(Settings{VM: "a-00", Zone: "a"}, time.Now, func(int) {}),
+		verdicts: make(chan quarantine.Verdict, maxQueuedVerdicts), limits: make(chan backpressure.LimitNotice, maxQueuedLimits),
+	}
+	members := append(zoneMembers("a", 3), zoneMembers("b", 2)...)
+	members[0].PeerAddress, members[1].PeerAddress = "127.0.0.1:1", "127.0.0.1:1"
+	r := broadcastRecorder{verdicts: make(chan quarantine.Verdict, len(members)), limits: make(chan backpressure.LimitNotice, len(members))}
+	for i := 2; i < len(members); i++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		members[i].PeerAddress = l.Addr().String()
+		go func() { _ = relay.Serve(t.Context(), l, r) }()
+	}
+	n.fleet.setMembers(members, 1)
+	return n, r
+}
+
+func TestVerdictsReachAllOtherNodes(t *testing.T) {
+	n, r := newBroadcastFleet(t)
+	n.queueVerdict(quarantine.Verdict{Fingerprint: "f", For: time.Minute})
+	go n.sendVerdicts(t.Context())
+	for range 3 {
+		if v := <-r.verdicts; v.Fingerprint != "f" || v.For != time.Minute {
+			t.Errorf("received %+v", v)
+		}
+	}
+}
+
+func TestLimitsReachAllOtherNodes(t *testing.T) {
+	n, r := newBroadcastFleet(t)
+	want := backpressure.LimitNotice{Upstream: ids.Instance{Upstream: "u"}, PerSecond: 3.7}
+	n.queueLimit(want)
+	go n.sendLimits(t.Context())
+	for range 3 {
+		if got := <-r.limits; got != want {
+			t.Errorf("received %+v, want %+v", got, want)
+		}
+	}
+}
+
+func TestLimitsDroppedFromAFullQueueAreCounted(t *testing.T) {
+	n := &Node{metrics: telemetry.New(), limits: make(chan backpressure.LimitNotice, 1)}
+	n.queueLimit(backpressure.LimitNotice{})
+	n.queueLimit(backpressure.LimitNotice{})
+	if n.metrics.Registry().Get("limits.dropped") == nil {
+		t.Error("a dropped notice is not counted")
+	}
+}
+
+func TestVerdictsDroppedFromAFullQueueAreCounted(t *testing.T) {
+	n := &Node{metrics: telemetry.New(), verdicts: make(chan quarantine.Verdict, 1)}
+	n.queueVerdict(quarantine.Verdict{})
+	n.queueVerdict(quarantine.Verdict{})
+	if n.metrics.Registry().Get("verdicts.dropped") == nil {
+		t.Error("a dropped verdict is not counted")
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/placement"
@@ -108,6 +109,7 @@
 	placer     *placer.Placer
 
 	verdicts   chan quarantine.Verdict
+	limits     chan backpressure.LimitNotice
 	storeCalls *callCounter
 	// initialized is closed once the first configuration and directory have
 	// arrived.
@@ -127,6 +129,7 @@
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New(), storeCalls: newCallCounter()}
 	n.initialized = make(chan struct{})
 	n.verdicts = make(chan quarantine.Verdict, maxQueuedVerdicts)
+	n.limits = make(chan backpressure.LimitNotice, maxQueuedLimits)
 	n.updates = newNotifier()
 	n.fleet = newFleet(settings, boottime.Now, func(nodes int) {
 		n.log.Info().Str("event", "members").Int("nodes", nodes).Send()
@@ -148,6 +151,7 @@
 		Log:       log,
 		Metrics:   n.metrics,
 		OnVerdict: n.queueVerdict,
+		OnLimit:   n.queueLimit,
 		OnRestart: n.upstreams.recordRestart,
 		Seed:      settings.Seed,
 	})
@@ -350,6 +354,7 @@
 	go n.membership.run(ctx)
 	go n.probe.run(ctx)
 	go n.sendVerdicts(ctx)
+	go n.sendLimits(ctx)
 	go n.logCallsPeriodically(ctx)
 	go n.elector.Run(ctx)
 	go n.placer.Run(ctx)
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -13,6 +13,7 @@
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/roster"
 	"mimosaarch.example/decide/routing"
@@ -31,6 +32,8 @@
 
 func (*fixedPeer) ApplyVerdict(quarantine.Verdict) {}
 
+func (*fixedPeer) ApplyLimit(backpressure.LimitNotice) {}
+
 // startPeer starts a peer with a fixed update and returns it with its address.
 func startPeer(t *testing.T, update relay.Update) (*fixedPeer, string) {
 	t.Helper()
--- a/node/entry/verdicts.go
+++ b/node/entry/verdicts.go
@@ -36,11 +36,7 @@
 		case <-ctx.Done():
 			return
 		case v := <-n.verdicts:
-			for _, m := range n.fleet.others() {
-				if err := relay.SendVerdict(ctx, m.PeerAddress, v); err != nil {
-					n.log.Debug().Str("event", "peer_silent").Err(err).Send()
-				}
-			}
+			n.broadcast(func(peer string) error { return relay.SendVerdict(ctx, peer, v) })
 		}
 	}
 }
