One of the nodes issues the permits for a limited upstream

What an upstream in need met since nodes take equal shares of its limit: less than it takes. Leaving an engine alone is no mend: its layers may have no second holder.

Change: the nodes choose one of themselves by rendezvous hash of the upstream, the keeper. A node whose choice falls on the upstream asks it for a permit (40 ms at most), and chooses again without the upstream if there is none. Denied nodes pause, so that all together ask four times for each permit; streams under way do not pause and come first. Without a keeper a node takes its equal share as before.

relay: one table of methods instead of a switch, as each decodes its parameters.

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"maps"
 	"math"
 	"strconv"
@@ -13,45 +14,119 @@
 	"mimosaarch.example/decide/directory"
 )
 
-// withRefusing returns the upstreams to avoid, and in addition those that must get no
-// request now because of what they ask for. It leaves out those that already run the
-// request. The caller holds mu.
-func (p *picker) withRefusing(avoid map[ids.Instance]bool, running chain.Chain) map[ids.Instance]bool {
-	refusing := p.backpressure.Refusing(p.opts.Now())
-	if len(refusing) == 0 {
+// Permits asks for the permits to send requests to upstreams that name a rate limit.
+type Permits interface {
+	// Acquire asks the keeper of an upstream for a permit. An error means that no keeper
+	// has answered. It must be safe for concurrent use.
+	Acquire(ctx context.Context, r backpressure.PermitRequest) (backpressure.PermitReply, error)
+}
+
+// admission is the state of one choice of upstreams with regard to what they ask for.
+type admission struct {
+	// urgent is true if the caller has part of the response.
+	urgent bool
+	// running holds the engines that already run the request.
+	running chain.Chain
+	// granted and denied hold the upstreams for which the request got a permit, or none.
+	granted, denied map[ids.Instance]bool
+}
+
+// newAdmission returns the state of a choice that has asked for no permit yet.
+func newAdmission(urgent bool, running chain.Chain) *admission {
+	return &admission{urgent: urgent, running: running, granted: make(map[ids.Instance]bool), denied: make(map[ids.Instance]bool)}
+}
+
+// mayUse reports whether the request needs no further admission by an upstream.
+func (a *admission) mayUse(id ids.Instance) bool { return a.granted[id] || a.running.Has(id) }
+
+// withHeld returns the upstreams to avoid, and in addition those that must not get the
+// request now because of what they ask for. The caller holds mu.
+func (p *picker) withHeld(avoid map[ids.Instance]bool, a *admission) map[ids.Instance]bool {
+	held := p.backpressure.HeldUpstreams(p.opts.Now(), a.urgent)
+	if len(held)+len(a.denied) == 0 {
 		return avoid
 	}
-	all := make(map[ids.Instance]bool, len(avoid)+len(refusing))
+	p.opts.Metrics.Add("upstream.held_back", int64(len(held)))
+	all := make(map[ids.Instance]bool, len(avoid)+len(held)+len(a.denied))
 	maps.Copy(all, avoid)
-	for _, id := range refusing {
-		if !running.Has(id) {
+	maps.Copy(all, a.denied)
+	for _, id := range held {
+		if !a.mayUse(id) {
 			all[id] = true
 		}
 	}
 	return all
 }
 
+// needPermits returns those of a chain's engines to which the request may be sent only
+// with a permit that it has not got yet. The caller holds mu.
+func (p *picker) needPermits(c chain.Chain, a *admission) []ids.Instance {
+	var need []ids.Instance
+	for _, id := range c.Engines() {
+		if !a.mayUse(id) && p.backpressure.Admits(p.opts.Now(), id, a.urgent) == backpressure.PermitNeeded {
+			need = append(need, id)
+		}
+	}
+	return need
+}
+
 // recordSends counts a request on each engine of a chain that does not run it yet. The
 // caller holds mu.
 func (p *picker) recordSends(c, running chain.Chain) {
 	now := p.opts.Now()
-	for _, stage := range c {
-		if !running.Has(stage.Engine.ID) {
-			p.backpressure.Sent(now, stage.Engine.ID)
+	for _, id := range c.Engines() {
+		if !running.Has(id) {
+			p.backpressure.Sent(now, id)
 		}
 	}
 }
 
-// admitProbe reports whether an upstream may be probed now. A probe counts as a request.
-func (p *picker) admitProbe(id ids.Instance) bool {
+// acquirePermits asks for permits to send a request to upstreams, and records in a which
+// were granted.
+func (p *picker) acquirePermits(ctx context.Context, need []ids.Instance, a *admission) {
+	for _, id := range need {
+		if p.acquirePermit(ctx, id, a.urgent) {
+			a.granted[id] = true
+			continue
+		}
+		a.denied[id] = true
+	}
+}
+
+// permitTimeout bounds the wait for a permit.
+const permitTimeout = 40 * time.Millisecond
+
+// acquirePermit asks for a permit to send a request to an upstream, and reports whether
+// the request may be sent.
+func (p *picker) acquirePermit(ctx context.Context, id ids.Instance, urgent bool) bool {
+	p.mu.Lock()
+	limit, age := p.backpressure.Limit(id), p.backpressure.LimitAge(p.opts.Now(), id)
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	reply, err := p.opts.Permits.Acquire(ctx, backpressure.PermitRequest{Upstream: id, PerSecond: limit, Urgent: urgent})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.opts.Now()
-	if !p.backpressure.Admits(now, id) {
-		return false
+	if err != nil {
+		p.backpressure.PermitFailed(p.opts.Now(), id)
+		p.opts.Metrics.Add("upstream.permits_failed", 1)
+		p.opts.Log.Info().Str("event", "permit_failed").Str("upstream", id.String()).Float64("per_second", limit).Err(err).Send()
+		return p.backpressure.Admits(p.opts.Now(), id, urgent) == backpressure.Admitted
 	}
-	p.backpressure.Sent(now, id)
-	return true
+	p.backpressure.PermitAnswered(p.opts.Now(), reply)
+	if !reply.Granted {
+		p.opts.Metrics.Add("upstream.permits_denied", 1)
+		p.opts.Log.Info().Str("event", "permit_denied").Str("upstream", id.String()).Float64("per_second", limit).
+			Dur("age_ms", age).Int64("pause_ms", reply.PauseMs).Send()
+	}
+	return reply.Granted
+}
+
+// admitProbe reports whether an upstream may be probed now.
+func (p *picker) admitProbe(id ids.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backpressure.AdmitProbe(p.opts.Now(), id)
 }
 
 // limitAnswered records the limit that a response of an upstream names, or that it names
@@ -62,7 +137,7 @@
 	notice := p.backpressure.LimitNotice(u.ID)
 	p.mu.Unlock()
 	if change != backpressure.LimitSame {
-		p.logLimit(u.ID, change, "upstream")
+		p.logLimit(notice, "upstream")
 		p.opts.OnLimit(notice)
 	}
 }
@@ -72,30 +147,34 @@
 	p.mu.Lock()
 	change := p.backpressure.LimitNotified(p.opts.Now(), n)
 	p.mu.Unlock()
-	p.logLimit(n.Upstream, change, "peer")
+	if change != backpressure.LimitSame {
+		p.logLimit(n, "peer")
+	}
 }
 
 // logLimit logs and counts a change of the limit that an upstream names. from is who has
 // told this node.
-func (p *picker) logLimit(id ids.Instance, change backpressure.LimitChange, from string) {
-	p.mu.Lock()
-	limit, share := p.backpressure.Limit(id)
-	nodes := p.nodes
-	p.mu.Unlock()
-	switch change {
-	case backpressure.LimitNamed:
-		p.opts.Metrics.Add("upstream.limits_named", 1)
-		p.opts.Log.Info().Str("event", "upstream_limited").Str("upstream", id.String()).Str("from", from).
-			Float64("per_second", limit).Float64("share", share).Int("nodes", nodes).Send()
-	case backpressure.LimitEnded:
+func (p *picker) logLimit(n backpressure.LimitNotice, from string) {
+	if n.PerSecond == 0 {
 		p.opts.Metrics.Add("upstream.limits_ended", 1)
-		p.opts.Log.Info().Str("event", "upstream_limit_ended").Str("upstream", id.String()).Str("from", from).Float64("per_second", limit).Send()
+		p.opts.Log.Info().Str("event", "upstream_limit_ended").Str("upstream", n.Upstream.String()).Str("from", from).Send()
+		return
 	}
+	p.opts.Metrics.Add("upstream.limits_named", 1)
+	p.opts.Log.Info().Str("event", "upstream_limited").Str("upstream", n.Upstream.String()).Str("from", from).
+		Float64("per_second", n.PerSecond).Send()
+}
+
+// limit returns the rate limit of an upstream in requests per second, 0 if it names none.
+func (p *picker) limit(id ids.Instance) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backpressure.Limit(id)
 }
 
 // recordLimit records what a response says about the rate limit of its upstream. A
 // response of another process at the upstream's address says nothing about it. A
-// malformed limit is counted and otherwise ignored.
+// malformed limit is counted, logged and otherwise ignored.
 func (a *attempt) recordLimit() {
 	if a.resp.Head.StatusCode() == statusMisdirected {
 		return
@@ -108,6 +187,7 @@
 	limit, ok := parseLimit(value)
 	if !ok {
 		a.x.count("upstream.limit_malformed")
+		a.x.log("limit_malformed").Str("upstream", a.u.ID.String()).Str("value", value).Send()
 		return
 	}
 	a.x.server.picker.limitAnswered(a.u, a.sentAt, limit, true)
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -112,6 +112,8 @@
 	// changes or ends, to inform the other nodes. It must not block and must be safe for
 	// concurrent use.
 	OnLimit func(backpressure.LimitNotice)
+	// Permits asks for permits to send requests to upstreams that name a rate limit.
+	Permits Permits
 	// OnRestart is called with the new instance of an upstream whose report shows a later
 	// start than the directory knows. It must be safe for concurrent use.
 	OnRestart func(ids.Instance)
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -105,26 +106,42 @@
 }
 
 // chooseChain chooses the chain of a request and counts the request on it.
-func (p *picker) chooseChain(m *layered.Model, view *directory.View, r chain.Request) (chain.Chain, error) {
+func (p *picker) chooseChain(ctx context.Context, m *layered.Model, view *directory.View, r chain.Request) (chain.Chain, error) {
+	a := newAdmission(r.OutputStarted, nil)
+	for {
+		c, need, err := p.tryChain(m, view, r, a)
+		if len(need) == 0 {
+			return c, err
+		}
+		p.acquirePermits(ctx, need, a)
+	}
+}
+
+// tryChain chooses the chain of a request. It counts the request on it, unless need is not
+// empty: then the request needs permits for these engines.
+func (p *picker) tryChain(m *layered.Model, view *directory.View, r chain.Request, a *admission) (c chain.Chain, need []ids.Instance, err error) {
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.chain", p.opts.Now().Sub(began)) }()
-	r.Avoid = p.withRefusing(r.Avoid, nil)
-	c, err := p.chains.Pick(p.opts.Now(), m, view, r)
+	r.Avoid = p.withHeld(r.Avoid, a)
+	c, err = p.chains.Pick(p.opts.Now(), m, view, r)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	if need = p.needPermits(c, a); len(need) > 0 {
+		return nil, need, nil
 	}
 	p.retryAfters.ChainFound(began, r.Service)
 	if !p.checkTiling(c, m.Layers) {
-		return nil, &chain.TilingError{Chain: c.String(), Layers: m.Layers}
+		return nil, nil, &chain.TilingError{Chain: c.String(), Layers: m.Layers}
 	}
 	if full := p.chains.FullEngine(began, c); full != nil && !r.OutputStarted {
-		return nil, &chain.FullError{Service: r.Service, Engine: full.ID}
+		return nil, nil, &chain.FullError{Service: r.Service, Engine: full.ID}
 	}
 	p.chains.RequestStarted(p.opts.Now(), c, r)
 	p.recordSends(c, nil)
-	return c, nil
+	return c, nil, nil
 }
 
 // retryAfter returns the Retry-After for a caller for which no chain was found. left is
@@ -177,7 +194,7 @@
 	if !p.budget(r.Service).Available(now, retryKind(dead)) {
 		return false
 	}
-	r.Avoid = p.withRefusing(r.Avoid, nil)
+	r.Avoid = p.withHeld(r.Avoid, newAdmission(r.OutputStarted, nil))
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil {
 		return false
@@ -188,23 +205,39 @@
 // reroute chooses new stages after the first for a request that stalls on a chain, and
 // moves the request's count to the new chain. It returns nil if there is no other
 // chain, or if the present one is alive and no other is much cheaper.
-func (p *picker) reroute(m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool) chain.Chain {
+func (p *picker) reroute(ctx context.Context, m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool) chain.Chain {
+	a := newAdmission(true, present)
+	r.PinnedFirst = &present[0]
+	for {
+		other, need := p.tryReroute(m, view, r, present, dead, a)
+		if len(need) == 0 {
+			return other
+		}
+		p.acquirePermits(ctx, need, a)
+	}
+}
+
+// tryReroute is reroute, except that the request stays where it is if need is not empty:
+// then it needs permits for these engines.
+func (p *picker) tryReroute(m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool, a *admission) (other chain.Chain, need []ids.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Now()
-	r.PinnedFirst = &present[0]
-	r.Avoid = p.withRefusing(r.Avoid, present)
+	r.Avoid = p.withHeld(r.Avoid, a)
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil || !p.checkTiling(other, m.Layers) {
-		return nil
+		return nil, nil
 	}
 	if !dead && p.chains.Cost(now, m, r, other) >= maxSwitchCostRatio*p.chains.Cost(now, m, r, present) {
-		return nil
+		return nil, nil
+	}
+	if need = p.needPermits(other, a); len(need) > 0 {
+		return nil, need
 	}
 	p.chains.RequestEnded(now, present, r)
 	p.chains.RequestStarted(now, other, r)
 	p.recordSends(other, present)
-	return other
+	return other, nil
 }
 
 // chainEnded removes a request from the counts of its chain.
@@ -216,17 +249,35 @@
 
 // chooseReplica chooses the upstream of a plain request and counts the request on it.
 // It returns nil if no upstream may take it.
-func (p *picker) chooseReplica(list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64) *directory.Upstream {
+func (p *picker) chooseReplica(ctx context.Context, list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64) *directory.Upstream {
+	a := newAdmission(false, nil)
+	for {
+		u, need := p.tryReplica(list, avoid, draw, a)
+		if len(need) == 0 {
+			return u
+		}
+		p.acquirePermits(ctx, need, a)
+	}
+}
+
+// tryReplica is chooseReplica, except that the request is not counted if need is not
+// empty: then it needs a permit for this upstream.
+func (p *picker) tryReplica(list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64, a *admission) (u *directory.Upstream, need []ids.Instance) {
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.replica", p.opts.Now().Sub(began)) }()
-	u := p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, p.withRefusing(avoid, nil), draw)
-	if u != nil {
-		p.replicas.RequestStarted(u.ID)
-		p.backpressure.Sent(p.opts.Now(), u.ID)
+	u = p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, p.withHeld(avoid, a), draw)
+	if u == nil {
+		return nil, nil
+	}
+	chosen := chain.Chain{{Engine: u}}
+	if need = p.needPermits(chosen, a); len(need) > 0 {
+		return nil, need
 	}
-	return u
+	p.replicas.RequestStarted(u.ID)
+	p.recordSends(chosen, nil)
+	return u, nil
 }
 
 // replicaEnded removes a request from the count of its upstream, and records how long
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -34,7 +34,7 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[ids.Instance]bool)
 	for refusals := 0; ; {
-		u := x.server.picker.chooseReplica(x.server.opts.View().ByService(x.service), avoid, x.draw())
+		u := x.server.picker.chooseReplica(ctx, x.server.opts.View().ByService(x.service), avoid, x.draw())
 		if u == nil {
 			x.giveUp(outcome.NoUpstream, "no usable upstream", noUpstreamRetryAfter)
 			return
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -11,6 +11,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
+	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -162,6 +163,10 @@
 	}
 }
 
+// Limit returns the rate limit that an upstream names, in requests per second from all
+// nodes together, 0 if it names none.
+func (s *Server) Limit(id ids.Instance) float64 { return s.picker.limit(id) }
+
 // confirmAlive connects to an upstream that broke off a connection. If the process has
 // crashed, its host refuses the connection.
 func (s *Server) confirmAlive(u *directory.Upstream) {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -187,7 +187,7 @@
 	x := w.s.x
 	req := w.requestAvoiding(faulty)
 	for range maxRerouteAttempts {
-		other := x.server.picker.reroute(w.s.model, x.server.opts.View(), req, w.chain, dead)
+		other := x.server.picker.reroute(w.ctx, w.s.model, x.server.opts.View(), req, w.chain, dead)
 		if other == nil {
 			return false
 		}
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -182,7 +182,7 @@
 func (s *stream) chooseChain(ctx context.Context) (chain.Chain, *failure) {
 	x := s.x
 	if s.model == nil {
-		u := x.server.picker.chooseReplica(x.server.opts.View().ByService(x.service), s.req.Avoid, x.draw())
+		u := x.server.picker.chooseReplica(ctx, x.server.opts.View().ByService(x.service), s.req.Avoid, x.draw())
 		if u == nil {
 			return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: &chain.NoChainError{Service: x.service}}
 		}
@@ -197,9 +197,9 @@
 	strict := req
 	strict.Avoid = maps.Clone(req.Avoid)
 	maps.Copy(strict.Avoid, s.lastResort)
-	c, err := x.server.picker.chooseChain(s.model, view, strict)
+	c, err := x.server.picker.chooseChain(ctx, s.model, view, strict)
 	if err != nil && len(s.lastResort) > 0 {
-		c, err = x.server.picker.chooseChain(s.model, view, req)
+		c, err = x.server.picker.chooseChain(ctx, s.model, view, req)
 	}
 	if err != nil {
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.NoUpstream, cause: err}
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -32,6 +32,8 @@
 	methodVerdict = "verdict"
 	// methodLimit reports the start and the end of an upstream's rate limit.
 	methodLimit = "limit"
+	// methodPermit asks for a permit to send a request to an upstream.
+	methodPermit = "permit"
 )
 
 // Timeouts of calls.
@@ -145,6 +147,9 @@
 	ApplyVerdict(v quarantine.Verdict)
 	// ApplyLimit applies a limit that an upstream has named to a peer.
 	ApplyLimit(n backpressure.LimitNotice)
+	// IssuePermit answers a peer's request for a permit. An error means that the node is
+	// not the keeper of the upstream.
+	IssuePermit(r backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
 // Serve answers peers until l is closed, and returns the error of Accept.
@@ -167,42 +172,50 @@
 // caller notices that itself, and a node must write nothing but JSON lines.
 var discardLogger = log.New(io.Discard, "", 0)
 
+// method handles the calls of one method. params is never nil.
+type method func(ctx context.Context, source Source, params json.RawMessage) (any, error)
+
+// methods holds the handlers of all methods by name.
+var methods = map[string]method{
+	methodUpdate: handle(func(ctx context.Context, source Source, req UpdateRequest) (any, error) {
+		req.WaitMs = min(req.WaitMs, MaxWait.Milliseconds())
+		return source.UpdateSince(ctx, req), nil
+	}),
+	methodVerdict: handle(func(_ context.Context, source Source, v quarantine.Verdict) (any, error) {
+		source.ApplyVerdict(v)
+		return nil, nil
+	}),
+	methodLimit: handle(func(_ context.Context, source Source, n backpressure.LimitNotice) (any, error) {
+		source.ApplyLimit(n)
+		return nil, nil
+	}),
+	methodPermit: handle(func(_ context.Context, source Source, r backpressure.PermitRequest) (any, error) {
+		return source.IssuePermit(r)
+	}),
+}
+
+// handle returns a method that decodes its parameters.
+func handle[P any](f func(context.Context, Source, P) (any, error)) method {
+	return func(ctx context.Context, source Source, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, source, params)
+	}
+}
+
 // handler returns a function that answers one call from source.
 func handler(source Source) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		switch {
-		case r.Params == nil:
-		case r.Method == methodUpdate:
-			var req UpdateRequest
-			if err := json.Unmarshal(*r.Params, &req); err != nil {
-				return nil, invalidParams(err)
-			}
-			req.WaitMs = min(req.WaitMs, MaxWait.Milliseconds())
-			return source.UpdateSince(ctx, req), nil
-		case r.Method == methodVerdict:
-			var v quarantine.Verdict
-			if err := json.Unmarshal(*r.Params, &v); err != nil {
-				return nil, invalidParams(err)
-			}
-			source.ApplyVerdict(v)
-			return nil, nil
-		case r.Method == methodLimit:
-			var n backpressure.LimitNotice
-			if err := json.Unmarshal(*r.Params, &n); err != nil {
-				return nil, invalidParams(err)
-			}
-			source.ApplyLimit(n)
-			return nil, nil
+		method := methods[r.Method]
+		if method == nil || r.Params == nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 		}
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
+		return method(ctx, source, *r.Params)
 	}
 }
 
-// invalidParams returns the error for parameters that cannot be decoded.
-func invalidParams(err error) error {
-	return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-}
-
 // CallError reports a call to a peer that failed.
 type CallError struct {
 	Peer  string
@@ -246,6 +259,15 @@
 	return nil
 }
 
+// AcquirePermit asks the peer at an address for a permit. The error is a *CallError.
+func AcquirePermit(ctx context.Context, peer string, r backpressure.PermitRequest) (backpressure.PermitReply, error) {
+	var reply backpressure.PermitReply
+	if err := call(ctx, peer, callTimeout, methodPermit, r, &reply); err != nil {
+		return backpressure.PermitReply{}, &CallError{peer, err}
+	}
+	return reply, nil
+}
+
 // call makes one call on a new connection. result receives the answer.
 func call(ctx context.Context, peer string, timeout time.Duration, method string, params, result any) error {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -292,3 +314,8 @@
 
 // ApplyLimit implements Source.
 func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
+
+// IssuePermit implements Source.
+func (emptySource) IssuePermit(backpressure.PermitRequest) (backpressure.PermitReply, error) {
+	return backpressure.PermitReply{}, nil
+}
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,12 +28,17 @@
 	list     []directory.Upstream
 	verdicts chan quarantine.Verdict
 	limits   chan backpressure.LimitNotice
+	permit   func(backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
 func (s *fakeSource) ApplyVerdict(v quarantine.Verdict) { s.verdicts <- v }
 
 func (s *fakeSource) ApplyLimit(n backpressure.LimitNotice) { s.limits <- n }
 
+func (s *fakeSource) IssuePermit(r backpressure.PermitRequest) (backpressure.PermitReply, error) {
+	return s.permit(r)
+}
+
 func (s *fakeSource) UpdateSince(_ context.Context, req UpdateRequest) Update {
 	var u Update
 	if s.config.Version > req.ConfigVersion {
@@ -112,6 +118,25 @@
 	}
 }
 
+func TestPermitsAreAnswered(t *testing.T) {
+	asked := backpressure.PermitRequest{Upstream: ids.Instance{Upstream: "a"}, Node: "vm-1", PerSecond: 3.7, Urgent: true}
+	want := backpressure.PermitReply{Upstream: asked.Upstream, PauseMs: 250}
+	refused := errors.New("another node is the keeper")
+	peer := serve(t, &fakeSource{permit: func(r backpressure.PermitRequest) (backpressure.PermitReply, error) {
+		if r != asked {
+			return backpressure.PermitReply{}, refused
+		}
+		return want, nil
+	}})
+	if got, err := AcquirePermit(t.Context(), peer, asked); err != nil || got != want {
+		t.Errorf("reply %+v, error %v", got, err)
+	}
+	var failed *CallError
+	if _, err := AcquirePermit(t.Context(), peer, backpressure.PermitRequest{}); !errors.As(err, &failed) || !strings.Contains(err.Error(), refused.Error()) {
+		t.Errorf("error %v", err)
+	}
+}
+
 func TestFrozenPeerIsACallError(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/decide/backpressure/backpressure.go
+++ b/decide/backpressure/backpressure.go
@@ -2,14 +2,12 @@
 // and decides for one node which upstreams may get a request now.
 //
 // An upstream may name a rate limit: the requests per second that it takes from all
-// nodes together. The nodes tell each other when a limit begins and ends, but do not
-// coordinate their sends. Each takes an equal share of the limit and spaces its requests
-// evenly, starting at a random moment. A share that is not used is lost after
-// permitLifetime, so that many nodes that have been idle do not send at the same time.
-// This bounds the sum over all nodes, at the price that a limit is used only in part while
-// few of many nodes have requests.
+// nodes together. The nodes tell each other when a limit begins and ends. While it lasts,
+// one of them, the keeper, issues a permit for each request; all nodes choose the same
+// keeper from the list of nodes, without asking. A node that does not reach the keeper
+// takes an equal share of the limit and spaces its requests evenly.
 //
-// A Table must be used by one goroutine at a time and reads no clock.
+// Tables and Issuers must be used by one goroutine at a time and read no clock.
 package backpressure
 
 import (
@@ -36,13 +34,7 @@
 	// usualRate is that rate in requests per second at the start of the restriction.
 	sends     meter
 	usualRate float64
-	// limit is the named limit in requests per second from all nodes, 0 for none. It was
-	// last named at namedAt.
-	limit   float64
-	namedAt time.Time
-	// endedAt is when the limit ended. The rate then rises gradually.
-	endedAt time.Time
-	pacer   pacer
+	limit     limitState
 	// goneAt is when the upstream left the directory, zero while it is listed.
 	goneAt time.Time
 }
@@ -66,14 +58,35 @@
 	return u
 }
 
-// Admits reports whether this node may send a request to an upstream at now.
-func (t *Table) Admits(now time.Time, id ids.Instance) bool {
+// restrict begins a restriction of an upstream, unless there is one already.
+func (t *Table) restrict(now time.Time, id ids.Instance, u *upstreamState) {
+	if t.restricted[id] == nil {
+		t.restricted[id] = u
+		u.usualRate = u.sends.perSecond(now)
+	}
+}
+
+// Admission says whether a node may send a request to an upstream.
+type Admission int
+
+// Admissions.
+const (
+	// Admitted means that the request may be sent.
+	Admitted Admission = iota
+	// PermitNeeded means that the request may be sent with a permit.
+	PermitNeeded
+	// Held means that the request must not be sent.
+	Held
+)
+
+// Admits reports whether this node may send a request to an upstream at now. urgent is
+// true for a request whose caller has part of the response.
+func (t *Table) Admits(now time.Time, id ids.Instance, urgent bool) Admission {
 	u := t.restricted[id]
 	if u == nil {
-		return true
+		return Admitted
 	}
-	t.advance(now, id, u)
-	return t.restricted[id] == nil || u.pacer.permits > 0
+	return t.limitAdmits(now, id, u, urgent)
 }
 
 // Sent records that this node sends a request to an upstream.
@@ -83,19 +96,18 @@
 		u.sends.add(now)
 		return
 	}
-	t.advance(now, id, u)
-	u.pacer.use()
+	u.limit.pacer.use()
 }
 
-// Refusing returns the upstreams that must get no request of this node at now.
-func (t *Table) Refusing(now time.Time) []ids.Instance {
-	var refusing []ids.Instance
+// HeldUpstreams returns the upstreams to which this node must not send a request at now.
+func (t *Table) HeldUpstreams(now time.Time, urgent bool) []ids.Instance {
+	var held []ids.Instance
 	for id := range t.restricted {
-		if !t.Admits(now, id) {
-			refusing = append(refusing, id)
+		if t.Admits(now, id, urgent) == Held {
+			held = append(held, id)
 		}
 	}
-	return refusing
+	return held
 }
 
 // forgetAfter is how long the state of an upstream is kept after it has left the
--- a/decide/backpressure/pacer.go
+++ b/decide/backpressure/pacer.go
@@ -8,12 +8,11 @@
 	"mimosaarch.example/core/ids"
 )
 
-// permitLifetime is how long a permit to send a request lasts if it is not used. A longer
-// lifetime uses more of a limit while requests are rare, but then more nodes may send at
-// the same moment.
+// permitLifetime is how long a permit lasts if it is not used. With a longer lifetime more
+// nodes that have been idle could send at the same moment.
 const permitLifetime = 1500 * time.Millisecond
 
-// pacer issues permits to send at a rate that may change.
+// pacer spaces requests at a rate that may change. A permit is due for each.
 type pacer struct {
 	// earned is the fraction of the next permit that has been earned, 0 to 1.
 	earned    float64
@@ -58,6 +57,18 @@
 	}
 }
 
+// admits updates the permits and reports whether there is one, as an Admission.
+func (p *pacer) admits(now time.Time, rate float64) Admission {
+	p.advance(now, rate)
+	if p.permits > 0 {
+		return Admitted
+	}
+	return Held
+}
+
+// skip updates the time without earning permits.
+func (p *pacer) skip(now time.Time) { p.updatedAt = now }
+
 // use uses up a permit, if there is one.
 func (p *pacer) use() { p.permits = max(p.permits-1, 0) }
 
--- a/decide/backpressure/ratelimit.go
+++ b/decide/backpressure/ratelimit.go
@@ -8,18 +8,38 @@
 )
 
 const (
-	// shareFraction is the fraction of a limit that the nodes share. The rest allows for
-	// nodes whose requests happen to coincide.
-	shareFraction = 0.75
+	// usedFraction is the fraction of a limit that the nodes use. The rest allows for
+	// nodes that disagree for a while on the keeper: two keepers together issue 1.4 times
+	// the limit.
+	usedFraction = 0.7
 	// minLimit replaces lower limits, in requests per second. Without any request no node
 	// would learn that an upstream takes more.
-	minLimit = 0.5
+	minLimit = 0.1
 	// doublingPeriod is the time in which the rate doubles after the end of a limit.
 	doublingPeriod = time.Second
 	// similarRatio is the ratio of two limits from which on they count as different.
 	similarRatio = 1.25
+	// keeperRetryInterval is how long a node uses its own share after the keeper did not
+	// answer, before it asks again.
+	keeperRetryInterval = time.Second
 )
 
+// limitState is the rate limit of one upstream.
+type limitState struct {
+	// perSecond is the named limit in requests per second from all nodes, 0 for none. It
+	// was last named at namedAt.
+	perSecond float64
+	namedAt   time.Time
+	// endedAt is when the limit ended, zero while it lasts. The rate then rises gradually.
+	endedAt time.Time
+	// pausedUntil is the time before which this node does not ask the keeper again.
+	// keeperSilentUntil is the time until which it uses its own share, because the keeper
+	// has not answered.
+	pausedUntil, keeperSilentUntil time.Time
+	// pacer spaces the requests that need no permit of the keeper, probes those.
+	pacer, probes pacer
+}
+
 // LimitChange is a change of the limit that an upstream names.
 type LimitChange int
 
@@ -42,11 +62,25 @@
 
 // LimitNotice returns the notice for other nodes about an upstream.
 func (t *Table) LimitNotice(id ids.Instance) LimitNotice {
-	n := LimitNotice{Upstream: id}
-	if u := t.restricted[id]; u != nil && u.endedAt.IsZero() {
-		n.PerSecond = u.limit
+	return LimitNotice{Upstream: id, PerSecond: t.Limit(id)}
+}
+
+// Limit returns the limit that an upstream names, in requests per second from all nodes
+// together, 0 if there is none.
+func (t *Table) Limit(id ids.Instance) float64 {
+	u := t.restricted[id]
+	if u == nil || !u.limit.endedAt.IsZero() {
+		return 0
+	}
+	return u.limit.perSecond
+}
+
+// LimitAge returns the time since an upstream last named its limit.
+func (t *Table) LimitAge(now time.Time, id ids.Instance) time.Duration {
+	if u := t.restricted[id]; u != nil {
+		return now.Sub(u.limit.namedAt)
 	}
-	return n
+	return 0
 }
 
 // LimitNotified applies the notice of another node.
@@ -68,26 +102,22 @@
 	switch {
 	case named:
 		return t.limitNamed(now, id, limit)
-	case u.limit == 0 || !sentAt.After(u.namedAt):
+	case u.limit.perSecond == 0 || !sentAt.After(u.limit.namedAt):
 		return LimitSame
 	}
 	return t.limitEnded(now, id)
 }
 
 // limitNamed records a limit that an upstream names to this node or another one.
-func (t *Table) limitNamed(now time.Time, id ids.Instance, limit float64) LimitChange {
+func (t *Table) limitNamed(now time.Time, id ids.Instance, perSecond float64) LimitChange {
 	u := t.stateOf(id)
-	if u.limit > 0 {
-		t.advance(now, id, u)
+	previous := t.Limit(id)
+	if u.limit.perSecond == 0 {
+		u.limit = limitState{pacer: newPacer(now, t.seed, id), probes: newPacer(now, ^t.seed, id)}
 	}
-	previous := u.limit
-	u.limit, u.namedAt, u.endedAt = max(limit, minLimit), now, time.Time{}
-	if t.restricted[id] == nil {
-		t.restricted[id] = u
-		u.usualRate = u.sends.perSecond(now)
-		u.pacer = newPacer(now, t.seed, id)
-	}
-	if previous > 0 && max(previous/u.limit, u.limit/previous) < similarRatio {
+	t.restrict(now, id, u)
+	u.limit.perSecond, u.limit.namedAt, u.limit.endedAt = max(perSecond, minLimit), now, time.Time{}
+	if previous > 0 && max(previous/u.limit.perSecond, u.limit.perSecond/previous) < similarRatio {
 		return LimitSame
 	}
 	return LimitNamed
@@ -96,45 +126,76 @@
 // limitEnded records that an upstream no longer names a limit to this node or another
 // one. The rate of this node's requests then rises gradually from its share.
 func (t *Table) limitEnded(now time.Time, id ids.Instance) LimitChange {
-	u := t.upstreams[id]
-	if u == nil || u.limit == 0 || !u.endedAt.IsZero() {
+	if t.Limit(id) == 0 {
 		return LimitSame
 	}
-	t.advance(now, id, u)
-	u.endedAt = now
+	l := &t.upstreams[id].limit
+	l.pacer.advance(now, t.share(l))
+	l.endedAt = now
 	return LimitEnded
 }
 
-// Limit returns the limit that an upstream names, and this node's share of it, in
-// requests per second. Both are 0 if there is none.
-func (t *Table) Limit(id ids.Instance) (limit, share float64) {
+// share returns this node's equal share of a limit in requests per second. It is 0 while
+// the number of nodes is unknown.
+func (t *Table) share(l *limitState) float64 {
+	if t.nodes <= 0 {
+		return 0
+	}
+	return l.perSecond * usedFraction / float64(t.nodes)
+}
+
+// limitAdmits is Admits for the limit of an upstream.
+func (t *Table) limitAdmits(now time.Time, id ids.Instance, u *upstreamState, urgent bool) Admission {
+	l := &u.limit
+	if !l.endedAt.IsZero() {
+		return t.returnAdmits(now, id, u)
+	}
+	if now.Before(l.keeperSilentUntil) || t.nodes <= 0 {
+		return l.pacer.admits(now, t.share(l))
+	}
+	l.pacer.skip(now)
+	if now.Before(l.pausedUntil) && !urgent {
+		return Held
+	}
+	return PermitNeeded
+}
+
+// returnAdmits is limitAdmits after the end of a limit. The rate rises from this node's
+// share to its usual rate, which ends the restriction.
+func (t *Table) returnAdmits(now time.Time, id ids.Instance, u *upstreamState) Admission {
+	rate := t.share(&u.limit) * math.Exp2(now.Sub(u.limit.endedAt).Seconds()/doublingPeriod.Seconds())
+	if rate < u.usualRate {
+		return u.limit.pacer.admits(now, rate)
+	}
+	u.limit = limitState{}
+	delete(t.restricted, id)
+	return Admitted
+}
+
+// AdmitProbe reports whether this node may probe an upstream at now, and counts the
+// probe. A limited upstream is probed at this node's share of the limit at most.
+func (t *Table) AdmitProbe(now time.Time, id ids.Instance) bool {
 	u := t.restricted[id]
-	if u == nil {
-		return 0, 0
+	if u == nil || !u.limit.endedAt.IsZero() {
+		return true
+	}
+	if u.limit.probes.admits(now, t.share(&u.limit)) == Held {
+		return false
 	}
-	return u.limit, t.share(u)
+	u.limit.probes.use()
+	return true
 }
 
-// share returns this node's share of a limit in requests per second. It is 0 while the
-// number of nodes is unknown.
-func (t *Table) share(u *upstreamState) float64 {
-	if t.nodes <= 0 {
-		return 0
+// PermitAnswered applies the keeper's answer to a request for a permit.
+func (t *Table) PermitAnswered(now time.Time, reply PermitReply) {
+	if u := t.restricted[reply.Upstream]; u != nil && !reply.Granted {
+		u.limit.pausedUntil = now.Add(reply.pause())
 	}
-	return u.limit * shareFraction / float64(t.nodes)
 }
 
-// advance updates the permits of a restricted upstream to time now. It ends the
-// restriction once the rate has risen to the usual one after the end of the limit.
-func (t *Table) advance(now time.Time, id ids.Instance, u *upstreamState) {
-	rate := t.share(u)
-	if !u.endedAt.IsZero() {
-		rate *= math.Exp2(now.Sub(u.endedAt).Seconds() / doublingPeriod.Seconds())
-		if rate >= u.usualRate {
-			u.limit, u.endedAt = 0, time.Time{}
-			delete(t.restricted, id)
-			return
-		}
-	}
-	u.pacer.advance(now, rate)
+// PermitFailed records that the keeper of an upstream did not answer.
+func (t *Table) PermitFailed(now time.Time, id ids.Instance) {
+	if u := t.restricted[id]; u != nil {
+		u.limit.keeperSilentUntil = now.Add(keeperRetryInterval)
+	}
 }
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -40,6 +40,10 @@
 
 func (r broadcastRecorder) ApplyLimit(n backpressure.LimitNotice) { r.limits <- n }
 
+func (broadcastRecorder) IssuePermit(backpressure.PermitRequest) (backpressure.PermitReply, error) {
+	return backpressure.PermitReply{}, nil
+}
+
 // newBroadcastFleet returns a node and the recorder of the three other nodes that listen.
 // A fourth one does not.
 func newBroadcastFleet(t *testing.T) (*Node, broadcastRecorder) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -110,6 +110,7 @@
 
 	verdicts   chan quarantine.Verdict
 	limits     chan backpressure.LimitNotice
+	permits    *permits
 	storeCalls *callCounter
 	// initialized is closed once the first configuration and directory have
 	// arrived.
@@ -139,6 +140,7 @@
 	n.upstreams = newUpstreams(processID(settings), log, n.updates)
 	n.membership = newMembership(settings, &timedMembers{ports.Members, n.metrics.ObserveDuration}, n, log)
 	n.probe = newProbe(ports.Prober, n.fleet, log, &n.configs.storeContact, &n.upstreams.storeContact)
+	n.permits = newPermits(settings.VM, n.fleet, func(id ids.Instance) float64 { return n.server.Limit(id) }, n.ApplyLimit)
 	n.server = forward.New(forward.Options{
 		Headers:   ports.Headers,
 		Zone:      settings.Zone,
@@ -152,6 +154,7 @@
 		Metrics:   n.metrics,
 		OnVerdict: n.queueVerdict,
 		OnLimit:   n.queueLimit,
+		Permits:   n.permits,
 		OnRestart: n.upstreams.recordRestart,
 		Seed:      settings.Seed,
 	})
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -10,6 +10,7 @@
 
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/roster"
 )
 
@@ -29,7 +30,9 @@
 	// listVersion is the revision and digest of members.
 	listVersion relay.MemberListVersion
 	members     []roster.Member
-	ready       bool
+	// names holds the names of members.
+	names []ids.VM
+	ready bool
 	// unresponsiveCh is closed while the store does not answer this node. It is
 	// replaced when the store answers again.
 	unresponsiveCh chan struct{}
@@ -52,7 +55,10 @@
 	slices.SortFunc(members, func(a, b roster.Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	version := relay.MemberListVersion{Revision: revision, Digest: digest(members)}
 	if version.Digest != f.listVersion.Digest {
-		f.members = members
+		f.members, f.names = members, nil
+		for _, m := range members {
+			f.names = append(f.names, m.Name)
+		}
 		f.roster.Set(members)
 		f.onChanged(len(members))
 	}
@@ -144,6 +150,19 @@
 	return f.roster.Others()
 }
 
+// keeper returns the node that issues the permits for an upstream, or false if no nodes are
+// known.
+func (f *fleet) keeper(id ids.Instance) (roster.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	keeper := backpressure.Keeper(id, f.names)
+	i := slices.IndexFunc(f.members, func(m roster.Member) bool { return m.Name == keeper })
+	if i < 0 {
+		return roster.Member{}, false
+	}
+	return f.members[i], true
+}
+
 // memberListVersion returns the revision and digest of the current list.
 func (f *fleet) memberListVersion() relay.MemberListVersion {
 	f.mu.Lock()
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -34,6 +34,10 @@
 
 func (*fixedPeer) ApplyLimit(backpressure.LimitNotice) {}
 
+func (*fixedPeer) IssuePermit(backpressure.PermitRequest) (backpressure.PermitReply, error) {
+	return backpressure.PermitReply{}, nil
+}
+
 // startPeer starts a peer with a fixed update and returns it with its address.
 func startPeer(t *testing.T, update relay.Update) (*fixedPeer, string) {
 	t.Helper()
