Upstreams get the rest that they ask for

What callers met: an engine without room turned requests away for nine seconds and asked each node for 3 s without requests. The nodes sent it 434, each turned away; from the first second on callers were refused because the retry budget was used up.

Cause: no node reads the time asked for. Worse, a refusal that names no engine at fault leaves no trace: the first engine is left out for that one request, and the next request of the same node begins there again, where it now counts as idle. Class: an upstream's own word on what it takes is used for the answer to one caller and not kept for the choices that follow.

Change: decide/backpressure keeps the rest of each upstream, so every place that asks it for limits holds to rests too. A request that was chosen earlier is checked again before it is written. A later refusal extends a rest; no success, list of upstreams or configuration ends it. After it one request goes at once, and the rate rises from an eighth of the usual one, doubling each second. Callers for whom nobody is left are refused at once, with a Retry-After that follows from the rests.

Whole seconds, fractions and dates are read; anything else is counted and logged.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -8,6 +8,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -42,6 +43,8 @@
 	// faultyStage is the address of the engine that the refusal of a chain blames, empty
 	// if it names none.
 	faultyStage string
+	// rest is the time without requests that the refusal asks for, 0 for none.
+	rest time.Duration
 }
 
 // Error implements error.
@@ -62,9 +65,10 @@
 	return !f.phase.ProvesNotRun() && (f.reason == outcome.UpstreamLost || f.reason == outcome.UpstreamStalled)
 }
 
-// begin connects to an upstream and sends the request. head is the complete request
-// head.
-func (x *exchange) begin(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.WaitFunc) (*attempt, *failure) {
+// begin connects to the first upstream of a chain and sends the request. head is the
+// complete request head.
+func (x *exchange) begin(ctx context.Context, c chain.Chain, head []byte, watch upconn.WaitFunc) (*attempt, *failure) {
+	u := c[0].Engine
 	a := &attempt{x: x, u: u}
 	conn, err := x.server.pool.Get(ctx, target(u))
 	if err != nil {
@@ -73,6 +77,11 @@
 		}
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
 	}
+	// Other requests may have been refused while this one waited for the connection.
+	if err := x.server.picker.checkHeld(c); err != nil {
+		x.server.pool.Put(conn, 0)
+		return nil, &failure{phase: outcome.NotSent, reason: outcome.UpstreamBusy, cause: err}
+	}
 	if x.sends++; x.sends == 1 {
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
@@ -114,7 +123,7 @@
 		if id == a.x.id || id == "" && !a.conn.Reused() {
 			a.resp = resp
 			a.recordLimit()
-			return a.checkRefusal()
+			return a.checkRefusal(a.recordRest())
 		}
 		a.x.count("upstream.foreign_answer")
 		if _, err := resp.Body(); err != nil {
@@ -129,8 +138,8 @@
 var errForeignResponses = &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.UpstreamInvalid, Detail: "too many responses to other requests"}
 
 // checkRefusal returns a failure if the response proves that the request did not run,
-// and nil otherwise.
-func (a *attempt) checkRefusal() *failure {
+// and nil otherwise. rest is the rest that it asks for.
+func (a *attempt) checkRefusal(rest time.Duration) *failure {
 	head := &a.resp.Head
 	status := head.StatusCode()
 	notRun := len(head.Peek(a.x.server.opts.Headers.NotRun)) > 0
@@ -141,7 +150,7 @@
 	if status == statusMisdirected {
 		reason = outcome.UpstreamRefused
 	}
-	f := &failure{phase: outcome.Refused, reason: reason, cause: &StatusError{status}}
+	f := &failure{phase: outcome.Refused, reason: reason, cause: &StatusError{status}, rest: rest}
 	f.faultyStage = string(head.Peek(a.x.server.opts.Headers.FaultyStage))
 	if _, err := a.resp.Body(); err == nil {
 		a.release()
--- a/adapter/forward/backpressure_test.go
+++ b/adapter/forward/backpressure_test.go
@@ -28,6 +28,9 @@
 
 // restrictions are the ways in which an upstream asks for no request of this node.
 var restrictions = map[string]func(*testServer, *fakeUpstream){
+	"rest": func(r *testServer, f *fakeUpstream) {
+		r.picker.restAsked(&f.Upstream, time.Minute)
+	},
 	"limit without permits": func(r *testServer, f *fakeUpstream) {
 		r.picker.limitAnswered(&f.Upstream, boottime.Now(), 1, true)
 	},
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -183,9 +183,14 @@
 type fakeMetrics struct {
 	mu sync.Mutex
 	n  map[string]int64
+	// onAdd, if not nil, is called with each counter that is added to.
+	onAdd func(name string)
 }
 
 func (c *fakeMetrics) Add(name string, n int64) {
+	if c.onAdd != nil {
+		c.onAdd(name)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.n[name] += n
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -8,6 +9,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
 )
@@ -36,7 +38,7 @@
 	for refusals := 0; ; {
 		u := x.server.picker.chooseReplica(ctx, x.server.opts.View().ByService(x.service), avoid, x.draw())
 		if u == nil {
-			x.giveUp(outcome.NoUpstream, "no usable upstream", noUpstreamRetryAfter)
+			x.giveUp(outcome.NoUpstream, "no usable upstream", x.plainRetryAfter(noUpstreamRetryAfter))
 			return
 		}
 		resp, body, failed := x.sendPlain(ctx, u, len(avoid) == 0)
@@ -52,7 +54,7 @@
 		x.recordPlainLoss(u, failed)
 		if failed.phase.ProvesNotRun() {
 			if refusals++; refusals >= maxRefusals {
-				x.giveUp(failed.reason, failed.Error(), busyRetryAfter)
+				x.giveUp(failed.reason, failed.Error(), x.plainRetryAfter(busyRetryAfter))
 				return
 			}
 		}
@@ -62,6 +64,12 @@
 	}
 }
 
+// plainRetryAfter returns the Retry-After for a caller whose plain request was not served:
+// the time until an upstream takes requests again, or else usual.
+func (x *exchange) plainRetryAfter(usual time.Duration) time.Duration {
+	return cmp.Or(x.server.picker.replicaRestLeft(x.server.opts.View().ByService(x.service)), usual)
+}
+
 // recordPossibleRun records the upstream of a failed attempt unless the failure proves
 // that the request did not run. It has to be called before the caller receives a
 // response.
@@ -168,7 +176,7 @@
 // roundTripPlain makes one attempt and reads the complete response. A server error
 // counts as a failure if the request may be sent again.
 func (x *exchange) roundTripPlain(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.WaitFunc) (*upconn.Response, []byte, *failure) {
-	a, failed := x.begin(ctx, u, head, watch)
+	a, failed := x.begin(ctx, chain.Chain{{Engine: u}}, head, watch)
 	if failed != nil {
 		return nil, nil, failed
 	}
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -82,8 +83,7 @@
 			s.waitToResume(ctx)
 			return true
 		}
-		left := x.deadline.Sub(x.server.opts.Now())
-		x.giveUp(outcome.NoUpstream, noChain.Error(), x.server.picker.retryAfter(x.service, left))
+		x.giveUp(outcome.NoUpstream, noChain.Error(), s.retryAfter())
 		return false
 	}
 	var full *chain.FullError
@@ -96,13 +96,31 @@
 	}
 	if failed.phase.ProvesNotRun() {
 		if s.refusals++; s.refusals >= maxRefusals {
-			x.giveUp(failed.reason, failed.Error(), busyRetryAfter)
+			x.giveUp(failed.reason, failed.Error(), cmp.Or(s.restLeft(), busyRetryAfter))
 			return false
 		}
 	}
 	return x.retryOrGiveUp(failed)
 }
 
+// retryAfter returns the Retry-After for a caller for whose request there is no chain.
+func (s *stream) retryAfter() time.Duration {
+	x := s.x
+	expected := x.server.picker.retryAfter(x.service, x.deadline.Sub(x.server.opts.Now()))
+	return cmp.Or(s.restLeft(), expected)
+}
+
+// restLeft returns the time until another request of this kind is served because rests of
+// upstreams have ended, 0 if it does not wait for them.
+func (s *stream) restLeft() time.Duration {
+	x := s.x
+	view := x.server.opts.View()
+	if s.model == nil {
+		return x.server.picker.replicaRestLeft(view.ByService(x.service))
+	}
+	return x.server.picker.chainRestLeft(s.model, view, chain.Request{Service: x.service, Zone: x.server.opts.Zone, PromptTokens: s.req.PromptTokens, OutputTokens: s.req.OutputTokens})
+}
+
 // resumeRetryDelay is the wait before a stream that cannot resume tries again. Engines
 // that take over layers load them in about a second, and a node's retry budget grows by
 // a few retries per second.
@@ -153,7 +171,7 @@
 		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
 	w := &stallWatch{s: s, ctx: ctx, chain: c, started: s.x.responseStarted}
 	defer s.releaseChain(w)
-	a, failed := x.begin(ctx, first, x.composeHead(first, s.headers(c)), w.wait)
+	a, failed := x.begin(ctx, c, x.composeHead(first, s.headers(c)), w.wait)
 	if failed == nil {
 		failed = s.relay(a, w)
 	}
@@ -392,7 +410,10 @@
 	if ctx.Err() == nil && failed.lostWhileRunning() && !w.eventSeen {
 		x.recordLostRun(c.Engines()...)
 	}
+	var held *HeldError
 	switch {
+	case errors.As(failed.cause, &held):
+		// The next choice leaves out the engine that asks for no request.
 	case failed.phase == outcome.NotSent, failed.phase == outcome.Refused && failed.faultyStage == "":
 		s.avoidRefusing(c[0].Engine.ID, failed.reason)
 	case failed.reason == outcome.UpstreamLost || failed.reason == outcome.UpstreamInvalid:
@@ -401,6 +422,9 @@
 	for _, stage := range c {
 		if stage.Engine.Address == failed.faultyStage {
 			s.avoidRefusing(stage.Engine.ID, failed.reason)
+			if failed.rest > 0 {
+				x.server.picker.restAsked(stage.Engine, failed.rest)
+			}
 			x.server.prober.diagnoseRefusal(ctx, stage.Engine, failed.reason)
 		}
 	}
--- a/decide/backpressure/backpressure.go
+++ b/decide/backpressure/backpressure.go
@@ -7,6 +7,9 @@
 // keeper from the list of nodes, without asking. A node that does not reach the keeper
 // takes an equal share of the limit and spaces its requests evenly.
 //
+// An upstream that refuses a request may ask the node that sent it for a rest: a time
+// without any request.
+//
 // Tables and Issuers must be used by one goroutine at a time and read no clock.
 package backpressure
 
@@ -35,6 +38,7 @@
 	sends     meter
 	usualRate float64
 	limit     limitState
+	rest      restState
 	// goneAt is when the upstream left the directory, zero while it is listed.
 	goneAt time.Time
 }
@@ -66,6 +70,13 @@
 	}
 }
 
+// release ends the restriction of an upstream that asks for nothing anymore.
+func (t *Table) release(id ids.Instance, u *upstreamState) {
+	if u.limit.perSecond == 0 && u.rest.until.IsZero() {
+		delete(t.restricted, id)
+	}
+}
+
 // Admission says whether a node may send a request to an upstream.
 type Admission int
 
@@ -86,6 +97,9 @@
 	if u == nil {
 		return Admitted
 	}
+	if t.restAdmits(now, id, u) == Held {
+		return Held
+	}
 	return t.limitAdmits(now, id, u, urgent)
 }
 
@@ -97,6 +111,7 @@
 		return
 	}
 	u.limit.pacer.use()
+	u.rest.pacer.use()
 }
 
 // HeldUpstreams returns the upstreams to which this node must not send a request at now.
--- a/decide/backpressure/pacer.go
+++ b/decide/backpressure/pacer.go
@@ -30,6 +30,11 @@
 	return pacer{earned: fractionOf(h.Sum64() ^ seed), updatedAt: now}
 }
 
+// newReturnPacer returns a pacer whose first permit is due at a time.
+func newReturnPacer(at time.Time) pacer {
+	return pacer{updatedAt: at, permits: 1, expireAt: at.Add(math.MaxInt64)}
+}
+
 // mixingFactor is an odd factor that spreads the bits of a number.
 const mixingFactor = 0x9e3779b97f4a7c15
 
--- a/decide/backpressure/ratelimit.go
+++ b/decide/backpressure/ratelimit.go
@@ -147,6 +147,9 @@
 // limitAdmits is Admits for the limit of an upstream.
 func (t *Table) limitAdmits(now time.Time, id ids.Instance, u *upstreamState, urgent bool) Admission {
 	l := &u.limit
+	if l.perSecond == 0 {
+		return Admitted
+	}
 	if !l.endedAt.IsZero() {
 		return t.returnAdmits(now, id, u)
 	}
@@ -168,15 +171,22 @@
 		return u.limit.pacer.admits(now, rate)
 	}
 	u.limit = limitState{}
-	delete(t.restricted, id)
+	t.release(id, u)
 	return Admitted
 }
 
 // AdmitProbe reports whether this node may probe an upstream at now, and counts the
-// probe. A limited upstream is probed at this node's share of the limit at most.
+// probe. An upstream is not probed during its rest, and a limited one at this node's share
+// of the limit at most.
 func (t *Table) AdmitProbe(now time.Time, id ids.Instance) bool {
 	u := t.restricted[id]
-	if u == nil || !u.limit.endedAt.IsZero() {
+	if u == nil {
+		return true
+	}
+	if now.Before(u.rest.until) {
+		return false
+	}
+	if u.limit.perSecond == 0 || !u.limit.endedAt.IsZero() {
 		return true
 	}
 	if u.limit.probes.admits(now, t.share(&u.limit)) == Held {
