An upstream's own word that it leaves counts as the registry's

What an upstream met: it said in all its responses that it leaves and got 249 plain requests and 110 streams in the next three seconds, until the registry told the nodes.

Cause: the header is read nowhere; nodes learn who leaves from the store alone.

Change: decide/directory takes the word of an instance as if the registry had said it, so that choices, placement and peers follow it. Nothing takes it back for the same instance: no later entry, and not a removal for a while. Reports of engines are read too. A request that was chosen before is checked again before it is written. A response of another process at the address (421) says nothing.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -78,7 +78,7 @@
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
 	}
 	// Other requests may have been refused while this one waited for the connection.
-	if err := x.server.picker.checkHeld(c); err != nil {
+	if err := x.server.checkHeld(c); err != nil {
 		x.server.pool.Put(conn, 0)
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.UpstreamBusy, cause: err}
 	}
@@ -122,8 +122,7 @@
 		id := string(resp.Head.Peek(a.x.server.opts.Headers.RequestID))
 		if id == a.x.id || id == "" && !a.conn.Reused() {
 			a.resp = resp
-			a.recordLimit()
-			return a.checkRefusal(a.recordRest())
+			return a.checkRefusal(a.recordRequests())
 		}
 		a.x.count("upstream.foreign_answer")
 		if _, err := resp.Body(); err != nil {
--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -172,13 +172,34 @@
 	return p.backpressure.Limit(id)
 }
 
+// recordRequests records what a response asks of this node, and returns the rest that it
+// asks for, 0 for none. A response of another process at the upstream's address asks for
+// nothing.
+func (a *attempt) recordRequests() (rest time.Duration) {
+	if a.resp.Head.StatusCode() == statusMisdirected {
+		return 0
+	}
+	a.recordLeaving()
+	a.recordLimit()
+	return a.recordRest()
+}
+
+// recordLeaving records whether the upstream says that it is leaving. A malformed value is
+// counted, logged and otherwise ignored.
+func (a *attempt) recordLeaving() {
+	switch value := string(a.resp.Head.Peek(a.x.server.opts.Headers.Leaving)); value {
+	case "", "0":
+	case "1":
+		a.x.server.opts.OnLeaving(a.u.ID)
+	default:
+		a.x.count("upstream.leaving_malformed")
+		a.x.log("leaving_malformed").Str("upstream", a.u.ID.String()).Str("value", value).Send()
+	}
+}
+
 // recordLimit records what a response says about the rate limit of its upstream. A
-// response of another process at the upstream's address says nothing about it. A
 // malformed limit is counted, logged and otherwise ignored.
 func (a *attempt) recordLimit() {
-	if a.resp.Head.StatusCode() == statusMisdirected {
-		return
-	}
 	value := string(a.resp.Head.Peek(a.x.server.opts.Headers.RateLimit))
 	if value == "" {
 		a.x.server.picker.limitAnswered(a.u, a.sentAt, 0, false)
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -59,6 +59,8 @@
 	// RateLimit names the requests per second that an upstream takes from all nodes
 	// together. Without it an upstream names no limit.
 	RateLimit string
+	// Leaving is 1 in the responses of an upstream that is leaving.
+	Leaving string
 }
 
 // Engines makes the calls to engines that accompany requests.
@@ -112,6 +114,9 @@
 	// changes or ends, to inform the other nodes. It must not block and must be safe for
 	// concurrent use.
 	OnLimit func(backpressure.LimitNotice)
+	// OnLeaving is called with an upstream that has said in a response that it is leaving.
+	// It must not block and must be safe for concurrent use.
+	OnLeaving func(ids.Instance)
 	// Permits asks for permits to send requests to upstreams that name a rate limit.
 	Permits Permits
 	// OnRestart is called with the new instance of an upstream whose report shows a later
--- a/adapter/forward/probe.go
+++ b/adapter/forward/probe.go
@@ -180,6 +180,9 @@
 		p.picker.connectFailed(u, err)
 		return
 	}
+	if report.Leaving {
+		p.opts.OnLeaving(u.ID)
+	}
 	out.slowdown = report.Slowdown
 	out.full = isFull(report)
 	out.stalled = report.Stalled
--- a/adapter/forward/rest.go
+++ b/adapter/forward/rest.go
@@ -74,20 +74,28 @@
 		Dur("asked_ms", rest).Dur("left_ms", left).Send()
 }
 
-// checkHeld returns a *HeldError for the first engine of a chain that has asked for a rest
-// since the chain was chosen.
-func (p *picker) checkHeld(c chain.Chain) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// checkHeld returns a *HeldError for the first engine of a chain that has asked for a rest,
+// or is leaving, since the chain was chosen.
+func (s *Server) checkHeld(c chain.Chain) error {
+	view := s.opts.View()
 	for _, id := range c.Engines() {
-		if p.backpressure.RestLeft(p.opts.Now(), id) > 0 {
-			p.opts.Metrics.Add("upstream.held_back", 1)
+		u := view.Get(id)
+		if s.picker.restLeft(id) > 0 || u != nil && u.Leaving {
+			s.opts.Metrics.Add("upstream.held_back", 1)
 			return &HeldError{id}
 		}
 	}
 	return nil
 }
 
+// restLeft returns the time until the end of the rest that an upstream asks this node for,
+// 0 if there is none.
+func (p *picker) restLeft(id ids.Instance) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backpressure.RestLeft(p.opts.Now(), id)
+}
+
 // maxRestsTried bounds the search for the rest whose end makes a chain possible.
 const maxRestsTried = 8
 
--- a/core/layered/layered.go
+++ b/core/layered/layered.go
@@ -191,4 +191,6 @@
 	// with the address of that stage. It contains only requests whose first stage
 	// this engine is.
 	Stalled map[ids.Request]string
+	// Leaving is set if the engine says with the report that it is leaving.
+	Leaving bool
 }
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -97,6 +97,9 @@
 	// the entries of other services, which occupy no address.
 	services     map[ids.Service]bool
 	unconfigured map[ids.Upstream]*Upstream
+	// saidLeaving holds the instances that have said themselves that they leave, whatever
+	// the registry says.
+	saidLeaving map[ids.Instance]bool
 }
 
 // maxRecentChanges bounds recentChanges, of which at least half are kept. It covers a
@@ -110,6 +113,7 @@
 		byAddress:    make(map[string][]ids.Upstream),
 		missingUntil: make(map[ids.Upstream]time.Time),
 		unconfigured: make(map[ids.Upstream]*Upstream),
+		saidLeaving:  make(map[ids.Instance]bool),
 	}
 }
 
@@ -243,6 +247,40 @@
 	return d.put(nil, &restarted)
 }
 
+// maxSaidLeaving is the number of instances that have said that they leave from which on
+// those without an entry are forgotten.
+const maxSaidLeaving = 1000
+
+// SaidLeaving applies an instance's own word that it leaves. Nothing takes it back for the
+// same instance, not even that its entry is removed and added again.
+func (d *Directory) SaidLeaving(id ids.Instance) []Change {
+	if len(d.saidLeaving) >= maxSaidLeaving {
+		for other := range d.saidLeaving {
+			if u := d.byID[other.Upstream]; u == nil || u.ID != other {
+				delete(d.saidLeaving, other)
+			}
+		}
+	}
+	d.saidLeaving[id] = true
+	return d.markLeaving(nil, id)
+}
+
+// markLeaving marks an instance as leaving. The revision of its entry does not change.
+func (d *Directory) markLeaving(changes []Change, id ids.Instance) []Change {
+	old := d.byID[id.Upstream]
+	if old == nil || old.ID != id || old.Leaving {
+		return changes
+	}
+	leaving := *old
+	leaving.Leaving = true
+	d.byID[id.Upstream] = &leaving
+	if !d.isCurrent(&leaving) {
+		return changes
+	}
+	d.recordChange(id, true)
+	return append(changes, Change{LeavingStarted, &leaving})
+}
+
 // Expire removes the missing entries whose grace period has ended.
 func (d *Directory) Expire(now time.Time) []Change {
 	var changes []Change
@@ -267,6 +305,10 @@
 	d.removeUnconfigured(d.unconfigured[id])
 	old := d.byID[id]
 	if old != nil && old.Revision >= u.Revision && !u.ID.NewerThan(old.ID) {
+		if u.Leaving {
+			// A peer may have been told by the instance itself.
+			changes = d.markLeaving(changes, u.ID)
+		}
 		return changes
 	}
 	if old != nil && u.ID.StartedMs == 0 {
@@ -281,7 +323,7 @@
 		changes = d.drop(changes, old)
 		old = nil
 	}
-	if old != nil && old.Leaving {
+	if old != nil && old.Leaving || d.saidLeaving[u.ID] {
 		u.Leaving = true
 	}
 	d.byID[id] = u
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -325,3 +325,67 @@
 		}
 	}
 }
+
+// Guards against an upstream that has said that it leaves and gets requests again, because
+// of a later entry, or because its entry was missing for a while.
+func TestWordOfLeavingIsNotTakenBack(t *testing.T) {
+	d := New()
+	entry := Upstream{ID: ids.Instance{Upstream: "a", StartedMs: 1}, Service: "s", Address: "x:1", Revision: 5}
+	d.Put(entry)
+	changes := d.SaidLeaving(entry.ID)
+	if len(changes) != 1 || changes[0].Kind != LeavingStarted || !d.View().Get(entry.ID).Leaving {
+		t.Fatalf("changes %+v", changes)
+	}
+	if again := d.SaidLeaving(entry.ID); len(again) != 0 {
+		t.Errorf("changes when it says so again: %+v", again)
+	}
+	later := entry
+	later.Revision = 6
+	d.Put(later)
+	if !d.View().Get(entry.ID).Leaving {
+		t.Error("a later entry takes it back")
+	}
+	d.Remove(time.Unix(1, 0), "a", 7)
+	later.Revision = 8
+	d.Put(later)
+	if !d.View().Get(entry.ID).Leaving {
+		t.Error("an entry that was missing for a while takes it back")
+	}
+	restarted := later
+	restarted.ID.StartedMs, restarted.Revision = 2, 9
+	d.Put(restarted)
+	if d.View().Get(restarted.ID).Leaving {
+		t.Error("it holds for another start of the process")
+	}
+}
+
+// A peer passes on an upstream's word that it leaves, which is no new revision of its entry.
+func TestWordOfLeavingReachesPeers(t *testing.T) {
+	d, peer := New(), New()
+	entry := Upstream{ID: ids.Instance{Upstream: "a"}, Service: "s", Address: "x:1", Revision: 5}
+	d.Put(entry)
+	peer.Put(entry)
+	mark := d.Mark()
+	d.SaidLeaving(entry.ID)
+	changed, _, known := d.View().Since(mark)
+	if !known || len(changed) != 1 {
+		t.Fatalf("changes %v, known %v", changed, known)
+	}
+	if changes := peer.Update(time.Unix(1, 0), []Upstream{*changed[0]}, nil, 5); len(changes) != 1 || changes[0].Kind != LeavingStarted {
+		t.Errorf("changes %+v", changes)
+	}
+	if !peer.View().Get(entry.ID).Leaving {
+		t.Error("the peer does not know that the upstream leaves")
+	}
+}
+
+// The words of upstreams without an entry are not kept without bound.
+func TestWordsOfLeavingAreBounded(t *testing.T) {
+	d := New()
+	for i := range 3 * maxSaidLeaving {
+		d.SaidLeaving(ids.Instance{Upstream: "a", StartedMs: int64(i)})
+	}
+	if n := len(d.saidLeaving); n > maxSaidLeaving {
+		t.Errorf("%d words are kept", n)
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -156,6 +156,7 @@
 		OnLimit:   n.queueLimit,
 		Permits:   n.permits,
 		OnRestart: n.upstreams.recordRestart,
+		OnLeaving: n.upstreams.recordLeaving,
 		Seed:      settings.Seed,
 	})
 	n.configs.onActivated = n.upstreams.setServices
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -341,7 +341,8 @@
 	}
 	for _, up := range view.All() {
 		update.Present = append(update.Present, up.ID.Upstream)
-		if up.Revision > req.Revision {
+		// An upstream may have said itself that it is leaving, which is no new revision.
+		if up.Revision > req.Revision || up.Leaving {
 			update.Upstreams = append(update.Upstreams, *up)
 		}
 	}
@@ -353,6 +354,14 @@
 	u.update(origin{from: "report"}, func(d *directory.Directory, _ time.Time) []directory.Change { return d.Restarted(instance) })
 }
 
+// recordLeaving applies an upstream's own word that it is leaving.
+func (u *upstreams) recordLeaving(instance ids.Instance) {
+	if known := u.view.Load().Get(instance); known != nil && known.Leaving {
+		return
+	}
+	u.update(origin{from: "response"}, func(d *directory.Directory, _ time.Time) []directory.Change { return d.SaidLeaving(instance) })
+}
+
 // setServices applies the services of the active configuration.
 func (u *upstreams) setServices(services []ids.Service) {
 	u.update(origin{from: "configuration"}, func(d *directory.Directory, _ time.Time) []directory.Change { return d.SetServices(services) })
