decide/health: upstreams of mimosad rest for as long as they ask

Found by looking for the cause of requests during a rest elsewhere: the router of mimosad passes the delay that an upstream advises on to the caller and forgets it, so the next request may go to the same upstream (next-0 went to head-1, which had asked for 3 s).

Change: health.Tracker keeps the rest of each upstream. It has no weight until the end and then returns slowly, as after an ejection. Retry-After with a fraction is read, negative values are no advice, and a delay is bounded by a minute.

--- a/adapter/upstream/model.go
+++ b/adapter/upstream/model.go
@@ -101,17 +101,21 @@
 	return f
 }
 
+// maxRetryAfter bounds the delay that a refusal advises.
+const maxRetryAfter = time.Minute
+
 // retryAfter returns the delay given in the body of a refusal, or else that of the
-// Retry-After header in whole seconds. It returns 0 if there is neither.
+// Retry-After header in seconds, which may have a fraction. It returns 0 if there is
+// neither.
 func retryAfter(refusal engineapi.Refusal, resp *fasthttp.Response) time.Duration {
 	if refusal.RetryAfterMs > 0 {
 		return time.Duration(refusal.RetryAfterMs) * time.Millisecond
 	}
-	seconds, err := strconv.ParseUint(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), 10, 16)
-	if err != nil {
+	seconds, err := strconv.ParseFloat(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), 64)
+	if err != nil || !(seconds > 0) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // readStream reads events until one of them ends the attempt. Only an accepted
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -74,10 +74,12 @@
 	Returning
 	// Leaving means that the upstream gets no new work, and finishes its streams.
 	Leaving
+	// Resting means that the upstream gets no work for a while, as it has asked for.
+	Resting
 )
 
 // stateNames is indexed by State.
-var stateNames = [...]string{"unknown", "up", "ejected", "half_open", "returning", "leaving"}
+var stateNames = [...]string{"unknown", "up", "ejected", "half_open", "returning", "leaving", "resting"}
 
 // String implements fmt.Stringer.
 func (s State) String() string {
@@ -133,6 +135,8 @@
 	peerEjections map[ids.VM]time.Time
 	epochs        epochs
 	leaving       bool
+	// restUntil is the end of the rest that the upstream asks for, zero if there is none.
+	restUntil time.Time
 }
 
 // New returns a Tracker without members.
@@ -156,17 +160,19 @@
 		return Unknown
 	case m.leaving:
 		return Leaving
+	case m.resting(now):
+		return Resting
 	}
 	m.circuit.weight(now, t.opts.RampFor) // a completed return becomes Up
 	return m.circuit.refresh(now)
 }
 
 // Weight returns the share of work that the upstream should get, from 0 to 1. It is 0
-// if the upstream is unknown, ejected, leaving, or half-open with a running trial. To
+// if the upstream is unknown, ejected, leaving, resting, or half-open with a running trial. To
 // send to a half-open upstream, call TryTrial first.
 func (t *Tracker) Weight(now time.Time, id ids.Upstream) float64 {
 	m, ok := t.members[id]
-	if !ok || m.leaving {
+	if !ok || m.leaving || m.resting(now) {
 		return 0
 	}
 	w := m.circuit.weight(now, t.opts.RampFor) / float64(1+m.stalls+m.missedReports)
@@ -184,7 +190,7 @@
 // result after trialTimeout is given up, and another may start.
 func (t *Tracker) TryTrial(now time.Time, id ids.Upstream) bool {
 	m, ok := t.members[id]
-	if !ok || m.leaving {
+	if !ok || m.leaving || m.resting(now) {
 		return false
 	}
 	return m.circuit.tryTrial(now)
--- a/decide/health/health_test.go
+++ b/decide/health/health_test.go
@@ -327,3 +327,25 @@
 		})
 	}
 }
+
+// Guards against work for an upstream that asks for a rest, and against a rest that a later
+// refusal or a success shortens. After the rest the upstream returns slowly.
+func TestRestingUpstreamGetsNoWork(t *testing.T) {
+	tr := newTestTracker(2)
+	tr.Rest(at(0), "e0", 3*time.Second)
+	tr.Rest(at(100), "e0", time.Second)
+	tr.Success(at(200), "e0")
+	for _, ms := range []int{0, 1200, 2999} {
+		wantState(t, tr, at(ms), "e0", Resting)
+		if w := tr.Weight(at(ms), "e0"); w != 0 {
+			t.Errorf("weight %v after %d ms", w, ms)
+		}
+	}
+	wantState(t, tr, at(3000), "e0", Returning)
+	if w := tr.Weight(at(3100), "e0"); w <= 0 || w > 0.2 {
+		t.Errorf("weight %v at the end of the rest", w)
+	}
+	wantState(t, tr, at(9000), "e0", Up)
+	tr.Rest(at(9000), "e0", 1000*time.Hour)
+	wantState(t, tr, at(9000).Add(maxRest), "e0", Returning)
+}
--- a/decide/router/crash.go
+++ b/decide/router/crash.go
@@ -39,6 +39,7 @@
 	switch ev.Reason {
 	case outcome.UpstreamBusy, outcome.UpstreamRefused:
 		r.health.Progress(r.now, at)
+		r.health.Rest(r.now, at, ev.RetryAfter)
 	case outcome.UpstreamStalled:
 		r.health.Stall(r.now, at)
 	case outcome.ConnectFailed:
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -509,3 +509,26 @@
 	}
 	t.Fatalf("%d new requests all got a retry", requests)
 }
+
+// Guards against requests to an upstream that has refused one and asked for a rest.
+func TestRestOfAnUpstreamIsKept(t *testing.T) {
+	const rest = 3 * time.Second
+	s := newScript()
+	s.step(newArrival("r", nil))
+	resting := s.sent[0].Chain[0].ID
+	s.step(AttemptEnded{ID: "r", Attempt: 1, Phase: outcome.Refused, Reason: outcome.UpstreamBusy, Upstream: resting, RetryAfter: rest})
+	refused := s.now
+	for i := 0; s.now.Sub(refused) < rest-pastBackoff; i++ {
+		s.tick(pastBackoff)
+		s.step(newArrival(ids.Request(fmt.Sprint("next-", i)), nil))
+		s.ended(outcome.Finished, "")
+	}
+	for _, send := range s.sent[1:] {
+		if send.Chain[0].ID == resting {
+			t.Fatalf("%s was sent to %s, which had asked for %v without requests", send.ID, resting, rest)
+		}
+	}
+	if len(s.sent) < 3 {
+		t.Errorf("%d requests were sent", len(s.sent))
+	}
+}
