Three nodes may be the keeper of a limited upstream, one at a time

What an upstream would meet: the list of nodes keeps those that are gone for good, so its keeper may never answer.

Change: Keepers names three nodes in an order that all know. Whoever is asked asks those before it first, and issues permits only if none answers; a silent one is not asked for a second.

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -94,7 +94,7 @@
 }
 
 // permitTimeout bounds the wait for a permit.
-const permitTimeout = 40 * time.Millisecond
+const permitTimeout = 60 * time.Millisecond
 
 // acquirePermit asks for a permit to send a request to an upstream, and reports whether
 // the request may be sent.
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -147,9 +147,9 @@
 	ApplyVerdict(v quarantine.Verdict)
 	// ApplyLimit applies a limit that an upstream has named to a peer.
 	ApplyLimit(n backpressure.LimitNotice)
-	// IssuePermit answers a peer's request for a permit. An error means that the node is
-	// not the keeper of the upstream.
-	IssuePermit(r backpressure.PermitRequest) (backpressure.PermitReply, error)
+	// IssuePermit answers a peer's request for a permit. An error means that the node may
+	// not issue permits for the upstream and knows nobody who does.
+	IssuePermit(ctx context.Context, r backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
 // Serve answers peers until l is closed, and returns the error of Accept.
@@ -189,8 +189,8 @@
 		source.ApplyLimit(n)
 		return nil, nil
 	}),
-	methodPermit: handle(func(_ context.Context, source Source, r backpressure.PermitRequest) (any, error) {
-		return source.IssuePermit(r)
+	methodPermit: handle(func(ctx context.Context, source Source, r backpressure.PermitRequest) (any, error) {
+		return source.IssuePermit(ctx, r)
 	}),
 }
 
@@ -316,6 +316,6 @@
 func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
 
 // IssuePermit implements Source.
-func (emptySource) IssuePermit(backpressure.PermitRequest) (backpressure.PermitReply, error) {
+func (emptySource) IssuePermit(context.Context, backpressure.PermitRequest) (backpressure.PermitReply, error) {
 	return backpressure.PermitReply{}, nil
 }
--- a/decide/backpressure/pacer.go
+++ b/decide/backpressure/pacer.go
@@ -1,7 +1,6 @@
 package backpressure
 
 import (
-	"hash/fnv"
 	"math"
 	"time"
 
@@ -25,9 +24,7 @@
 // newPacer returns a pacer without permits. The time of its first permit is random: it
 // depends on the seed and the upstream, so that nodes do not send at the same moment.
 func newPacer(now time.Time, seed uint64, id ids.Instance) pacer {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id.String())) // never fails
-	return pacer{earned: fractionOf(h.Sum64() ^ seed), updatedAt: now}
+	return pacer{earned: fractionOf(hash(fnvOffset, id.String()) ^ seed), updatedAt: now}
 }
 
 // newReturnPacer returns a pacer whose first permit is due at a time.
@@ -35,6 +32,20 @@
 	return pacer{updatedAt: at, permits: 1, expireAt: at.Add(math.MaxInt64)}
 }
 
+// Parameters of the 64-bit FNV-1a hash.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// hash continues a 64-bit FNV-1a hash with a text.
+func hash(h uint64, text string) uint64 {
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * fnvPrime
+	}
+	return h
+}
+
 // mixingFactor is an odd factor that spreads the bits of a number.
 const mixingFactor = 0x9e3779b97f4a7c15
 
--- a/decide/backpressure/permit.go
+++ b/decide/backpressure/permit.go
@@ -1,29 +1,64 @@
 package backpressure
 
 import (
-	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"mimosaarch.example/core/ids"
 )
 
-// Keeper returns the node that issues the permits for an upstream, empty if there are no
-// nodes. It is the same for all nodes with the same list, and changes for few upstreams
+// MaxKeepers is how many nodes may issue the permits for an upstream, one at a time.
+const MaxKeepers = 3
+
+// Keepers returns the nodes that may issue the permits for an upstream, at most MaxKeepers.
+// The first one is the keeper, and each of the others only while those before it do not
+// answer. They are the same for all nodes with the same list, and change for few upstreams
 // when a node joins or leaves the list.
-func Keeper(id ids.Instance, nodes []ids.VM) ids.VM {
-	var keeper ids.VM
-	highest := -1.0
+func Keepers(id ids.Instance, nodes []ids.VM) []ids.VM {
+	upstream := id.String()
+	keepers := make([]ids.VM, 0, MaxKeepers+1)
+	ranks := make([]float64, 0, MaxKeepers+1)
 	for _, node := range nodes {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(node)) // never fails
-		_, _ = h.Write([]byte{0})    // never fails
-		_, _ = h.Write([]byte(id.String()))
-		if rank := fractionOf(h.Sum64()); rank > highest {
-			keeper, highest = node, rank
+		rank := keeperRank(upstream, node)
+		at := len(ranks)
+		for at > 0 && ranks[at-1] < rank {
+			at--
+		}
+		if at == MaxKeepers {
+			continue
 		}
+		keepers, ranks = slices.Insert(keepers, at, node), slices.Insert(ranks, at, rank)
+		most := min(len(keepers), MaxKeepers)
+		keepers, ranks = keepers[:most], ranks[:most]
+	}
+	return keepers
+}
+
+// keeperRank returns the rendezvous hash of an upstream and a node.
+func keeperRank(upstream string, node ids.VM) float64 {
+	const separator = "\x00"
+	return fractionOf(hash(hash(hash(fnvOffset, string(node)), separator), upstream))
+}
+
+// MaxHops is how many nodes may pass a request for a permit on. Nodes whose lists differ
+// could pass it on without end.
+const MaxHops = 3
+
+// AskOrder returns the keepers of an upstream in the order in which the node self asks them
+// for a permit, itself included. The first one that answers decides. A keeper issues permits
+// only while those before it do not answer. connected is true if others reach self. If that
+// is not known, self does not issue permits of its own accord, because all others may have
+// another keeper: it asks those after it, which ask self again if they reach it.
+func AskOrder(self ids.VM, keepers []ids.VM, connected bool) []ids.VM {
+	at := slices.Index(keepers, self)
+	switch {
+	case at < 0, len(keepers) == 1:
+		return keepers
+	case connected:
+		return keepers[:at+1]
 	}
-	return keeper
+	return slices.Delete(slices.Clone(keepers), at, at+1)
 }
 
 // PermitRequest asks the keeper of an upstream for a permit to send one request to it.
@@ -35,6 +70,9 @@
 	PerSecond float64 `json:"per_second"`
 	// Urgent is true if the request's caller has part of the response.
 	Urgent bool `json:"urgent,omitempty"`
+	// Hops is the number of nodes that have passed the request on, 0 for one that the node
+	// itself has made.
+	Hops int `json:"hops,omitempty"`
 }
 
 // PermitReply is the keeper's answer.
@@ -82,8 +120,8 @@
 // NewIssuer.
 type Issuer struct {
 	buckets map[ids.Instance]*bucket
-	// denied counts denied requests, for the jitter of pauses.
-	denied int
+	// denied counts denied requests, for the jitter of pauses, and issued granted ones.
+	denied, issued int
 }
 
 // bucket is the token bucket of one upstream.
@@ -115,11 +153,30 @@
 	}
 	if b.tokens >= least {
 		b.tokens--
+		i.issued++
 		return PermitReply{Upstream: r.Upstream, Granted: true}
 	}
 	return PermitReply{Upstream: r.Upstream, PauseMs: i.pause(b, rate).Milliseconds()}
 }
 
+// AskedByOthers reports whether nodes other than self have asked for permits for an upstream
+// lately.
+func (i *Issuer) AskedByOthers(now time.Time, id ids.Instance, self ids.VM) bool {
+	b := i.buckets[id]
+	if b == nil {
+		return false
+	}
+	for node, at := range b.askers {
+		if node != self && now.Sub(at) <= askerPeriod {
+			return true
+		}
+	}
+	return false
+}
+
+// Answered returns the number of requests that the Issuer has answered.
+func (i *Issuer) Answered() int { return i.issued + i.denied }
+
 // bucket returns the bucket of an upstream, created without tokens if missing. It drops
 // the buckets that are not used anymore.
 func (i *Issuer) bucket(now time.Time, id ids.Instance) *bucket {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -140,7 +140,7 @@
 	n.upstreams = newUpstreams(processID(settings), log, n.updates)
 	n.membership = newMembership(settings, &timedMembers{ports.Members, n.metrics.ObserveDuration}, n, log)
 	n.probe = newProbe(ports.Prober, n.fleet, log, &n.configs.storeContact, &n.upstreams.storeContact)
-	n.permits = newPermits(settings.VM, n.fleet, func(id ids.Instance) float64 { return n.server.Limit(id) }, n.ApplyLimit)
+	n.permits = newPermits(settings.VM, n.fleet.keepers, func(id ids.Instance) float64 { return n.server.Limit(id) }, n.ApplyLimit)
 	n.server = forward.New(forward.Options{
 		Headers:   ports.Headers,
 		Zone:      settings.Zone,
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -150,17 +150,17 @@
 	return f.roster.Others()
 }
 
-// keeper returns the node that issues the permits for an upstream, or false if no nodes are
-// known.
-func (f *fleet) keeper(id ids.Instance) (roster.Member, bool) {
+// keepers returns the nodes that may issue the permits for an upstream, in the order of
+// backpressure.Keepers.
+func (f *fleet) keepers(id ids.Instance) []roster.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	keeper := backpressure.Keeper(id, f.names)
-	i := slices.IndexFunc(f.members, func(m roster.Member) bool { return m.Name == keeper })
-	if i < 0 {
-		return roster.Member{}, false
+	var keepers []roster.Member
+	for _, name := range backpressure.Keepers(id, f.names) {
+		i := slices.IndexFunc(f.members, func(m roster.Member) bool { return m.Name == name })
+		keepers = append(keepers, f.members[i])
 	}
-	return f.members[i], true
+	return keepers
 }
 
 // memberListVersion returns the revision and digest of the current list.
