A refusal that names no engine at fault counts for the first one

It was left out for that one request only; the next request of the same node began there again, as the engine now seemed idle, and used up a retry.

Change: such a refusal counts for the first engine as one that names it: it is asked whether it is full, unless it asks for rest, and all requests of the node leave it out for a while. Engines that ask for rest were covered already; this is for those that do not.

--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -14,6 +14,7 @@
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -414,18 +415,29 @@
 	switch {
 	case errors.As(failed.cause, &held):
 		// The next choice leaves out the engine that asks for no request.
-	case failed.phase == outcome.NotSent, failed.phase == outcome.Refused && failed.faultyStage == "":
+	case failed.phase == outcome.NotSent:
 		s.avoidRefusing(c[0].Engine.ID, failed.reason)
+	case failed.phase == outcome.Refused && failed.faultyStage == "":
+		s.recordRefusal(ctx, c[0].Engine, failed)
 	case failed.reason == outcome.UpstreamLost || failed.reason == outcome.UpstreamInvalid:
 		s.avoidBrokenEngines(ctx, c)
 	}
 	for _, stage := range c {
 		if stage.Engine.Address == failed.faultyStage {
-			s.avoidRefusing(stage.Engine.ID, failed.reason)
-			if failed.rest > 0 {
-				x.server.picker.restAsked(stage.Engine, failed.rest)
-			}
-			x.server.prober.diagnoseRefusal(ctx, stage.Engine, failed.reason)
+			s.recordRefusal(ctx, stage.Engine, failed)
 		}
 	}
 }
+
+// recordRefusal records that an engine has refused the request: for this request and, as
+// far as its reason holds for others, for all requests of this node.
+func (s *stream) recordRefusal(ctx context.Context, u *directory.Upstream, failed *failure) {
+	s.avoidRefusing(u.ID, failed.reason)
+	if s.model == nil {
+		return
+	}
+	if failed.rest > 0 {
+		s.x.server.picker.restAsked(u, failed.rest)
+	}
+	s.x.server.prober.diagnoseRefusal(ctx, u, failed.reason)
+}
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -539,3 +539,20 @@
 		t.Errorf("the request was sent %d times, want none", sent)
 	}
 }
+
+// Guards against a refusal that names no engine at fault and leaves no trace: the first
+// engine is then chosen again by the next request, and seems idle.
+func TestFirstEngineThatRefusesIsAvoidedByAll(t *testing.T) {
+	refusing := fakeEngine(t, "a", 0, 10, refusalReply(503))
+	other := fakeEngine(t, "b", 0, 10, wholeStream(2))
+	other.Zone = "far"
+	r := newTestServer(t, refusing, other)
+	for i := range 5 {
+		if resp, complete := r.ask(t, "POST", "/stream/x", fmt.Sprint("r", i), "p"); !complete || resp.StatusCode() != 200 {
+			t.Errorf("status %d, complete %v", resp.StatusCode(), complete)
+		}
+	}
+	if n := len(refusing.requests()); n != 1 {
+		t.Errorf("%d requests to an engine that has just refused one", n)
+	}
+}
