A caller that disconnects says nothing about the keeper of a limited upstream

A request that ends while its node asks for a permit made the keeper count as silent, and the node fell back to its equal share for a second. Test: TestEndedRequestSaysNothingAboutTheKeeper (one failed permit counted before).

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -102,11 +102,14 @@
 	p.mu.Lock()
 	limit, age := p.backpressure.Limit(id), p.backpressure.LimitAge(p.opts.Now(), id)
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	reply, err := p.opts.Permits.Acquire(ctx, backpressure.PermitRequest{Upstream: id, PerSecond: limit, Urgent: urgent})
+	reply, err := p.opts.Permits.Acquire(callCtx, backpressure.PermitRequest{Upstream: id, PerSecond: limit, Urgent: urgent})
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err != nil && ctx.Err() != nil {
+		return false // the request has ended, which says nothing about the keeper
+	}
 	if err != nil {
 		p.backpressure.PermitFailed(p.opts.Now(), id)
 		p.opts.Metrics.Add("upstream.permits_failed", 1)
--- a/adapter/forward/ratelimit_test.go
+++ b/adapter/forward/ratelimit_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -172,3 +173,23 @@
 		t.Errorf("resumed after %v", took)
 	}
 }
+
+// Guards against a keeper that counts as silent because a caller has disconnected.
+func TestEndedRequestSaysNothingAboutTheKeeper(t *testing.T) {
+	limited := newFakeUpstream(t, "a", "plain", limitedReply("4"))
+	r := newTestServer(t, limited)
+	r.permits.set(false, true)
+	r.picker.limitAnswered(&limited.Upstream, boottime.Now(), 4, true)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	if r.picker.acquirePermit(gone, instance("a"), false) {
+		t.Error("a permit without a keeper")
+	}
+	if n := r.metrics.get("upstream.permits_failed"); n != 0 {
+		t.Errorf("%d failed permits are counted", n)
+	}
+	r.picker.acquirePermit(t.Context(), instance("a"), false)
+	if n := r.metrics.get("upstream.permits_failed"); n != 1 {
+		t.Errorf("%d failed permits are counted, want 1", n)
+	}
+}
