A node takes its share of a limit under the lock of the choice

If no keeper answered, a request went on with the node's own share without taking it: two requests at the same moment could both go. Now the next choice takes it, as any other does. TestShareIsTakenOnceByConcurrentRequests guards it.

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -85,36 +85,41 @@
 // were granted.
 func (p *picker) acquirePermits(ctx context.Context, need []ids.Instance, a *admission) {
 	for _, id := range need {
-		if p.acquirePermit(ctx, id, a.urgent) {
+		reply, err := p.acquirePermit(ctx, id, a.urgent)
+		switch {
+		case err != nil && ctx.Err() == nil:
+			// The next choice uses this node's own share of the limit, if any is left.
+		case err == nil && reply.Granted:
 			a.granted[id] = true
-			continue
+		default:
+			a.denied[id] = true
 		}
-		a.denied[id] = true
 	}
 }
 
 // permitTimeout bounds the wait for a permit.
 const permitTimeout = 60 * time.Millisecond
 
-// acquirePermit asks for a permit to send a request to an upstream, and reports whether
-// the request may be sent.
-func (p *picker) acquirePermit(ctx context.Context, id ids.Instance, urgent bool) bool {
+// acquirePermit asks for a permit to send a request to an upstream. An error means that no
+// keeper has answered, or that ctx is done, which says nothing about the keeper.
+func (p *picker) acquirePermit(ctx context.Context, id ids.Instance, urgent bool) (backpressure.PermitReply, error) {
 	p.mu.Lock()
 	limit, age := p.backpressure.Limit(id), p.backpressure.LimitAge(p.opts.Now(), id)
 	p.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	reply, err := p.opts.Permits.Acquire(callCtx, backpressure.PermitRequest{Upstream: id, PerSecond: limit, Urgent: urgent})
+	if ctx.Err() != nil {
+		return reply, ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil && ctx.Err() != nil {
-		return false // the request has ended, which says nothing about the keeper
-	}
 	if err != nil {
 		p.backpressure.PermitFailed(p.opts.Now(), id)
 		p.opts.Metrics.Add("upstream.permits_failed", 1)
-		p.opts.Log.Info().Str("event", "permit_failed").Str("upstream", id.String()).Float64("per_second", limit).Err(err).Send()
-		return p.backpressure.Admits(p.opts.Now(), id, urgent) == backpressure.Admitted
+		p.opts.Log.Info().Str("event", "permit_failed").Str("upstream", id.String()).Float64("per_second", limit).
+			Dur("age_ms", age).Err(err).Send()
+		return reply, err
 	}
 	p.backpressure.PermitAnswered(p.opts.Now(), reply)
 	if !reply.Granted {
@@ -122,7 +127,7 @@
 		p.opts.Log.Info().Str("event", "permit_denied").Str("upstream", id.String()).Float64("per_second", limit).
 			Dur("age_ms", age).Int64("pause_ms", reply.PauseMs).Send()
 	}
-	return reply.Granted
+	return reply, nil
 }
 
 // admitProbe reports whether an upstream may be probed now.
--- a/adapter/forward/ratelimit_test.go
+++ b/adapter/forward/ratelimit_test.go
@@ -182,14 +182,50 @@
 	r.picker.limitAnswered(&limited.Upstream, boottime.Now(), 4, true)
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
-	if r.picker.acquirePermit(gone, instance("a"), false) {
+	if _, err := r.picker.acquirePermit(gone, instance("a"), false); err == nil {
 		t.Error("a permit without a keeper")
 	}
 	if n := r.metrics.get("upstream.permits_failed"); n != 0 {
 		t.Errorf("%d failed permits are counted", n)
 	}
-	r.picker.acquirePermit(t.Context(), instance("a"), false)
+	if _, err := r.picker.acquirePermit(t.Context(), instance("a"), false); err == nil {
+		t.Error("a permit without a keeper")
+	}
 	if n := r.metrics.get("upstream.permits_failed"); n != 1 {
 		t.Errorf("%d failed permits are counted, want 1", n)
 	}
 }
+
+// Guards against requests at the same moment that each take the one request of this node's
+// share while no keeper answers.
+func TestShareIsTakenOnceByConcurrentRequests(t *testing.T) {
+	limited := newFakeUpstream(t, "a", "plain", limitedReply("4"))
+	r := newTestServer(t, limited)
+	r.permits.set(false, true)
+	r.picker.limitAnswered(&limited.Upstream, boottime.Now(), 4, true)
+	r.picker.mu.Lock()
+	r.picker.backpressure.PermitFailed(boottime.Now(), instance("a"))
+	r.picker.mu.Unlock()
+	eventually(t, "the share has a request", func() bool {
+		r.picker.mu.Lock()
+		defer r.picker.mu.Unlock()
+		return r.picker.backpressure.Admits(boottime.Now(), instance("a"), false) == backpressure.Admitted
+	})
+	r.picker.backpressure.SetNodeCount(1_000_000)
+	served := make(chan bool)
+	for i := range 20 {
+		go func() {
+			resp, _ := r.ask(t, "GET", "/safe/x", fmt.Sprint("r", i), "")
+			served <- resp.StatusCode() == 200
+		}()
+	}
+	n := 0
+	for range 20 {
+		if <-served {
+			n++
+		}
+	}
+	if n > 1 {
+		t.Errorf("%d requests were sent, want one", n)
+	}
+}
