decide/backpressure, adapter/forward: names and files

A choice of upstreams in adapter/forward is a choice, an Admission is an answer of the table. No change of behaviour is meant.

--- a/adapter/forward/backpressure.go
+++ b/adapter/forward/backpressure.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"maps"
-	"math"
-	"strconv"
-	"strings"
 	"time"
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
-	"mimosaarch.example/decide/directory"
 )
 
 // Permits asks for the permits to send requests to upstreams that name a rate limit.
@@ -21,8 +17,8 @@
 	Acquire(ctx context.Context, r backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
-// admission is the state of one choice of upstreams with regard to what they ask for.
-type admission struct {
+// choice is the state of one choice of upstreams with regard to what they ask for.
+type choice struct {
 	// urgent is true if the caller has part of the response.
 	urgent bool
 	// running holds the engines that already run the request.
@@ -31,27 +27,27 @@
 	granted, denied map[ids.Instance]bool
 }
 
-// newAdmission returns the state of a choice that has asked for no permit yet.
-func newAdmission(urgent bool, running chain.Chain) *admission {
-	return &admission{urgent: urgent, running: running, granted: make(map[ids.Instance]bool), denied: make(map[ids.Instance]bool)}
+// newChoice returns the state of a choice that has asked for no permit yet.
+func newChoice(urgent bool, running chain.Chain) *choice {
+	return &choice{urgent: urgent, running: running, granted: make(map[ids.Instance]bool), denied: make(map[ids.Instance]bool)}
 }
 
-// mayUse reports whether the request needs no further admission by an upstream.
-func (a *admission) mayUse(id ids.Instance) bool { return a.granted[id] || a.running.Has(id) }
+// mayUse reports whether the request may be sent to an upstream without a permit.
+func (ch *choice) mayUse(id ids.Instance) bool { return ch.granted[id] || ch.running.Has(id) }
 
 // withHeld returns the upstreams to avoid, and in addition those that must not get the
 // request now because of what they ask for. The caller holds mu.
-func (p *picker) withHeld(avoid map[ids.Instance]bool, a *admission) map[ids.Instance]bool {
-	held := p.backpressure.HeldUpstreams(p.opts.Now(), a.urgent)
-	if len(held)+len(a.denied) == 0 {
+func (p *picker) withHeld(avoid map[ids.Instance]bool, ch *choice) map[ids.Instance]bool {
+	held := p.backpressure.HeldUpstreams(p.opts.Now(), ch.urgent)
+	if len(held)+len(ch.denied) == 0 {
 		return avoid
 	}
 	p.opts.Metrics.Add("upstream.held_back", int64(len(held)))
-	all := make(map[ids.Instance]bool, len(avoid)+len(held)+len(a.denied))
+	all := make(map[ids.Instance]bool, len(avoid)+len(held)+len(ch.denied))
 	maps.Copy(all, avoid)
-	maps.Copy(all, a.denied)
+	maps.Copy(all, ch.denied)
 	for _, id := range held {
-		if !a.mayUse(id) {
+		if !ch.mayUse(id) {
 			all[id] = true
 		}
 	}
@@ -60,10 +56,10 @@
 
 // needPermits returns those of a chain's engines to which the request may be sent only
 // with a permit that it has not got yet. The caller holds mu.
-func (p *picker) needPermits(c chain.Chain, a *admission) []ids.Instance {
+func (p *picker) needPermits(c chain.Chain, ch *choice) []ids.Instance {
 	var need []ids.Instance
 	for _, id := range c.Engines() {
-		if !a.mayUse(id) && p.backpressure.Admits(p.opts.Now(), id, a.urgent) == backpressure.PermitNeeded {
+		if !ch.mayUse(id) && p.backpressure.Admits(p.opts.Now(), id, ch.urgent) == backpressure.PermitNeeded {
 			need = append(need, id)
 		}
 	}
@@ -81,18 +77,18 @@
 	}
 }
 
-// acquirePermits asks for permits to send a request to upstreams, and records in a which
+// acquirePermits asks for permits to send a request to upstreams, and records in ch which
 // were granted.
-func (p *picker) acquirePermits(ctx context.Context, need []ids.Instance, a *admission) {
+func (p *picker) acquirePermits(ctx context.Context, need []ids.Instance, ch *choice) {
 	for _, id := range need {
-		reply, err := p.acquirePermit(ctx, id, a.urgent)
+		reply, err := p.acquirePermit(ctx, id, ch.urgent)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			// The next choice uses this node's own share of the limit, if any is left.
 		case err == nil && reply.Granted:
-			a.granted[id] = true
+			ch.granted[id] = true
 		default:
-			a.denied[id] = true
+			ch.denied[id] = true
 		}
 	}
 }
@@ -137,49 +133,6 @@
 	return p.backpressure.AdmitProbe(p.opts.Now(), id)
 }
 
-// limitAnswered records the limit that a response of an upstream names, or that it names
-// none. sentAt is when its request was sent.
-func (p *picker) limitAnswered(u *directory.Upstream, sentAt time.Time, limit float64, named bool) {
-	p.mu.Lock()
-	change := p.backpressure.LimitAnswered(p.opts.Now(), sentAt, u.ID, limit, named)
-	notice := p.backpressure.LimitNotice(u.ID)
-	p.mu.Unlock()
-	if change != backpressure.LimitSame {
-		p.logLimit(notice, "upstream")
-		p.opts.OnLimit(notice)
-	}
-}
-
-// limitNotified applies a peer's notice about a limit.
-func (p *picker) limitNotified(n backpressure.LimitNotice) {
-	p.mu.Lock()
-	change := p.backpressure.LimitNotified(p.opts.Now(), n)
-	p.mu.Unlock()
-	if change != backpressure.LimitSame {
-		p.logLimit(n, "peer")
-	}
-}
-
-// logLimit logs and counts a change of the limit that an upstream names. from is who has
-// told this node.
-func (p *picker) logLimit(n backpressure.LimitNotice, from string) {
-	if n.PerSecond == 0 {
-		p.opts.Metrics.Add("upstream.limits_ended", 1)
-		p.opts.Log.Info().Str("event", "upstream_limit_ended").Str("upstream", n.Upstream.String()).Str("from", from).Send()
-		return
-	}
-	p.opts.Metrics.Add("upstream.limits_named", 1)
-	p.opts.Log.Info().Str("event", "upstream_limited").Str("upstream", n.Upstream.String()).Str("from", from).
-		Float64("per_second", n.PerSecond).Send()
-}
-
-// limit returns the rate limit of an upstream in requests per second, 0 if it names none.
-func (p *picker) limit(id ids.Instance) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.backpressure.Limit(id)
-}
-
 // recordRequests records what a response asks of this node, and returns the rest that it
 // asks for, 0 for none. A response of another process at the upstream's address asks for
 // nothing.
@@ -204,29 +157,3 @@
 		a.x.log("leaving_malformed").Str("upstream", a.u.ID.String()).Str("value", value).Send()
 	}
 }
-
-// recordLimit records what a response says about the rate limit of its upstream. A
-// malformed limit is counted, logged and otherwise ignored.
-func (a *attempt) recordLimit() {
-	value := string(a.resp.Head.Peek(a.x.server.opts.Headers.RateLimit))
-	if value == "" {
-		a.x.server.picker.limitAnswered(a.u, a.sentAt, 0, false)
-		return
-	}
-	limit, ok := parseLimit(value)
-	if !ok {
-		a.x.count("upstream.limit_malformed")
-		a.x.log("limit_malformed").Str("upstream", a.u.ID.String()).Str("value", value).Send()
-		return
-	}
-	a.x.server.picker.limitAnswered(a.u, a.sentAt, limit, true)
-}
-
-// parseLimit parses a rate limit in requests per second.
-func parseLimit(value string) (limit float64, ok bool) {
-	limit, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
-		return 0, false
-	}
-	return limit, true
-}
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -107,29 +107,29 @@
 
 // chooseChain chooses the chain of a request and counts the request on it.
 func (p *picker) chooseChain(ctx context.Context, m *layered.Model, view *directory.View, r chain.Request) (chain.Chain, error) {
-	a := newAdmission(r.OutputStarted, nil)
+	ch := newChoice(r.OutputStarted, nil)
 	for {
-		c, need, err := p.tryChain(m, view, r, a)
+		c, need, err := p.tryChain(m, view, r, ch)
 		if len(need) == 0 {
 			return c, err
 		}
-		p.acquirePermits(ctx, need, a)
+		p.acquirePermits(ctx, need, ch)
 	}
 }
 
 // tryChain chooses the chain of a request. It counts the request on it, unless need is not
 // empty: then the request needs permits for these engines.
-func (p *picker) tryChain(m *layered.Model, view *directory.View, r chain.Request, a *admission) (c chain.Chain, need []ids.Instance, err error) {
+func (p *picker) tryChain(m *layered.Model, view *directory.View, r chain.Request, ch *choice) (c chain.Chain, need []ids.Instance, err error) {
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.chain", p.opts.Now().Sub(began)) }()
-	r.Avoid = p.withHeld(r.Avoid, a)
+	r.Avoid = p.withHeld(r.Avoid, ch)
 	c, err = p.chains.Pick(p.opts.Now(), m, view, r)
 	if err != nil {
 		return nil, nil, err
 	}
-	if need = p.needPermits(c, a); len(need) > 0 {
+	if need = p.needPermits(c, ch); len(need) > 0 {
 		return nil, need, nil
 	}
 	p.retryAfters.ChainFound(began, r.Service)
@@ -194,7 +194,7 @@
 	if !p.budget(r.Service).Available(now, retryKind(dead)) {
 		return false
 	}
-	r.Avoid = p.withHeld(r.Avoid, newAdmission(r.OutputStarted, nil))
+	r.Avoid = p.withHeld(r.Avoid, newChoice(r.OutputStarted, nil))
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil {
 		return false
@@ -206,24 +206,24 @@
 // moves the request's count to the new chain. It returns nil if there is no other
 // chain, or if the present one is alive and no other is much cheaper.
 func (p *picker) reroute(ctx context.Context, m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool) chain.Chain {
-	a := newAdmission(true, present)
+	ch := newChoice(true, present)
 	r.PinnedFirst = &present[0]
 	for {
-		other, need := p.tryReroute(m, view, r, present, dead, a)
+		other, need := p.tryReroute(m, view, r, present, dead, ch)
 		if len(need) == 0 {
 			return other
 		}
-		p.acquirePermits(ctx, need, a)
+		p.acquirePermits(ctx, need, ch)
 	}
 }
 
 // tryReroute is reroute, except that the request stays where it is if need is not empty:
 // then it needs permits for these engines.
-func (p *picker) tryReroute(m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool, a *admission) (other chain.Chain, need []ids.Instance) {
+func (p *picker) tryReroute(m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool, ch *choice) (other chain.Chain, need []ids.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Now()
-	r.Avoid = p.withHeld(r.Avoid, a)
+	r.Avoid = p.withHeld(r.Avoid, ch)
 	other, err := p.chains.Pick(now, m, view, r)
 	if err != nil || !p.checkTiling(other, m.Layers) {
 		return nil, nil
@@ -231,7 +231,7 @@
 	if !dead && p.chains.Cost(now, m, r, other) >= maxSwitchCostRatio*p.chains.Cost(now, m, r, present) {
 		return nil, nil
 	}
-	if need = p.needPermits(other, a); len(need) > 0 {
+	if need = p.needPermits(other, ch); len(need) > 0 {
 		return nil, need
 	}
 	p.chains.RequestEnded(now, present, r)
@@ -250,29 +250,29 @@
 // chooseReplica chooses the upstream of a plain request and counts the request on it.
 // It returns nil if no upstream may take it.
 func (p *picker) chooseReplica(ctx context.Context, list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64) *directory.Upstream {
-	a := newAdmission(false, nil)
+	ch := newChoice(false, nil)
 	for {
-		u, need := p.tryReplica(list, avoid, draw, a)
+		u, need := p.tryReplica(list, avoid, draw, ch)
 		if len(need) == 0 {
 			return u
 		}
-		p.acquirePermits(ctx, need, a)
+		p.acquirePermits(ctx, need, ch)
 	}
 }
 
 // tryReplica is chooseReplica, except that the request is not counted if need is not
 // empty: then it needs a permit for this upstream.
-func (p *picker) tryReplica(list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64, a *admission) (u *directory.Upstream, need []ids.Instance) {
+func (p *picker) tryReplica(list []*directory.Upstream, avoid map[ids.Instance]bool, draw float64, ch *choice) (u *directory.Upstream, need []ids.Instance) {
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.replica", p.opts.Now().Sub(began)) }()
-	u = p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, p.withHeld(avoid, a), draw)
+	u = p.replicas.Pick(p.opts.Now(), list, p.opts.Zone, p.withHeld(avoid, ch), draw)
 	if u == nil {
 		return nil, nil
 	}
 	chosen := chain.Chain{{Engine: u}}
-	if need = p.needPermits(chosen, a); len(need) > 0 {
+	if need = p.needPermits(chosen, ch); len(need) > 0 {
 		return nil, need
 	}
 	p.replicas.RequestStarted(u.ID)
--- a/decide/backpressure/ratelimit.go
+++ b/decide/backpressure/ratelimit.go
@@ -36,7 +36,7 @@
 	// keeperSilentUntil is the time until which it uses its own share, because the keeper
 	// has not answered.
 	pausedUntil, keeperSilentUntil time.Time
-	// pacer spaces the requests that need no permit of the keeper, probes those.
+	// pacer spaces the requests that need no permit, probes those.
 	pacer, probes pacer
 }
 
