The rate rises gradually after a limit also from nodes that had few requests

What an upstream would meet: at the end of a limit each node returned to its usual rate of before the limit, and one that had sent next to nothing then was free at once. With 85 such nodes and 400 requests a second 387 came in the first second after a limit of 4 a second.

Change: the rate rises eightfold from the node's share, in three seconds, at least. Test: TestRateRisesGraduallyFromNodesWithoutRequests (387 before, at most 18 allowed). Found by review.

--- a/decide/backpressure/ratelimit.go
+++ b/decide/backpressure/ratelimit.go
@@ -17,6 +17,9 @@
 	minLimit = 0.1
 	// doublingPeriod is the time in which the rate doubles after the end of a limit.
 	doublingPeriod = time.Second
+	// minReturnGrowth is the least factor by which the rate rises from a node's share before
+	// the restriction ends, also if the node had few requests before the limit.
+	minReturnGrowth = 8.0
 	// similarRatio is the ratio of two limits from which on they count as different.
 	similarRatio = 1.25
 	// keeperRetryInterval is how long a node uses its own share after the keeper did not
@@ -166,8 +169,9 @@
 // returnAdmits is limitAdmits after the end of a limit. The rate rises from this node's
 // share to its usual rate, which ends the restriction.
 func (t *Table) returnAdmits(now time.Time, id ids.Instance, u *upstreamState) Admission {
-	rate := t.share(&u.limit) * math.Exp2(now.Sub(u.limit.endedAt).Seconds()/doublingPeriod.Seconds())
-	if rate < u.usualRate {
+	growth := math.Exp2(now.Sub(u.limit.endedAt).Seconds() / doublingPeriod.Seconds())
+	rate := t.share(&u.limit) * growth
+	if growth < minReturnGrowth || rate < u.usualRate {
 		return u.limit.pacer.admits(now, rate)
 	}
 	u.limit = limitState{}
--- a/decide/backpressure/ratelimit_test.go
+++ b/decide/backpressure/ratelimit_test.go
@@ -378,6 +378,25 @@
 	}
 }
 
+// Guards against a return of all requests at once from nodes that sent few before the limit.
+func TestRateRisesGraduallyFromNodesWithoutRequests(t *testing.T) {
+	const load = 400.0 // requests per second of all nodes
+	f := newFleet(85, 4, 1)
+	f.run(20*time.Second, 1)
+	f.nameLimit(0)
+	f.sentAt = nil
+	f.run(time.Second, load)
+	if n := len(f.sentAt); n > 2*4+85/8 {
+		t.Errorf("%d requests in the first second after a limit of 4 a second", n)
+	}
+	f.run(5*time.Second, load)
+	f.sentAt = nil
+	f.run(time.Second, load)
+	if n := float64(len(f.sentAt)); n < load*0.9 {
+		t.Errorf("%.0f requests in the seventh second, want about %.0f", n, load)
+	}
+}
+
 // Guards against nodes of a large fleet that hear of the end of a limit only by their own
 // next request, much later.
 func TestEndOfALimitReachesAllNodes(t *testing.T) {
