--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -261,7 +261,9 @@
 			}
 		}
 	}
-	d.saidLeaving[id] = d.saidLeaving[id]
+	if _, said := d.saidLeaving[id]; !said {
+		d.saidLeaving[id] = false
+	}
 	return d.markLeaving(nil, id)
 }
 
