node/entry: one outbox for messages to all other nodes

Verdicts, limits and leavings each had a queue and a loop of the same shape. The drop of a full queue is tested once for all (TestMessagesDroppedFromAFullOutboxAreCounted, which also checks the order, in place of one test for verdicts and one for limits); the tests of what reaches other nodes keep their checks. No change of behaviour is meant.

--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -53,11 +53,8 @@
 // A fourth one does not.
 func newBroadcastFleet(t *testing.T) (*Node, broadcastRecorder) {
 	t.Helper()
-	n := &Node{
-		log: zerolog.Nop(), metrics: telemetry.New(), fleet: newFleet(Settings{VM: "a-00", Zone: "a"}, time.Now, func(int) {}),
-		verdicts: make(chan quarantine.Verdict, maxQueuedVerdicts), limits: make(chan backpressure.LimitNotice, maxQueuedLimits),
-		leavings: make(chan saidLeaving, maxQueuedLeavings), updates: newNotifier(),
-	}
+	n := &Node{log: zerolog.Nop(), fleet: newFleet(Settings{VM: "a-00", Zone: "a"}, time.Now, func(int) {}), updates: newNotifier()}
+	n.leavings = newOutbox[saidLeaving](maxQueuedLeavings, telemetry.New(), "leavings.dropped")
 	n.upstreams = newUpstreams("a-00", zerolog.Nop(), n.updates)
 	members := append(zoneMembers("a", 3), zoneMembers("b", 2)...)
 	members[0].PeerAddress, members[1].PeerAddress = "127.0.0.1:1", "127.0.0.1:1"
@@ -77,8 +74,7 @@
 
 func TestVerdictsReachAllOtherNodes(t *testing.T) {
 	n, r := newBroadcastFleet(t)
-	n.queueVerdict(quarantine.Verdict{Fingerprint: "f", For: time.Minute})
-	go n.sendVerdicts(t.Context())
+	n.sendVerdict(t.Context(), quarantine.Verdict{Fingerprint: "f", For: time.Minute})
 	for range 3 {
 		if v := <-r.verdicts; v.Fingerprint != "f" || v.For != time.Minute {
 			t.Errorf("received %+v", v)
@@ -89,8 +85,7 @@
 func TestLimitsReachAllOtherNodes(t *testing.T) {
 	n, r := newBroadcastFleet(t)
 	want := backpressure.LimitNotice{Upstream: ids.Instance{Upstream: "u"}, PerSecond: 3.7}
-	n.queueLimit(want)
-	go n.sendLimits(t.Context())
+	n.sendLimit(t.Context(), want)
 	for range 3 {
 		if got := <-r.limits; got != want {
 			t.Errorf("received %+v, want %+v", got, want)
@@ -112,7 +107,7 @@
 	n.recordLeaving(ids.Instance{Upstream: "untold"})
 	n.recordLeaving(ids.Instance{Upstream: "untold"})
 	n.upstreams.Changed(entry("told", 3, true))
-	go n.sendLeavings(t.Context())
+	go n.leavings.run(t.Context(), n.sendLeaving)
 	for range 3 {
 		if got := <-r.leavings; got.Upstream != "untold" {
 			t.Errorf("received %v", got)
@@ -125,20 +120,21 @@
 	}
 }
 
-func TestLimitsDroppedFromAFullQueueAreCounted(t *testing.T) {
-	n := &Node{metrics: telemetry.New(), limits: make(chan backpressure.LimitNotice, 1)}
-	n.queueLimit(backpressure.LimitNotice{})
-	n.queueLimit(backpressure.LimitNotice{})
-	if n.metrics.Registry().Get("limits.dropped") == nil {
-		t.Error("a dropped notice is not counted")
+// Messages are sent in order; one that finds the queue full is dropped and counted.
+func TestMessagesDroppedFromAFullOutboxAreCounted(t *testing.T) {
+	metrics := telemetry.New()
+	o := newOutbox[int](2, metrics, "some.dropped")
+	for m := range 3 {
+		o.add(m)
 	}
-}
-
-func TestVerdictsDroppedFromAFullQueueAreCounted(t *testing.T) {
-	n := &Node{metrics: telemetry.New(), verdicts: make(chan quarantine.Verdict, 1)}
-	n.queueVerdict(quarantine.Verdict{})
-	n.queueVerdict(quarantine.Verdict{})
-	if n.metrics.Registry().Get("verdicts.dropped") == nil {
-		t.Error("a dropped verdict is not counted")
+	if metrics.Registry().Get("some.dropped") == nil {
+		t.Error("a dropped message is not counted")
+	}
+	sent := make(chan int)
+	go o.run(t.Context(), func(_ context.Context, m int) { sent <- m })
+	for want := range 2 {
+		if got := <-sent; got != want {
+			t.Errorf("sent %d, want %d", got, want)
+		}
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -108,9 +108,9 @@
 	elector    *leader.Elector
 	placer     *placer.Placer
 
-	verdicts   chan quarantine.Verdict
-	limits     chan backpressure.LimitNotice
-	leavings   chan saidLeaving
+	verdicts   *outbox[quarantine.Verdict]
+	limits     *outbox[backpressure.LimitNotice]
+	leavings   *outbox[saidLeaving]
 	permits    *permits
 	storeCalls *callCounter
 	// initialized is closed once the first configuration and directory have
@@ -130,9 +130,9 @@
 func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New(), storeCalls: newCallCounter()}
 	n.initialized = make(chan struct{})
-	n.verdicts = make(chan quarantine.Verdict, maxQueuedVerdicts)
-	n.limits = make(chan backpressure.LimitNotice, maxQueuedLimits)
-	n.leavings = make(chan saidLeaving, maxQueuedLeavings)
+	n.verdicts = newOutbox[quarantine.Verdict](maxQueuedVerdicts, n.metrics, "verdicts.dropped")
+	n.limits = newOutbox[backpressure.LimitNotice](maxQueuedLimits, n.metrics, "limits.dropped")
+	n.leavings = newOutbox[saidLeaving](maxQueuedLeavings, n.metrics, "leavings.dropped")
 	n.updates = newNotifier()
 	n.fleet = newFleet(settings, boottime.Now, func(nodes int) {
 		n.log.Info().Str("event", "members").Int("nodes", nodes).Send()
@@ -154,8 +154,8 @@
 		Now:       boottime.Now,
 		Log:       log,
 		Metrics:   n.metrics,
-		OnVerdict: n.queueVerdict,
-		OnLimit:   n.queueLimit,
+		OnVerdict: n.verdicts.add,
+		OnLimit:   n.limits.add,
 		Permits:   n.permits,
 		OnRestart: n.upstreams.recordRestart,
 		OnLeaving: n.recordLeaving,
@@ -359,9 +359,9 @@
 	go n.upstreams.expire(ctx)
 	go n.membership.run(ctx)
 	go n.probe.run(ctx)
-	go n.sendVerdicts(ctx)
-	go n.sendLimits(ctx)
-	go n.sendLeavings(ctx)
+	go n.verdicts.run(ctx, n.sendVerdict)
+	go n.limits.run(ctx, n.sendLimit)
+	go n.leavings.run(ctx, n.sendLeaving)
 	go n.logCallsPeriodically(ctx)
 	go n.elector.Run(ctx)
 	go n.placer.Run(ctx)
--- a/node/entry/leavings.go
+++ b/node/entry/leavings.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	// maxQueuedLeavings is the capacity of the queue of leaving upstreams to tell other
-	// nodes of. Further ones are dropped and counted.
+	// maxQueuedLeavings is the most leaving upstreams that wait to be told to other nodes.
 	maxQueuedLeavings = 256
 	// leavingNoticeDelay is how long a node waits for the store, which normally tells all
 	// nodes, before it tells them itself that an upstream is leaving.
@@ -26,36 +25,24 @@
 // recordLeaving applies an upstream's own word that it is leaving, and queues it for all
 // other nodes if it is news.
 func (n *Node) recordLeaving(instance ids.Instance) {
-	if !n.upstreams.recordLeaving(instance) {
-		return
-	}
-	select {
-	case n.leavings <- saidLeaving{instance, time.Now()}:
-	default:
-		n.metrics.Add("leavings.dropped", 1)
+	if n.upstreams.recordLeaving(instance) {
+		n.leavings.add(saidLeaving{instance, time.Now()})
 	}
 }
 
 // ApplyLeaving implements relay.Source. It applies a notice received from a peer.
 func (n *Node) ApplyLeaving(instance ids.Instance) { n.upstreams.toldLeaving(instance) }
 
-// sendLeavings tells all other nodes of upstreams that are leaving, unless the store has told
-// of them, until ctx ends. A node that a notice does not reach learns it from the store or
-// from the upstream.
-func (n *Node) sendLeavings(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case said := <-n.leavings:
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(time.Until(said.at.Add(leavingNoticeDelay))):
-			}
-			if !n.upstreams.leavingConfirmed(said.upstream) {
-				n.broadcast(func(peer string) error { return relay.SendLeaving(ctx, peer, said.upstream) })
-			}
-		}
+// sendLeaving tells all other nodes of an upstream that is leaving, unless the store or a
+// peer does so within leavingNoticeDelay. A node that the notice does not reach learns it
+// from the store or from the upstream.
+func (n *Node) sendLeaving(ctx context.Context, said saidLeaving) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(time.Until(said.at.Add(leavingNoticeDelay))):
+	}
+	if !n.upstreams.leavingConfirmed(said.upstream) {
+		n.broadcast(func(peer string) error { return relay.SendLeaving(ctx, peer, said.upstream) })
 	}
 }
