Logs tell which requests a death is blamed on, and why one is not quarantined

Change: lines run_lost, upstream_died and suspect_judged. Detector.Assess gives a finding with the evidence behind it; Quarantined is one of its rulings, by the same conditions as before. No decision changes.

Measured: tests of decide/quarantine and adapter/forward pass unchanged.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -146,11 +148,28 @@
 			fingerprints = append(fingerprints, r.fingerprint)
 		}
 	}
+	c.logBlamed(id, service, fingerprints)
 	// A death without lost runs is reported too: it is evidence for a cause other than a
 	// request.
 	c.detector(service).RecordDeath(now, id.Upstream, strconv.FormatInt(id.StartedMs, 10), fingerprints)
 }
 
+// maxLoggedFingerprints bounds the fingerprints in one log line.
+const maxLoggedFingerprints = 16
+
+// logBlamed logs the runs that a death is blamed on.
+func (c *crashTracker) logBlamed(id ids.Instance, service ids.Service, fingerprints []quarantine.Fingerprint) {
+	if len(fingerprints) == 0 {
+		return
+	}
+	shown := zerolog.Arr()
+	for _, fingerprint := range fingerprints[:min(len(fingerprints), maxLoggedFingerprints)] {
+		shown.Str(string(fingerprint))
+	}
+	c.opts.Log.Info().Str("event", "upstream_died").Str("upstream", id.String()).Str("service", string(service)).
+		Int("blamed", len(fingerprints)).Array("fingerprints", shown).Send()
+}
+
 // requestServed records that a request was answered completely, which clears it.
 func (c *crashTracker) requestServed(service ids.Service, fingerprint quarantine.Fingerprint) {
 	c.mu.Lock()
@@ -169,15 +188,26 @@
 	if held && !known.local {
 		return true, nil
 	}
-	found, until := c.detector(service).Quarantined(now, fingerprint)
+	finding := c.detector(service).Assess(now, fingerprint)
+	found := finding.Ruling == quarantine.Refuse
+	if finding.Ruling != quarantine.Unsuspected && !held {
+		c.logFinding(now, service, fingerprint, finding)
+	}
 	if !found || held {
 		return found, nil
 	}
-	verdict := quarantine.Verdict{Fingerprint: fingerprint, For: until.Sub(now)}
+	verdict := quarantine.Verdict{Fingerprint: fingerprint, For: finding.Until.Sub(now)}
 	c.storeVerdict(now, verdict, true)
 	return true, &verdict
 }
 
+// logFinding logs the finding about a suspect.
+func (c *crashTracker) logFinding(now time.Time, service ids.Service, fingerprint quarantine.Fingerprint, f quarantine.Finding) {
+	c.opts.Log.Info().Str("event", "suspect_judged").Str("fingerprint", string(fingerprint)).Str("service", string(service)).
+		Str("ruling", string(f.Ruling)).Int("upstreams", f.Upstreams).Int("deaths", f.Deaths).Int("all_deaths", f.AllDeaths).
+		Dur("age_ms", now.Sub(f.Last)).Send()
+}
+
 // addPeerVerdict applies a verdict received from a peer.
 func (c *crashTracker) addPeerVerdict(v quarantine.Verdict) {
 	c.mu.Lock()
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -201,6 +201,11 @@
 // recordLostRun records that a connection broke while the request was running on these
 // upstreams.
 func (x *exchange) recordLostRun(upstreams ...ids.Instance) {
+	lost := zerolog.Arr()
+	for _, id := range upstreams {
+		lost.Str(id.String())
+	}
+	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Str("service", string(x.service)).Array("upstreams", lost).Send()
 	x.server.crashes.runLost(&run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams})
 }
 
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -164,18 +164,65 @@
 	}
 }
 
+// Ruling is the result of an assessment of a fingerprint.
+type Ruling string
+
+// Rulings.
+const (
+	// Unsuspected: blamed for fewer upstreams than Threshold, or the quarantine is over.
+	Unsuspected Ruling = "unsuspected"
+	// AwaitsPeers: peers still have time to report what they had in flight.
+	AwaitsPeers Ruling = "awaits_peers"
+	// OtherCauses: too few of the deaths in the period are blamed on the fingerprint.
+	OtherCauses Ruling = "other_causes"
+	// Rivaled: other fingerprints explain the deaths as well.
+	Rivaled Ruling = "rivaled"
+	// Refuse: requests with the fingerprint must be refused.
+	Refuse Ruling = "refuse"
+)
+
+// Finding is an assessment of a fingerprint, with the evidence it is based on.
+type Finding struct {
+	Ruling Ruling
+	// Upstreams is the number of dead upstreams that the fingerprint is blamed for, and
+	// Deaths the number of their deaths. AllDeaths counts all deaths in the same period.
+	Upstreams, Deaths, AllDeaths int
+	// Last is the time of the last of these deaths, and Until the end of a quarantine.
+	Last, Until time.Time
+}
+
+// Assess returns the finding about a fingerprint.
+func (det *Detector) Assess(now time.Time, fp Fingerprint) Finding {
+	e := det.evidenceFor(fp)
+	f := Finding{Upstreams: e.upstreams, Deaths: e.deaths, Last: e.last, Until: e.last.Add(det.opts.Duration)}
+	if e.deaths > 0 {
+		f.AllDeaths = det.deathsBetween(e.first, e.last)
+	}
+	switch {
+	case e.upstreams < det.opts.Threshold || !now.Before(f.Until):
+		f.Ruling = Unsuspected
+	case det.certainByCount(e):
+		f.Ruling = Refuse
+	case now.Before(e.last.Add(det.opts.PeerWait)):
+		f.Ruling = AwaitsPeers
+	case !det.explains(e, minExplained):
+		f.Ruling = OtherCauses
+	case det.hasRival(fp, e, anyFingerprint):
+		f.Ruling = Rivaled
+	default:
+		f.Ruling = Refuse
+	}
+	return f
+}
+
 // Quarantined reports whether requests with this fingerprint must be refused,
 // and until when.
 func (det *Detector) Quarantined(now time.Time, fp Fingerprint) (bool, time.Time) {
-	e := det.evidenceFor(fp)
-	until := e.last.Add(det.opts.Duration)
-	if e.upstreams < det.opts.Threshold || !now.Before(until) {
-		return false, time.Time{}
-	}
-	if !det.certainByCount(e) && !det.onlyExplanation(now, fp, e) {
+	f := det.Assess(now, fp)
+	if f.Ruling != Refuse {
 		return false, time.Time{}
 	}
-	return true, until
+	return true, f.Until
 }
 
 // certainByCount reports whether the number of upstreams is sufficient evidence
@@ -216,15 +263,6 @@
 	return e.upstreams, holdUntil
 }
 
-// onlyExplanation reports whether peers had time to report, the fingerprint
-// explains the deaths it is blamed for, and no other one explains them as well.
-func (det *Detector) onlyExplanation(now time.Time, fp Fingerprint, e evidence) bool {
-	if now.Before(e.last.Add(det.opts.PeerWait)) {
-		return false
-	}
-	return det.explains(e, minExplained) && !det.hasRival(fp, e, anyFingerprint)
-}
-
 // hasRival reports whether another fingerprint that satisfies match is blamed
 // for one of the same deaths and has a similar or higher score.
 func (det *Detector) hasRival(fp Fingerprint, e evidence, match func(Fingerprint) bool) bool {
