Upstreams that die together count once for a request that ran on all of them

What callers met: a request that many send alike, in flight on each engine of a failing rack, was refused everywhere as the cause, until a run of it succeeded.

Cause: each death at which a fingerprint was in flight counted, also if the run began long before the other deaths. A request that crashes upstreams is sent again after each crash.

Change: a run carries when it began, a death when the first run was lost (the earliest of what nodes report). A death counts as a further upstream only if the run began after the one counted before. The wait for peers runs from when a node learned of the death, as before. The same in mimosad, whose events carry how long a run had been there.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -86,6 +86,7 @@
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
 	a.conn, a.sentAt = conn, x.server.opts.Now()
+	x.sentAt = a.sentAt
 	a.unbind = conn.Bind(ctx, watch)
 	if err := a.send(head); err != nil {
 		a.discard()
--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -34,6 +34,8 @@
 	fingerprint quarantine.Fingerprint
 	service     ids.Service
 	upstreams   []ids.Instance
+	// began is when it was sent to these upstreams, zero if that is not known.
+	began time.Time
 	// lostAt is when the connection was lost, zero while it is open.
 	lostAt time.Time
 	// blamed is true once a death was attributed to the run. A run is blamed for one
@@ -138,36 +140,40 @@
 	c.blameLostRuns(now, u.ID, u.Service)
 }
 
-// blameLostRuns reports a death to the detector, with the fingerprints of the runs lost
-// on that upstream.
+// blameLostRuns reports a death to the detector, with the runs lost on that upstream. The
+// upstream died at the latest when the first of them was lost.
 func (c *crashTracker) blameLostRuns(now time.Time, id ids.Instance, service ids.Service) {
-	var fingerprints []quarantine.Fingerprint
+	var blamed []quarantine.Run
+	at := now
 	for _, r := range c.lostByUpstream[id] {
 		if !r.blamed && r.service == service {
 			r.blamed = true
-			fingerprints = append(fingerprints, r.fingerprint)
+			blamed = append(blamed, quarantine.Run{Fingerprint: r.fingerprint, Began: r.began})
+			if r.lostAt.Before(at) {
+				at = r.lostAt
+			}
 		}
 	}
-	c.logBlamed(id, service, fingerprints)
+	c.logBlamed(id, service, blamed)
 	// A death without lost runs is reported too: it is evidence for a cause other than a
 	// request.
-	c.detector(service).RecordDeath(now, id.Upstream, strconv.FormatInt(id.StartedMs, 10), fingerprints)
+	c.detector(service).RecordDeathAt(now, at, id.Upstream, strconv.FormatInt(id.StartedMs, 10), blamed)
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
 const maxLoggedFingerprints = 16
 
 // logBlamed logs the runs that a death is blamed on.
-func (c *crashTracker) logBlamed(id ids.Instance, service ids.Service, fingerprints []quarantine.Fingerprint) {
-	if len(fingerprints) == 0 {
+func (c *crashTracker) logBlamed(id ids.Instance, service ids.Service, blamed []quarantine.Run) {
+	if len(blamed) == 0 {
 		return
 	}
 	shown := zerolog.Arr()
-	for _, fingerprint := range fingerprints[:min(len(fingerprints), maxLoggedFingerprints)] {
-		shown.Str(string(fingerprint))
+	for _, r := range blamed[:min(len(blamed), maxLoggedFingerprints)] {
+		shown.Str(string(r.Fingerprint))
 	}
 	c.opts.Log.Info().Str("event", "upstream_died").Str("upstream", id.String()).Str("service", string(service)).
-		Int("blamed", len(fingerprints)).Array("fingerprints", shown).Send()
+		Int("blamed", len(blamed)).Array("fingerprints", shown).Send()
 }
 
 // requestServed records that a request was answered completely, which clears it.
--- a/adapter/forward/crashes_test.go
+++ b/adapter/forward/crashes_test.go
@@ -190,6 +190,28 @@
 	}
 }
 
+// Guards against the quarantine of a request that many callers send, of which one run was
+// in flight on each engine of a rack.
+func TestSameRequestOnAFailingRackIsNotQuarantined(t *testing.T) {
+	e := newTestTracker()
+	began := e.now
+	e.now = e.now.Add(300 * time.Millisecond)
+	for i := range 10 {
+		u := fmt.Sprint("u", i)
+		e.runLost(&run{fingerprint: "popular", service: "s", upstreams: []ids.Instance{instance(ids.Upstream(u))}, began: began.Add(time.Duration(i) * 10 * time.Millisecond)})
+		e.die(u)
+		e.now = e.now.Add(time.Millisecond)
+	}
+	if e.isQuarantined("popular") {
+		t.Error("a request that ran on all upstreams of a rack is quarantined")
+	}
+	e.runLost(&run{fingerprint: "popular", service: "s", upstreams: []ids.Instance{instance("u10")}, began: e.now})
+	e.die("u10")
+	if !e.isQuarantined("popular") {
+		t.Error("a request that crashed another upstream after the rack is not quarantined")
+	}
+}
+
 func TestRemovedUpstreamCountsAsCrashed(t *testing.T) {
 	r := newTestServer(t)
 	e := &testTracker{crashTracker: r.crashes}
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -52,10 +52,11 @@
 	// fingerprint identifies the request and its repeats.
 	fingerprint quarantine.Fingerprint
 
-	// sends counts the sends for which a connection was made. ranOn holds the upstreams
-	// on which the request ran or may have run.
-	sends int
-	ranOn map[ids.Instance]bool
+	// sends counts the sends for which a connection was made, and sentAt is when the last
+	// of them began. ranOn holds the upstreams on which the request ran or may have run.
+	sends  int
+	sentAt time.Time
+	ranOn  map[ids.Instance]bool
 	// responseStarted is true once part of the response was written to the caller.
 	responseStarted bool
 	// lateCause is why the response is late, empty while it is not.
@@ -199,14 +200,14 @@
 }
 
 // recordLostRun records that a connection broke while the request was running on these
-// upstreams.
-func (x *exchange) recordLostRun(upstreams ...ids.Instance) {
+// upstreams, since began.
+func (x *exchange) recordLostRun(began time.Time, upstreams ...ids.Instance) {
 	lost := zerolog.Arr()
 	for _, id := range upstreams {
 		lost.Str(id.String())
 	}
 	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Str("service", string(x.service)).Array("upstreams", lost).Send()
-	x.server.crashes.runLost(&run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams})
+	x.server.crashes.runLost(&run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams, began: began})
 }
 
 // quarantineDetail is the detail of a refusal because of quarantine.
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -89,7 +89,7 @@
 	if !failed.lostWhileRunning() {
 		return
 	}
-	x.recordLostRun(u.ID)
+	x.recordLostRun(x.sentAt, u.ID)
 	go x.server.confirmAlive(u)
 }
 
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -64,6 +64,9 @@
 	started bool
 	// cooldownUntil is the time before which stalls are not acted upon.
 	cooldownUntil time.Time
+	// reroutedAt is when the request was moved to the present chain, zero if it was sent
+	// there.
+	reroutedAt time.Time
 	// reroutes is the number of reroutes since the last event.
 	reroutes int
 	// eventSeen is true once an event has come through the present chain, which proves
@@ -203,6 +206,7 @@
 			w.reroutes++
 			w.recordBypassed(old, other)
 			w.eventSeen = false
+			w.reroutedAt = x.server.opts.Now()
 			w.cooldownUntil = x.server.opts.Now().Add(rerouteCooldown)
 			return true
 		}
@@ -216,6 +220,14 @@
 	return false
 }
 
+// beganAt returns when the engines of the present chain got the request.
+func (w *stallWatch) beganAt() time.Time {
+	if w.reroutedAt.IsZero() {
+		return w.s.x.sentAt
+	}
+	return w.reroutedAt
+}
+
 // recordBypassed records the engines that a reroute has removed from the chain as lost
 // runs, unless the chain has already produced events: they may have crashed when they
 // started to run the request.
@@ -226,7 +238,7 @@
 	kept := present.Engines()
 	gone := slices.DeleteFunc(old.Engines(), func(id ids.Instance) bool { return slices.Contains(kept, id) })
 	if len(gone) > 0 {
-		w.s.x.recordLostRun(gone...)
+		w.s.x.recordLostRun(w.beganAt(), gone...)
 	}
 }
 
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -409,7 +409,7 @@
 	x, c := s.x, w.chain
 	x.recordPossibleRun(c[0].Engine, failed)
 	if ctx.Err() == nil && failed.lostWhileRunning() && !w.eventSeen {
-		x.recordLostRun(c.Engines()...)
+		x.recordLostRun(w.beganAt(), c.Engines()...)
 	}
 	var held *HeldError
 	switch {
--- a/adapter/peer/convert.go
+++ b/adapter/peer/convert.go
@@ -30,6 +30,7 @@
 			Epoch:       e.Epoch,
 			Fingerprint: string(e.Fingerprint),
 			AgeNs:       int64(e.Age),
+			RanNs:       int64(e.Ran),
 		}
 	})
 }
@@ -44,6 +45,7 @@
 			Epoch:       e.Epoch,
 			Fingerprint: quarantine.Fingerprint(e.Fingerprint),
 			Age:         time.Duration(e.AgeNs),
+			Ran:         time.Duration(e.RanNs),
 		}
 	})
 }
--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -120,6 +120,9 @@
 	Fingerprint string       `json:"fingerprint,omitempty"`
 	// AgeNs is the time since the crash, in nanoseconds.
 	AgeNs int64 `json:"age_ns"`
+	// RanNs is how long the request had been on the upstream, in nanoseconds, 0 if that
+	// is not known.
+	RanNs int64 `json:"ran_ns,omitempty"`
 }
 
 // Observation is the sender's view of one upstream.
--- a/core/peerapi/validate.go
+++ b/core/peerapi/validate.go
@@ -160,6 +160,7 @@
 		c.sizeAtMost("quarantine.epoch", len(q.Epoch), MaxNameBytes)
 		c.sizeAtMost("quarantine.fingerprint", len(q.Fingerprint), MaxNameBytes)
 		c.atLeast("quarantine.age_ns", q.AgeNs, 0)
+		c.atLeast("quarantine.ran_ns", q.RanNs, 0)
 	}
 	for _, o := range d.Health {
 		c.name("health.upstream", string(o.Upstream))
--- a/decide/quarantine/digest.go
+++ b/decide/quarantine/digest.go
@@ -36,6 +36,9 @@
 	Fingerprint Fingerprint  `json:"fingerprint,omitempty"`
 	// Age is the time since the death.
 	Age time.Duration `json:"age_ns"`
+	// Ran is how long the last run of the fingerprint had been on the upstream when it
+	// died, 0 if that is not known.
+	Ran time.Duration `json:"ran_ns,omitempty"`
 }
 
 // MergeDigest adds the events of a peer's digest to the evidence. Peers relay
@@ -52,7 +55,11 @@
 		if e.Kind == Death {
 			continue
 		}
-		det.addBlame(d, e.Fingerprint)
+		ran := unknownRan
+		if e.Ran > 0 {
+			ran = e.Ran
+		}
+		det.addBlame(now, d, e.Fingerprint, ran)
 		if e.Kind == Cleared {
 			d.clear(e.Fingerprint)
 		}
@@ -78,11 +85,11 @@
 		}
 		for _, fp := range d.fingerprints() {
 			switch {
-			case !d.inFlight[fp] && age < recentDeathAge:
+			case !d.isBlamed(fp) && age < recentDeathAge:
 				recent = append(recent, d.event(Cleared, fp, age))
-			case d.inFlight[fp] && len(det.suspects[fp]) > 1:
+			case d.isBlamed(fp) && len(det.suspects[fp]) > 1:
 				repeated = append(repeated, d.event(Blamed, fp, age))
-			case d.inFlight[fp] && age < recentDeathAge:
+			case d.isBlamed(fp) && age < recentDeathAge:
 				recent = append(recent, d.event(Blamed, fp, age))
 			}
 		}
@@ -96,7 +103,11 @@
 
 // event returns an event about the death.
 func (d *death) event(kind Kind, fp Fingerprint, age time.Duration) Event {
-	return Event{Kind: kind, Upstream: d.id.upstream, Epoch: d.id.epoch, Fingerprint: fp, Age: age}
+	e := Event{Kind: kind, Upstream: d.id.upstream, Epoch: d.id.epoch, Fingerprint: fp, Age: age}
+	if b := d.inFlight[fp]; b != nil && b.ran != unknownRan {
+		e.Ran = max(b.ran, 1)
+	}
+	return e
 }
 
 // fingerprints returns the sorted fingerprints that were in flight.
--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -9,14 +9,16 @@
 
 // evidence summarizes the deaths that a fingerprint is blamed for.
 type evidence struct {
-	// deaths is the number of deaths blamed on the fingerprint, and upstreams
-	// the number of distinct upstreams among them.
+	// deaths is the number of deaths blamed on the fingerprint. upstreams is the number
+	// of distinct upstreams among them, of which those that died together count as one.
 	deaths, upstreams int
 	// blameShare is the sum over these deaths of 1/n, where n is the number of
 	// fingerprints that are blamed for the death.
 	blameShare float64
 	// first and last are the times of the first and the last of these deaths.
 	first, last time.Time
+	// learnedAt is when this VM learned of the last of them.
+	learnedAt time.Time
 }
 
 // score ranks fingerprints by the number of upstreams and then by their mean
@@ -32,18 +34,21 @@
 func (det *Detector) evidenceFor(fp Fingerprint) evidence {
 	var e evidence
 	var seen []ids.Upstream
-	for _, d := range det.suspects[fp] {
-		if !d.inFlight[fp] {
-			continue
-		}
-		if e.deaths == 0 || d.at.Before(e.first) {
+	var counted time.Time
+	for _, d := range det.blamedDeaths(fp) {
+		if e.deaths == 0 {
 			e.first = d.at
 		}
-		if d.at.After(e.last) {
-			e.last = d.at
+		e.last = d.at
+		if learned := d.inFlight[fp].learnedAt; learned.After(e.learnedAt) {
+			e.learnedAt = learned
 		}
 		e.deaths++
 		e.blameShare += 1 / float64(d.blamed)
+		if ran := d.inFlight[fp].ran; ran != unknownRan && d.at.Add(-ran).Before(counted.Add(-startTolerance)) {
+			continue
+		}
+		counted = d.at
 		if !slices.Contains(seen, d.id.upstream) {
 			seen = append(seen, d.id.upstream)
 		}
@@ -52,29 +57,48 @@
 	return e
 }
 
+// blamedDeaths returns the deaths that a fingerprint is blamed for, the first one first.
+func (det *Detector) blamedDeaths(fp Fingerprint) []*death {
+	var blamed []*death
+	for _, d := range det.suspects[fp] {
+		if d.isBlamed(fp) {
+			blamed = append(blamed, d)
+		}
+	}
+	slices.SortStableFunc(blamed, func(x, y *death) int { return x.at.Compare(y.at) })
+	return blamed
+}
+
 // findOrAddDeath returns the record of a death and adds it if it is unknown. If
-// it is known, it keeps the time recorded first.
+// it is known, it keeps the earliest of its times.
 func (det *Detector) findOrAddDeath(at time.Time, id deathID) *death {
 	if d, known := det.byID[id]; known {
+		if at.Before(d.at) {
+			d.at = at
+		}
 		return d
 	}
 	if len(det.deaths) >= det.opts.MaxDeaths {
 		det.removeReferences(det.deaths[0])
 		det.deaths = slices.Delete(det.deaths, 0, 1)
 	}
-	d := &death{id: id, at: at, inFlight: make(map[Fingerprint]bool)}
+	d := &death{id: id, at: at, inFlight: make(map[Fingerprint]*blame)}
 	det.deaths = append(det.deaths, d)
 	det.byID[id] = d
 	return d
 }
 
-// addBlame blames a death on a fingerprint, once. The blame is cleared at once
-// if the fingerprint has succeeded since the death.
-func (det *Detector) addBlame(d *death, fp Fingerprint) {
-	if _, known := d.inFlight[fp]; known || len(d.inFlight) >= det.opts.MaxInFlight {
+// addBlame blames a death on a fingerprint. The blame is cleared at once if the fingerprint
+// has succeeded since the death.
+func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration) {
+	if known := d.inFlight[fp]; known != nil {
+		known.ran = min(known.ran, ran)
+		return
+	}
+	if len(d.inFlight) >= det.opts.MaxInFlight {
 		return
 	}
-	d.inFlight[fp] = true
+	d.inFlight[fp] = &blame{learnedAt: now, ran: ran}
 	d.blamed++
 	det.suspects[fp] = append(det.suspects[fp], d)
 	if success, ok := det.successes[fp]; ok && !success.Before(d.at) {
@@ -84,8 +108,8 @@
 
 // clear permanently removes a fingerprint's blame for the death.
 func (d *death) clear(fp Fingerprint) {
-	if d.inFlight[fp] {
-		d.inFlight[fp] = false
+	if d.isBlamed(fp) {
+		d.inFlight[fp].cleared = true
 		d.blamed--
 	}
 }
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -17,6 +17,9 @@
 //     This is not the case when a rack fails.
 //   - Peers had PeerWait to report what they had in flight.
 //
+// Upstreams that die together, as in a rack, count as one if the runs on them began before
+// the first of these deaths: a request that crashes upstreams is sent again after each.
+//
 // If a fingerprint is blamed for two upstreams more than Threshold and for
 // nearly half of the deaths, it is quarantined without further conditions.
 //
@@ -75,6 +78,10 @@
 	maxSuccesses = 2048
 )
 
+// startTolerance is how much earlier than a death a run may have begun and still count as
+// begun after it. Times that peers report are late by the time of the call.
+const startTolerance = 20 * time.Millisecond
+
 // Fingerprint identifies a request. Repetitions of a request have the same
 // fingerprint.
 type Fingerprint string
@@ -95,6 +102,13 @@
 	MaxDeaths, MaxInFlight, MaxEvents int
 }
 
+// Run is a request that was in flight on an upstream when it died.
+type Run struct {
+	Fingerprint Fingerprint
+	// Began is when the upstream got the request, zero if that is not known.
+	Began time.Time
+}
+
 // deathID identifies a death by the upstream and the epoch of the process that
 // ended.
 type deathID struct {
@@ -106,12 +120,32 @@
 type death struct {
 	id deathID
 	at time.Time
-	// inFlight maps each fingerprint to whether it is still blamed. blamed is
-	// the number of those that are.
-	inFlight map[Fingerprint]bool
+	// inFlight holds the fingerprints that were in flight. blamed is the number of those
+	// that are still blamed.
+	inFlight map[Fingerprint]*blame
 	blamed   int
 }
 
+// blame is what is known of one fingerprint at a death.
+type blame struct {
+	// learnedAt is when this VM learned of it.
+	learnedAt time.Time
+	// cleared is true once the fingerprint has succeeded after the death.
+	cleared bool
+	// ran is how long the last of its runs had been on the upstream, unknownRan if that is
+	// not known of one of them.
+	ran time.Duration
+}
+
+// unknownRan stands for the time of a run whose start is not known.
+const unknownRan = time.Duration(-1)
+
+// isBlamed reports whether the fingerprint is still blamed for the death.
+func (d *death) isBlamed(fp Fingerprint) bool {
+	b := d.inFlight[fp]
+	return b != nil && !b.cleared
+}
+
 // Detector collects the evidence of one service.
 type Detector struct {
 	opts Options
@@ -146,10 +180,24 @@
 // connection lost after the start of a request, followed by a new epoch or by
 // refused connections. epoch is that of the process that ended.
 func (det *Detector) RecordDeath(now time.Time, upstream ids.Upstream, epoch string, inFlight []Fingerprint) {
+	runs := make([]Run, len(inFlight))
+	for i, fp := range inFlight {
+		runs[i].Fingerprint = fp
+	}
+	det.RecordDeathAt(now, now, upstream, epoch, runs)
+}
+
+// RecordDeathAt is RecordDeath for a death at an earlier time, and for runs whose start is
+// known.
+func (det *Detector) RecordDeathAt(now, at time.Time, upstream ids.Upstream, epoch string, runs []Run) {
 	det.dropOldDeaths(now)
-	d := det.findOrAddDeath(now, deathID{upstream, epoch})
-	for _, fp := range inFlight {
-		det.addBlame(d, fp)
+	d := det.findOrAddDeath(at, deathID{upstream, epoch})
+	for _, r := range runs {
+		ran := unknownRan
+		if !r.Began.IsZero() {
+			ran = max(at.Sub(r.Began), 0)
+		}
+		det.addBlame(now, d, r.Fingerprint, ran)
 	}
 }
 
@@ -203,7 +251,7 @@
 		f.Ruling = Unsuspected
 	case det.certainByCount(e):
 		f.Ruling = Refuse
-	case now.Before(e.last.Add(det.opts.PeerWait)):
+	case now.Before(e.learnedAt.Add(det.opts.PeerWait)):
 		f.Ruling = AwaitsPeers
 	case !det.explains(e, minExplained):
 		f.Ruling = OtherCauses
@@ -253,9 +301,9 @@
 	if e.upstreams < det.opts.Threshold {
 		return e.upstreams, time.Time{}
 	}
-	hold := e.last.Add(det.opts.PeerWait)
+	hold := e.learnedAt.Add(det.opts.PeerWait)
 	if det.hasRival(fp, e, func(other Fingerprint) bool { return other < fp }) {
-		hold = e.last.Add(maxTieWaitFactor * det.opts.PeerWait)
+		hold = e.learnedAt.Add(maxTieWaitFactor * det.opts.PeerWait)
 	}
 	if now.Before(hold) {
 		holdUntil = hold
@@ -267,11 +315,11 @@
 // for one of the same deaths and has a similar or higher score.
 func (det *Detector) hasRival(fp Fingerprint, e evidence, match func(Fingerprint) bool) bool {
 	for _, d := range det.suspects[fp] {
-		if !d.inFlight[fp] {
+		if !d.isBlamed(fp) {
 			continue
 		}
-		for other, blamed := range d.inFlight {
-			if other == fp || !blamed || !match(other) {
+		for other := range d.inFlight {
+			if other == fp || !d.isBlamed(other) || !match(other) {
 				continue
 			}
 			if det.evidenceFor(other).score() > e.score()-minScoreLead {
--- a/decide/router/crash.go
+++ b/decide/router/crash.go
@@ -14,7 +14,7 @@
 type possibleCrash struct {
 	epoch   string
 	at      time.Time
-	running []quarantine.Fingerprint
+	running []quarantine.Run
 }
 
 const (
@@ -85,17 +85,17 @@
 	if u == nil || (u.possibleCrash != nil && r.now.Sub(u.possibleCrash.at) < lossMergeWindow) {
 		return
 	}
-	u.possibleCrash = &possibleCrash{epoch: u.epoch, at: r.now, running: u.fingerprints()}
+	u.possibleCrash = &possibleCrash{epoch: u.epoch, at: r.now, running: u.runs()}
 }
 
-// fingerprints returns the fingerprints of the requests that this VM has in
-// flight at the upstream.
-func (u *upstream) fingerprints() []quarantine.Fingerprint {
-	prints := make([]quarantine.Fingerprint, 0, len(u.running))
+// runs returns the requests that this VM has in flight at the upstream.
+func (u *upstream) runs() []quarantine.Run {
+	runs := make([]quarantine.Run, 0, len(u.running))
 	for _, id := range sortedKeys(u.running) {
-		prints = append(prints, u.running[id].fingerprint())
+		req := u.running[id]
+		runs = append(runs, quarantine.Run{Fingerprint: req.fingerprint(), Began: req.sentAt})
 	}
-	return prints
+	return runs
 }
 
 // clearPossibleCrash discards a possible crash if the upstream has since reported
@@ -151,12 +151,12 @@
 	}
 	suspected := u.possibleCrash
 	u.possibleCrash = nil
-	r.reportCrash(u, suspected.epoch, suspected.running)
+	r.reportCrash(u, suspected)
 }
 
 // reportCrash reports the crash of an upstream to its service's quarantine.
-func (r *Router) reportCrash(u *upstream, epoch string, running []quarantine.Fingerprint) {
+func (r *Router) reportCrash(u *upstream, crash *possibleCrash) {
 	if svc := r.services[u.engine.Service]; svc != nil {
-		svc.quarantine.RecordDeath(r.now, u.engine.ID, epoch, running)
+		svc.quarantine.RecordDeathAt(r.now, crash.at, u.engine.ID, crash.epoch, crash.running)
 	}
 }
--- a/decide/router/upstream.go
+++ b/decide/router/upstream.go
@@ -89,7 +89,7 @@
 		r.confirmCrash(u)
 		return
 	}
-	r.reportCrash(u, u.epoch, u.fingerprints())
+	r.reportCrash(u, &possibleCrash{epoch: u.epoch, at: r.now, running: u.runs()})
 }
 
 // loadPollFailed records that an engine did not answer a load poll.
