--- a/decide/backpressure/keeper.go
+++ b/decide/backpressure/keeper.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/fnvhash"
 )
 
 // MaxKeepers is how many nodes may issue the permits for an upstream, one at a time.
@@ -18,7 +19,7 @@
 	keepers := make([]ids.VM, 0, MaxKeepers+1)
 	ranks := make([]float64, 0, MaxKeepers+1)
 	for _, node := range nodes {
-		rank := keeperRank(upstream, node)
+		rank := fnvhash.Rank(string(node), upstream)
 		at := len(ranks)
 		for at > 0 && ranks[at-1] < rank {
 			at--
@@ -33,12 +34,6 @@
 	return keepers
 }
 
-// keeperRank returns the rendezvous hash of an upstream and a node.
-func keeperRank(upstream string, node ids.VM) float64 {
-	const separator = "\x00"
-	return fractionOf(hash(hash(hash(fnvOffset, string(node)), separator), upstream))
-}
-
 // MaxHops is how many nodes may pass a request for a permit on. Nodes whose lists differ
 // could pass it on without end.
 const MaxHops = 3
--- a/decide/backpressure/pacer.go
+++ b/decide/backpressure/pacer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/fnvhash"
 )
 
 // tokenLifetime is how long a token lasts if it is not used. With a longer lifetime more
@@ -24,7 +25,7 @@
 // newPacer returns a pacer without tokens. The time of its first token is random: it
 // depends on the seed and the upstream, so that nodes do not send at the same moment.
 func newPacer(now time.Time, seed uint64, id ids.Instance) pacer {
-	return pacer{earned: fractionOf(hash(fnvOffset, id.String()) ^ seed), updatedAt: now}
+	return pacer{earned: fnvhash.Fraction(fnvhash.Sum(id.String()) ^ seed), updatedAt: now}
 }
 
 // newReturnPacer returns a pacer whose first token is due at a time.
