Keepers bring the evidence of all nodes together and decide on requests that crash upstreams

What callers met: one request, repeated through nine nodes, crashed twelve engines; most streams were refused for seven seconds.

Cause: each node judged by what it had lost itself. Class: evidence about a fleet-wide fact is kept and weighed where it arises, so that the fleet's size divides it.

Change: decide/quarantine.Judge. A node reports its evidence to the keepers of the service (two of each zone, the same for all nodes); these decide as soon as the evidence is there, announce suspects, and tell verdicts with their evidence; a node that has served such a request contradicts, which clears it everywhere. A node that reaches no keeper decides by itself. A success shortly before a death clears too, since a request that crashes all upstreams has none. Verdicts that a node seems not to have heard are told again.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -24,9 +24,6 @@
 	deathMatchWindow = 2 * time.Second
 	// maxLostRuns bounds the lost runs that are kept, to about 1 MB.
 	maxLostRuns = 4096
-	// maxVerdicts bounds the verdicts that are kept, to about 0.1 MB. Each stands for two
-	// crashed upstreams.
-	maxVerdicts = 1024
 )
 
 // run is one attempt of a request, with the upstreams of its chain.
@@ -44,55 +41,34 @@
 	blamed bool
 }
 
-// crashTracker finds requests that crash the upstreams they run on, and keeps the
-// resulting verdicts of this node and its peers. Its methods are safe for concurrent
-// use.
+// crashTracker attributes the deaths of upstreams to the runs that this node has lost there,
+// and decides with its peers which requests crash upstreams. Its methods are safe for
+// concurrent use.
 type crashTracker struct {
 	opts Options
 
 	mu             sync.Mutex
-	detectors      map[ids.Service]*quarantine.Detector
+	judge          *quarantine.Judge
 	lostRuns       []*run
 	lostByUpstream map[ids.Instance][]*run
 	diedAt         map[ids.Instance]time.Time
-	verdicts       map[quarantine.Fingerprint]heldVerdict
-}
-
-// heldVerdict is an active verdict, received from a peer or found by this node.
-type heldVerdict struct {
-	until time.Time
-	// local verdicts depend on this node's evidence, which can still withdraw them.
-	local bool
 }
 
 // newCrashTracker returns a tracker without evidence.
 func newCrashTracker(o Options) *crashTracker {
 	return &crashTracker{
 		opts:           o,
-		detectors:      make(map[ids.Service]*quarantine.Detector),
+		judge:          quarantine.NewJudge(),
 		lostByUpstream: make(map[ids.Instance][]*run),
 		diedAt:         make(map[ids.Instance]time.Time),
-		verdicts:       make(map[quarantine.Fingerprint]heldVerdict),
-	}
-}
-
-// detector returns the detector of a service, and creates it if there is none.
-func (c *crashTracker) detector(service ids.Service) *quarantine.Detector {
-	d := c.detectors[service]
-	if d == nil {
-		// Nodes exchange verdicts but no evidence, so there is no evidence of peers to wait
-		// for.
-		d = quarantine.New(quarantine.Options{PeerWait: -1})
-		c.detectors[service] = d
 	}
-	return d
 }
 
 // runLost records that the connection of a run broke, or that the run was rerouted
 // around a dead stage.
 func (c *crashTracker) runLost(r *run) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	r.lostAt = c.opts.Now()
 	c.expireLostRuns(r.lostAt)
 	c.lostRuns = append(c.lostRuns, r)
@@ -125,7 +101,7 @@
 // called more than once for the same death.
 func (c *crashTracker) upstreamDied(u *directory.Upstream) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	now := c.opts.Now()
 	c.expireLostRuns(now)
 	for id, at := range c.diedAt {
@@ -157,7 +133,7 @@
 	c.logBlamed(id, service, blamed)
 	// A death without lost runs is reported too: it is evidence for a cause other than a
 	// request.
-	c.detector(service).RecordDeathAt(now, at, id.Upstream, strconv.FormatInt(id.StartedMs, 10), blamed)
+	c.judge.RecordDeath(now, at, service, id.Upstream, strconv.FormatInt(id.StartedMs, 10), blamed)
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
@@ -176,35 +152,52 @@
 		Int("blamed", len(blamed)).Array("fingerprints", shown).Send()
 }
 
+// unlock releases the lock, and tells the node if its evidence has to go to its peers.
+func (c *crashTracker) unlock() {
+	due := c.judge.Due()
+	c.mu.Unlock()
+	if due {
+		c.opts.OnEvidence()
+	}
+}
+
+// update reads or changes the node's evidence and verdicts.
+func (c *crashTracker) update(change func(now time.Time, j *quarantine.Judge)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c.opts.Now(), c.judge)
+}
+
 // requestServed records that a request was answered completely, which clears it.
 func (c *crashTracker) requestServed(service ids.Service, fingerprint quarantine.Fingerprint) {
+	c.mu.Lock()
+	defer c.unlock()
+	c.judge.RecordSuccess(c.opts.Now(), service, fingerprint)
+}
+
+// concerns reports whether there is a verdict on requests with a fingerprint, or evidence
+// against them.
+func (c *crashTracker) concerns(service ids.Service, fingerprint quarantine.Fingerprint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.detector(service).RecordSuccess(c.opts.Now(), fingerprint)
+	return c.judge.Concerns(service, fingerprint)
 }
 
 // quarantined reports whether requests with a fingerprint are to be refused. newVerdict
 // is set if this node has just reached that verdict itself, so that it can be published.
 func (c *crashTracker) quarantined(service ids.Service, fingerprint quarantine.Fingerprint) (refused bool, newVerdict *quarantine.Verdict) {
+	if !c.concerns(service, fingerprint) {
+		return false, nil
+	}
+	role := c.opts.QuarantineRole(service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Now()
-	known, held := c.verdicts[fingerprint]
-	held = held && now.Before(known.until)
-	if held && !known.local {
-		return true, nil
-	}
-	finding := c.detector(service).Assess(now, fingerprint)
-	found := finding.Ruling == quarantine.Refuse
-	if finding.Ruling != quarantine.Unsuspected && !held {
+	refused, finding, newVerdict := c.judge.Convict(now, service, fingerprint, role)
+	if finding.Ruling != quarantine.Unsuspected && (!refused || newVerdict != nil) {
 		c.logFinding(now, service, fingerprint, finding)
 	}
-	if !found || held {
-		return found, nil
-	}
-	verdict := quarantine.Verdict{Fingerprint: fingerprint, For: finding.Until.Sub(now)}
-	c.storeVerdict(now, verdict, true)
-	return true, &verdict
+	return refused, newVerdict
 }
 
 // logFinding logs the finding about a suspect.
@@ -214,24 +207,16 @@
 		Dur("age_ms", now.Sub(f.Last)).Send()
 }
 
-// addPeerVerdict applies a verdict received from a peer.
-func (c *crashTracker) addPeerVerdict(v quarantine.Verdict) {
+// addReport applies a peer's evidence.
+func (c *crashTracker) addReport(r quarantine.Report) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.storeVerdict(c.opts.Now(), v, false)
+	defer c.unlock()
+	c.judge.AddReport(c.opts.Now(), r)
 }
 
-// storeVerdict keeps a verdict until it expires. If there is no room, the verdict is
-// dropped, and this node relies on its own evidence.
-func (c *crashTracker) storeVerdict(now time.Time, v quarantine.Verdict, local bool) {
-	if len(c.verdicts) >= maxVerdicts {
-		for fingerprint, verdict := range c.verdicts {
-			if !now.Before(verdict.until) {
-				delete(c.verdicts, fingerprint)
-			}
-		}
-	}
-	if len(c.verdicts) < maxVerdicts {
-		c.verdicts[v.Fingerprint] = heldVerdict{until: now.Add(min(v.For, quarantine.DefaultDuration)), local: local}
-	}
+// addPeerVerdict applies a verdict received from a peer.
+func (c *crashTracker) addPeerVerdict(v quarantine.Verdict) {
+	c.mu.Lock()
+	defer c.unlock()
+	c.judge.AddVerdict(c.opts.Now(), v)
 }
--- a/adapter/forward/crashes_test.go
+++ b/adapter/forward/crashes_test.go
@@ -145,6 +145,7 @@
 	e := &testTracker{now: time.Unix(1000, 0)}
 	e.crashTracker = newCrashTracker(Options{
 		Now: func() time.Time { return e.now }, Log: zerolog.Nop(), Metrics: &fakeMetrics{n: make(map[string]int64)},
+		QuarantineRole: func(ids.Service) quarantine.Role { return quarantine.Role{Alone: true, Keeper: true} }, OnEvidence: func() {},
 	})
 	return e
 }
@@ -301,24 +302,6 @@
 	}
 }
 
-func TestVerdictsAreBounded(t *testing.T) {
-	e := newTestTracker()
-	for i := range 2 * maxVerdicts {
-		e.addPeerVerdict(quarantine.Verdict{Fingerprint: quarantine.Fingerprint(fmt.Sprint(i)), For: time.Minute})
-	}
-	if len(e.verdicts) != maxVerdicts {
-		t.Errorf("%d verdicts are kept", len(e.verdicts))
-	}
-	e.now = e.now.Add(2 * time.Minute)
-	if e.isQuarantined("0") {
-		t.Error("a verdict applies after it has expired")
-	}
-	e.addPeerVerdict(quarantine.Verdict{Fingerprint: "late", For: time.Minute})
-	if !e.isQuarantined("late") || len(e.verdicts) != 1 {
-		t.Errorf("%d verdicts are kept after the old ones expired", len(e.verdicts))
-	}
-}
-
 func TestStreamThatRanIsNotBlamed(t *testing.T) {
 	const path = "/stream/long"
 	r, all := crashingEngines(t, func(conn net.Conn, req *fasthttp.Request) bool {
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -187,14 +187,11 @@
 }
 
 // quarantined reports whether requests with this fingerprint are known to crash
-// upstreams. It logs and publishes a verdict that this node has just reached.
+// upstreams. It publishes a verdict that this node has just reached.
 func (x *exchange) quarantined() bool {
 	refused, verdict := x.server.crashes.quarantined(x.service, x.fingerprint)
 	if verdict != nil {
-		x.count("upstream.culprits")
-		x.log("quarantined").Str("fingerprint", string(verdict.Fingerprint)).Str("service", string(x.service)).
-			Dur("for_ms", verdict.For).Send()
-		x.server.opts.OnVerdict(*verdict)
+		x.server.publishVerdict(*verdict)
 	}
 	return refused
 }
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -245,6 +245,7 @@
 	engines   *fakeEngines
 	permits   *fakePermits
 	table     atomic.Pointer[routing.Table]
+	role      atomic.Pointer[quarantine.Role]
 	mu        sync.Mutex
 	dir       *directory.Directory
 	published []quarantine.Verdict
@@ -305,6 +306,15 @@
 	}
 }
 
+// quarantineRole is the server's QuarantineRole: that of a node without peers, unless the test
+// sets another.
+func (r *testServer) quarantineRole(ids.Service) quarantine.Role {
+	if role := r.role.Load(); role != nil {
+		return *role
+	}
+	return quarantine.Role{Alone: true, Keeper: true}
+}
+
 // newTestServer starts a Server in front of fake upstreams.
 func newTestServer(t *testing.T, fakes ...*fakeUpstream) *testServer {
 	t.Helper()
@@ -328,6 +338,7 @@
 	}
 	r.Server = New(Options{
 		Headers: testHeaders, Zone: "z", Engines: r.engines, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Permits: r.permits, Ready: r.ready,
+		QuarantineRole: r.quarantineRole, OnEvidence: func() {},
 		Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		Table:  r.table.Load,
 		View: func() *directory.View {
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -110,6 +110,12 @@
 	// OnVerdict is called when this node has found a request that crashes upstreams, to
 	// inform the other nodes. It must not block and must be safe for concurrent use.
 	OnVerdict func(quarantine.Verdict)
+	// QuarantineRole returns this node's part in the decisions on requests of a service that
+	// crash upstreams. It must be safe for concurrent use.
+	QuarantineRole func(ids.Service) quarantine.Role
+	// OnEvidence is called when TakeCrashReports or ReviewSuspects has something to do. It
+	// must not block and must be safe for concurrent use.
+	OnEvidence func()
 	// OnLimit is called when the response of an upstream shows that its rate limit begins,
 	// changes or ends, to inform the other nodes. It must not block and must be safe for
 	// concurrent use.
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -155,6 +155,37 @@
 // AddVerdict applies a peer's verdict on requests that crash upstreams.
 func (s *Server) AddVerdict(v quarantine.Verdict) { s.crashes.addPeerVerdict(v) }
 
+// AddCrashReport applies a peer's evidence about requests that crash upstreams.
+func (s *Server) AddCrashReport(r quarantine.Report) { s.crashes.addReport(r) }
+
+// TakeCrashReports returns the evidence that the keepers of services have to be told.
+func (s *Server) TakeCrashReports() (reports []quarantine.Report) {
+	s.crashes.update(func(now time.Time, j *quarantine.Judge) { reports = j.TakeReports(now) })
+	return reports
+}
+
+// ReviewSuspects decides on the suspects of the services of which this node is a keeper. It
+// publishes new verdicts, and returns what has to be announced to all nodes and when the next
+// review is due, zero if not before there is new evidence.
+func (s *Server) ReviewSuspects() (announcements []quarantine.Report, next time.Time) {
+	var verdicts []quarantine.Verdict
+	s.crashes.update(func(now time.Time, j *quarantine.Judge) {
+		announcements, verdicts, next = j.Review(now, s.opts.QuarantineRole)
+	})
+	for _, v := range verdicts {
+		s.publishVerdict(v)
+	}
+	return announcements, next
+}
+
+// publishVerdict logs and publishes a verdict that this node has just reached.
+func (s *Server) publishVerdict(v quarantine.Verdict) {
+	s.opts.Metrics.Add("upstream.culprits", 1)
+	s.opts.Log.Info().Str("event", "quarantined").Str("fingerprint", string(v.Fingerprint)).Str("service", string(v.Service)).
+		Int("evidence", len(v.Evidence)).Dur("for_ms", v.For).Send()
+	s.opts.OnVerdict(v)
+}
+
 // AddLimit applies a peer's notice about the rate limit of an upstream. A notice about an
 // upstream that is not in the directory is ignored.
 func (s *Server) AddLimit(n backpressure.LimitNotice) {
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -30,6 +30,8 @@
 	methodUpdate = "news"
 	// methodVerdict reports requests that crash upstreams.
 	methodVerdict = "verdict"
+	// methodCrashReport reports evidence about requests that crash upstreams.
+	methodCrashReport = "crash_report"
 	// methodLimit reports the start and the end of an upstream's rate limit.
 	methodLimit = "limit"
 	// methodLeaving reports an upstream that is leaving.
@@ -147,6 +149,8 @@
 	UpdateSince(ctx context.Context, req UpdateRequest) Update
 	// ApplyVerdict applies a verdict of a peer.
 	ApplyVerdict(v quarantine.Verdict)
+	// ApplyCrashReport applies a peer's evidence about requests that crash upstreams.
+	ApplyCrashReport(r quarantine.Report)
 	// ApplyLimit applies a limit that an upstream has named to a peer.
 	ApplyLimit(n backpressure.LimitNotice)
 	// ApplyLeaving applies a peer's notice that an upstream has said that it is leaving.
@@ -189,6 +193,10 @@
 		source.ApplyVerdict(v)
 		return nil, nil
 	}),
+	methodCrashReport: handle(func(_ context.Context, source Source, r quarantine.Report) (any, error) {
+		source.ApplyCrashReport(r)
+		return nil, nil
+	}),
 	methodLimit: handle(func(_ context.Context, source Source, n backpressure.LimitNotice) (any, error) {
 		source.ApplyLimit(n)
 		return nil, nil
@@ -258,6 +266,14 @@
 	return nil
 }
 
+// SendCrashReport sends evidence to the peer at an address. The error is a *CallError.
+func SendCrashReport(ctx context.Context, peer string, r quarantine.Report) error {
+	if err := call(ctx, peer, callTimeout, methodCrashReport, r, nil); err != nil {
+		return &CallError{peer, err}
+	}
+	return nil
+}
+
 // SendLimit sends a notice about a limit to the peer at an address. The error is a
 // *CallError.
 func SendLimit(ctx context.Context, peer string, n backpressure.LimitNotice) error {
@@ -329,6 +345,9 @@
 // ApplyVerdict implements Source.
 func (emptySource) ApplyVerdict(quarantine.Verdict) {}
 
+// ApplyCrashReport implements Source.
+func (emptySource) ApplyCrashReport(quarantine.Report) {}
+
 // ApplyLimit implements Source.
 func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
 
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -27,6 +27,7 @@
 	packed   Packed
 	list     []directory.Upstream
 	verdicts chan quarantine.Verdict
+	reports  chan quarantine.Report
 	limits   chan backpressure.LimitNotice
 	leavings chan ids.Instance
 	permit   func(backpressure.PermitRequest) (backpressure.PermitReply, error)
@@ -34,6 +35,8 @@
 
 func (s *fakeSource) ApplyVerdict(v quarantine.Verdict) { s.verdicts <- v }
 
+func (s *fakeSource) ApplyCrashReport(r quarantine.Report) { s.reports <- r }
+
 func (s *fakeSource) ApplyLimit(n backpressure.LimitNotice) { s.limits <- n }
 
 func (s *fakeSource) ApplyLeaving(upstream ids.Instance) { s.leavings <- upstream }
@@ -101,12 +104,30 @@
 
 func TestVerdictsAreDelivered(t *testing.T) {
 	s := &fakeSource{verdicts: make(chan quarantine.Verdict, 1)}
-	want := quarantine.Verdict{Fingerprint: "f", For: 5 * time.Second}
+	want := quarantine.Verdict{Fingerprint: "f", For: 5 * time.Second, Service: "s", Evidence: testEvents}
 	if err := SendVerdict(t.Context(), serve(t, s), want); err != nil {
 		t.Fatal(err)
 	}
-	if got := <-s.verdicts; got != want {
-		t.Errorf("delivered %+v", got)
+	if diff := cmp.Diff(want, <-s.verdicts); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// testEvents is evidence of each kind.
+var testEvents = []quarantine.Event{
+	{Kind: quarantine.Blamed, Upstream: "u", Epoch: "7", Fingerprint: "f", Age: time.Second, Ran: time.Millisecond},
+	{Kind: quarantine.Cleared, Upstream: "u", Epoch: "7", Fingerprint: "g", Age: time.Second},
+	{Kind: quarantine.Death, Upstream: "v", Age: time.Minute},
+}
+
+func TestCrashReportsAreDelivered(t *testing.T) {
+	s := &fakeSource{reports: make(chan quarantine.Report, 1)}
+	want := quarantine.Report{Service: "s", Events: testEvents, Announced: true}
+	if err := SendCrashReport(t.Context(), serve(t, s), want); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, <-s.reports); diff != "" {
+		t.Error(diff)
 	}
 }
 
--- a/decide/quarantine/digest.go
+++ b/decide/quarantine/digest.go
@@ -36,7 +36,7 @@
 	Fingerprint Fingerprint  `json:"fingerprint,omitempty"`
 	// Age is the time since the death.
 	Age time.Duration `json:"age_ns"`
-	// Ran is how long the last run of the fingerprint had been on the upstream when it
+	// Ran is how long the first run of the fingerprint had been on the upstream when it
 	// died, 0 if that is not known.
 	Ran time.Duration `json:"ran_ns,omitempty"`
 }
@@ -44,8 +44,9 @@
 // MergeDigest adds the events of a peer's digest to the evidence. Peers relay
 // events of other VMs, and each event identifies its death, so it does not
 // matter which VM sent it. Events are ignored if they exceed MaxEvents, have an
-// unknown kind, or are older than the retention time of deaths.
-func (det *Detector) MergeDigest(now time.Time, _ ids.VM, events []Event) {
+// unknown kind, or are older than the retention time of deaths. contradicted reports whether
+// one blames a fingerprint that has succeeded here since.
+func (det *Detector) MergeDigest(now time.Time, _ ids.VM, events []Event) (contradicted bool) {
 	det.dropOldDeaths(now)
 	for _, e := range events[:min(len(events), det.opts.MaxEvents)] {
 		if e.Age >= retentionFactor*det.opts.Duration || !e.Kind.valid() {
@@ -59,11 +60,14 @@
 		if e.Ran > 0 {
 			ran = e.Ran
 		}
-		det.addBlame(now, d, e.Fingerprint, ran)
+		if det.addBlame(now, d, e.Fingerprint, ran) && e.Kind == Blamed {
+			contradicted = true
+		}
 		if e.Kind == Cleared {
 			d.clear(e.Fingerprint)
 		}
 	}
+	return contradicted
 }
 
 // valid reports whether the kind is known.
--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,8 +18,9 @@
 	blameShare float64
 	// first and last are the times of the first and the last of these deaths.
 	first, last time.Time
-	// learnedAt is when this VM learned of the last of them.
-	learnedAt time.Time
+	// learnedAt is when this VM learned of the last of them, and suspectSince when upstreams
+	// reached Threshold.
+	learnedAt, suspectSince time.Time
 }
 
 // score ranks fingerprints by the number of upstreams and then by their mean
@@ -49,8 +51,11 @@
 			continue
 		}
 		counted = d.at
-		if !slices.Contains(seen, d.id.upstream) {
-			seen = append(seen, d.id.upstream)
+		if slices.Contains(seen, d.id.upstream) {
+			continue
+		}
+		if seen = append(seen, d.id.upstream); len(seen) == det.opts.Threshold {
+			e.suspectSince = e.learnedAt
 		}
 	}
 	e.upstreams = len(seen)
@@ -89,29 +94,80 @@
 }
 
 // addBlame blames a death on a fingerprint. The blame is cleared at once if the fingerprint
-// has succeeded since the death.
-func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration) {
+// has succeeded since the death or shortly before; contradicted reports that.
+func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration) (contradicted bool) {
 	if known := d.inFlight[fp]; known != nil {
-		known.ran = min(known.ran, ran)
-		return
+		known.ran = max(known.ran, ran)
+		return false
 	}
 	if len(d.inFlight) >= det.opts.MaxInFlight {
-		return
+		return false
 	}
 	d.inFlight[fp] = &blame{learnedAt: now, ran: ran}
 	d.blamed++
 	det.suspects[fp] = append(det.suspects[fp], d)
-	if success, ok := det.successes[fp]; ok && !success.Before(d.at) {
-		d.clear(fp)
+	if success, ok := det.successes[fp]; ok && !success.Before(d.at.Add(-successMemory)) {
+		return d.clear(fp)
+	}
+	return false
+}
+
+// clear permanently removes a fingerprint's blame for the death. It reports whether there
+// was one.
+func (d *death) clear(fp Fingerprint) bool {
+	if !d.isBlamed(fp) {
+		return false
+	}
+	d.inFlight[fp].cleared = true
+	d.blamed--
+	return true
+}
+
+// suspectsOf returns the fingerprints that are blamed for at least Threshold upstreams and
+// whose quarantine would not be over, those blamed for the most upstreams first.
+func (det *Detector) suspectsOf(now time.Time) []Fingerprint {
+	upstreams := make(map[Fingerprint]int)
+	var suspects []Fingerprint
+	for fp, deaths := range det.suspects {
+		if len(deaths) < det.opts.Threshold {
+			continue
+		}
+		if e := det.evidenceFor(fp); e.upstreams >= det.opts.Threshold && now.Before(e.last.Add(det.opts.Duration)) {
+			upstreams[fp] = e.upstreams
+			suspects = append(suspects, fp)
+		}
 	}
+	slices.SortFunc(suspects, func(x, y Fingerprint) int {
+		return cmp.Or(cmp.Compare(upstreams[y], upstreams[x]), cmp.Compare(x, y))
+	})
+	return suspects
 }
 
-// clear permanently removes a fingerprint's blame for the death.
-func (d *death) clear(fp Fingerprint) {
-	if d.isBlamed(fp) {
-		d.inFlight[fp].cleared = true
-		d.blamed--
+// eventsOf returns all evidence about some fingerprints, at most MaxEvents events, those
+// about the first fingerprints first.
+func (det *Detector) eventsOf(now time.Time, fps []Fingerprint) []Event {
+	var events []Event
+	for _, fp := range fps {
+		for _, d := range det.suspects[fp] {
+			kind := Blamed
+			if !d.isBlamed(fp) {
+				kind = Cleared
+			}
+			events = append(events, d.event(kind, fp, now.Sub(d.at)))
+		}
+	}
+	return events[:min(len(events), det.opts.MaxEvents)]
+}
+
+// count returns how much evidence there is about a fingerprint.
+func (det *Detector) count(fp Fingerprint) count {
+	c := count{blamed: len(det.suspects[fp])}
+	for _, d := range det.suspects[fp] {
+		if !d.isBlamed(fp) {
+			c.cleared++
+		}
 	}
+	return c
 }
 
 // storeSuccess records the time of a success. If maxSuccesses fingerprints are
--- /dev/null
+++ b/decide/quarantine/judge.go
@@ -0,0 +1,371 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosaarch.example/core/ids"
+)
+
+const (
+	// announceDelay is how long the first keeper collects changes before it announces them.
+	announceDelay = 50 * time.Millisecond
+	// maxAnnounced bounds the suspects of one announcement.
+	maxAnnounced = 64
+	// maxVerdicts bounds the verdicts that are kept, to about 0.1 MB. Each stands for two
+	// crashed upstreams.
+	maxVerdicts = 1024
+	// verdictTravel is the time until all nodes normally have a verdict. If upstreams crash
+	// later, a node has not heard it, and all are told again.
+	verdictTravel = time.Second
+	// maxVerdictEvents bounds the evidence that a verdict carries.
+	maxVerdictEvents = 16
+)
+
+// Report is evidence about the requests of one service. Nodes send their evidence to the
+// keepers, and keepers announce to all nodes what there is against suspects.
+type Report struct {
+	Service ids.Service `json:"service"`
+	Events  []Event     `json:"events"`
+	// Announced is true if the report goes to all nodes.
+	Announced bool `json:"announced,omitempty"`
+}
+
+// Judge holds the evidence of one node about requests that crash upstreams, and the verdicts
+// that are in force there. All evidence of a service is brought together at its keepers,
+// which decide:
+//
+//   - TakeReports returns the evidence that the keepers have to be told. It goes to their
+//     AddReport.
+//   - Review, on keepers, returns announcements for the AddReport of all nodes, and verdicts
+//     for their AddVerdict. A node that has served a suspect contradicts an announcement
+//     with its next report.
+//   - A verdict carries its evidence, and is in force as long as no success contradicts it.
+//
+// Ways that were rejected: verdicts by what each node has lost itself (a request that comes
+// through n nodes crashes n times as many upstreams, and what others lost counts as another
+// cause), and evidence sent to all nodes (n times n messages for each death).
+//
+// A Judge is not safe for concurrent use and reads no clock.
+type Judge struct {
+	dockets  map[ids.Service]*docket
+	verdicts map[Fingerprint]heldVerdict
+}
+
+// docket is the evidence of one service.
+type docket struct {
+	service  ids.Service
+	detector *Detector
+	// unreported is true if the node has evidence that it has not reported.
+	unreported bool
+	// reviewed is false if there is evidence that has not been reviewed. decideAt is when a
+	// suspect can be decided on without more evidence, zero for none.
+	reviewed bool
+	decideAt time.Time
+	// announced holds what all nodes have been told about suspects, and changedAt when
+	// there was first something to add, zero while there is nothing.
+	announced map[Fingerprint]count
+	changedAt time.Time
+}
+
+// count is the number of deaths that a fingerprint is or was blamed for, and the number of
+// those of which it was cleared.
+type count struct{ blamed, cleared int }
+
+// heldVerdict is a verdict on requests of a service.
+type heldVerdict struct {
+	service ids.Service
+	until   time.Time
+	// toldAt is when the node heard the verdict, or reached it.
+	toldAt time.Time
+}
+
+// NewJudge returns a Judge without evidence.
+func NewJudge() *Judge {
+	return &Judge{dockets: make(map[ids.Service]*docket), verdicts: make(map[Fingerprint]heldVerdict)}
+}
+
+// docket returns the docket of a service, and creates it if there is none.
+func (j *Judge) docket(service ids.Service) *docket {
+	d := j.dockets[service]
+	if d == nil {
+		d = &docket{service: service, detector: New(Options{}), announced: make(map[Fingerprint]count)}
+		j.dockets[service] = d
+	}
+	return d
+}
+
+// RecordDeath records the death of an upstream, at which the node lost runs or not.
+func (j *Judge) RecordDeath(now, at time.Time, service ids.Service, upstream ids.Upstream, epoch string, runs []Run) {
+	d := j.docket(service)
+	d.detector.RecordDeathAt(now, at, upstream, epoch, runs)
+	d.reviewed = false
+	d.unreported = d.unreported || len(runs) > 0
+}
+
+// RecordSuccess records that an upstream served a request completely.
+func (j *Judge) RecordSuccess(now time.Time, service ids.Service, fp Fingerprint) {
+	d := j.docket(service)
+	if d.detector.RecordSuccess(now, fp) {
+		d.reviewed, d.unreported = false, true
+	}
+}
+
+// AddReport merges the evidence of another node.
+func (j *Judge) AddReport(now time.Time, r Report) {
+	d := j.docket(r.Service)
+	if d.detector.MergeDigest(now, "", r.Events) {
+		d.unreported = true
+	}
+	if r.Announced {
+		d.noteAnnounced(r.Events)
+	}
+	d.reviewed = false
+}
+
+// AddVerdict puts a verdict of another node in force, unless the node has served such a
+// request since the deaths on which it is based.
+func (j *Judge) AddVerdict(now time.Time, v Verdict) {
+	if v.Service != "" {
+		j.AddReport(now, Report{Service: v.Service, Events: v.Evidence, Announced: true})
+	}
+	j.hold(now, v)
+}
+
+// TakeReports returns the evidence of services for which the node has some that it has not
+// reported.
+func (j *Judge) TakeReports(now time.Time) []Report {
+	var reports []Report
+	for _, d := range j.sortedDockets() {
+		if !d.unreported {
+			continue
+		}
+		d.unreported = false
+		reports = append(reports, Report{Service: d.service, Events: d.detector.Digest(now)})
+	}
+	return reports
+}
+
+// Due reports whether TakeReports or Review has something to do.
+func (j *Judge) Due() bool {
+	for _, d := range j.dockets {
+		if d.unreported || !d.reviewed {
+			return true
+		}
+	}
+	return false
+}
+
+// Review decides on the suspects of the services of which the node is a keeper. It returns
+// what has to be announced to all nodes, new verdicts, and when the next review is due, zero
+// if not before there is new evidence.
+func (j *Judge) Review(now time.Time, role func(ids.Service) Role) (announcements []Report, verdicts []Verdict, next time.Time) {
+	for _, d := range j.sortedDockets() {
+		r := role(d.service)
+		if !r.Keeper {
+			d.reviewed = true
+			continue
+		}
+		if !d.reviewed || !d.decideAt.IsZero() && !now.Before(d.decideAt) {
+			verdicts = append(verdicts, j.decideAll(now, d, r)...)
+		}
+		if report := d.announce(now, r); report != nil {
+			announcements = append(announcements, *report)
+		}
+		next = earliest(next, d.decideAt, d.announceAt(r))
+	}
+	return announcements, verdicts, next
+}
+
+// earliest returns the earliest of some times that are not zero, zero if all are.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, t := range times {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
+
+// decideAll decides on the suspects of a service and returns the verdicts that the node has
+// just reached.
+func (j *Judge) decideAll(now time.Time, d *docket, r Role) []Verdict {
+	d.reviewed, d.decideAt = true, time.Time{}
+	var verdicts []Verdict
+	for _, fp := range d.detector.suspectsOf(now) {
+		if d.detector.count(fp).exceeds(d.announced[fp]) {
+			d.noteChange(now)
+		}
+		verdict, at := j.decide(now, d, fp, r)
+		if verdict != nil {
+			verdicts = append(verdicts, *verdict)
+		}
+		d.decideAt = earliest(d.decideAt, at)
+	}
+	for fp, known := range d.announced {
+		if d.detector.count(fp).cleared > known.cleared {
+			d.noteChange(now)
+		}
+	}
+	return verdicts
+}
+
+// decide returns a verdict if the node, as a keeper, has just reached one, and otherwise when
+// it can reach one, zero if not before there is new evidence.
+func (j *Judge) decide(now time.Time, d *docket, fp Fingerprint, r Role) (*Verdict, time.Time) {
+	f := d.detector.assess(now, fp, r.wait(), r.wait())
+	if j.inForce(now, d.service, fp) && f.LearnedAt.Before(j.verdicts[fp].toldAt.Add(verdictTravel)) {
+		return nil, time.Time{}
+	}
+	switch f.Ruling {
+	case AwaitsPeers:
+		return nil, f.LearnedAt.Add(r.wait())
+	case Refuse:
+		verdict := j.verdict(now, d.service, fp, f.Until)
+		j.hold(now, verdict)
+		return &verdict, time.Time{}
+	}
+	return nil, time.Time{}
+}
+
+// verdict returns the verdict on a fingerprint, with its evidence.
+func (j *Judge) verdict(now time.Time, service ids.Service, fp Fingerprint, until time.Time) Verdict {
+	events := j.docket(service).detector.eventsOf(now, []Fingerprint{fp})
+	return Verdict{Fingerprint: fp, For: until.Sub(now), Service: service, Evidence: events[max(0, len(events)-maxVerdictEvents):]}
+}
+
+// announceAt returns when the node announces the changes, zero if there are none.
+func (d *docket) announceAt(r Role) time.Time {
+	if d.changedAt.IsZero() || r.Alone {
+		return time.Time{}
+	}
+	return d.changedAt.Add(announceDelay + time.Duration(r.Rank)*keeperStagger)
+}
+
+// announce returns the announcement that is due, nil if there is none.
+func (d *docket) announce(now time.Time, r Role) *Report {
+	if due := d.announceAt(r); due.IsZero() || now.Before(due) {
+		return nil
+	}
+	d.changedAt = time.Time{}
+	var news []Fingerprint
+	for _, fp := range d.detector.suspectsOf(now) {
+		if d.detector.count(fp).exceeds(d.announced[fp]) {
+			news = append(news, fp)
+		}
+	}
+	for fp, known := range d.announced {
+		if d.detector.count(fp).cleared > known.cleared && !slices.Contains(news, fp) {
+			news = append(news, fp)
+		}
+	}
+	if len(news) == 0 {
+		return nil
+	}
+	slices.Sort(news)
+	report := &Report{Service: d.service, Events: d.detector.eventsOf(now, news[:min(len(news), maxAnnounced)]), Announced: true}
+	d.noteAnnounced(report.Events)
+	return report
+}
+
+// noteChange records that there may be something to announce.
+func (d *docket) noteChange(now time.Time) {
+	if d.changedAt.IsZero() {
+		d.changedAt = now
+	}
+}
+
+// noteAnnounced records that all nodes have been told events.
+func (d *docket) noteAnnounced(events []Event) {
+	told := make(map[Fingerprint]count)
+	for _, e := range events {
+		c := told[e.Fingerprint]
+		c.blamed++
+		if e.Kind == Cleared {
+			c.cleared++
+		}
+		told[e.Fingerprint] = c
+	}
+	for fp, c := range told {
+		known := d.announced[fp]
+		d.announced[fp] = count{max(known.blamed, c.blamed), max(known.cleared, c.cleared)}
+	}
+	for fp := range d.announced {
+		if d.detector.count(fp).blamed == 0 {
+			delete(d.announced, fp)
+		}
+	}
+}
+
+// exceeds reports whether c has more of either than other.
+func (c count) exceeds(other count) bool { return c.blamed > other.blamed || c.cleared > other.cleared }
+
+// Concerns reports whether there is a verdict on requests with a fingerprint, or evidence
+// against them. If not, Convict lets them pass.
+func (j *Judge) Concerns(service ids.Service, fp Fingerprint) bool {
+	if _, held := j.verdicts[fp]; held {
+		return true
+	}
+	d := j.dockets[service]
+	return d != nil && len(d.detector.suspects[fp]) > 0
+}
+
+// Convict decides on a request that has arrived or is to be sent again: it reports whether
+// it has to be refused, with the finding on it. If the node is a keeper and has just reached
+// a verdict, that is returned too, for all other nodes.
+func (j *Judge) Convict(now time.Time, service ids.Service, fp Fingerprint, r Role) (refused bool, f Finding, verdict *Verdict) {
+	if j.inForce(now, service, fp) {
+		return true, Finding{Ruling: Refuse}, nil
+	}
+	d := j.docket(service)
+	f = d.detector.assess(now, fp, r.wait(), r.wait())
+	if f.Ruling != Refuse || !r.Keeper {
+		return false, f, nil
+	}
+	v := j.verdict(now, service, fp, f.Until)
+	j.hold(now, v)
+	return true, f, &v
+}
+
+// inForce reports whether a verdict on requests of a service is in force.
+func (j *Judge) inForce(now time.Time, service ids.Service, fp Fingerprint) bool {
+	held, known := j.verdicts[fp]
+	return known && now.Before(held.until) && !j.isContradicted(held.service, fp)
+}
+
+// isContradicted reports whether a request that was blamed has succeeded since, so that too
+// little remains against it.
+func (j *Judge) isContradicted(service ids.Service, fp Fingerprint) bool {
+	d := j.dockets[service]
+	if d == nil || d.detector.count(fp).cleared == 0 {
+		return false
+	}
+	return d.detector.evidenceFor(fp).upstreams < d.detector.opts.Threshold
+}
+
+// hold puts a verdict in force. If there is no room, the verdict is dropped, and a keeper
+// reaches it again.
+func (j *Judge) hold(now time.Time, v Verdict) {
+	if len(j.verdicts) >= maxVerdicts {
+		for fp, held := range j.verdicts {
+			if !now.Before(held.until) {
+				delete(j.verdicts, fp)
+			}
+		}
+	}
+	if _, known := j.verdicts[v.Fingerprint]; known || len(j.verdicts) < maxVerdicts {
+		j.verdicts[v.Fingerprint] = heldVerdict{service: v.Service, until: now.Add(min(v.For, DefaultDuration)), toldAt: now}
+	}
+}
+
+// sortedDockets returns the dockets in the order of their services.
+func (j *Judge) sortedDockets() []*docket {
+	all := make([]*docket, 0, len(j.dockets))
+	for _, d := range j.dockets {
+		all = append(all, d)
+	}
+	slices.SortFunc(all, func(x, y *docket) int { return cmp.Compare(x.service, y.service) })
+	return all
+}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -3,7 +3,8 @@
 // refused for some time, so that retries do not crash more upstreams.
 //
 // A death of an upstream is blamed on all fingerprints in flight there, on any
-// VM. When a fingerprint succeeds anywhere, it is cleared of all earlier deaths.
+// VM. When a fingerprint succeeds anywhere, it is cleared of all earlier deaths, and of those
+// shortly after.
 // Fingerprints are ranked by the number of distinct upstreams that they are
 // still blamed for, and then by their mean share of the blame, which is 1/n for
 // a death with n fingerprints still blamed. A fingerprint is quarantined once it
@@ -76,6 +77,9 @@
 	// maxSuccesses is the maximum number of successes remembered. They clear
 	// fingerprints of deaths that are reported late.
 	maxSuccesses = 2048
+	// successMemory is how long before a death a success clears a fingerprint of it: a
+	// request that crashes all upstreams has not succeeded right before.
+	successMemory = 10 * time.Second
 )
 
 // startTolerance is how much earlier than a death a run may have begun and still count as
@@ -132,8 +136,8 @@
 	learnedAt time.Time
 	// cleared is true once the fingerprint has succeeded after the death.
 	cleared bool
-	// ran is how long the last of its runs had been on the upstream, unknownRan if that is
-	// not known of one of them.
+	// ran is how long the first of its runs had been on the upstream, unknownRan if that is
+	// not known.
 	ran time.Duration
 }
 
@@ -202,14 +206,15 @@
 }
 
 // RecordSuccess records that an upstream served a request with this fingerprint
-// completely.
-func (det *Detector) RecordSuccess(now time.Time, fp Fingerprint) {
+// completely. It reports whether that cleared the fingerprint of a death.
+func (det *Detector) RecordSuccess(now time.Time, fp Fingerprint) (cleared bool) {
 	det.storeSuccess(now, fp)
 	for _, d := range det.suspects[fp] {
-		if !d.at.After(now) {
-			d.clear(fp)
+		if !d.at.After(now) && d.clear(fp) {
+			cleared = true
 		}
 	}
+	return cleared
 }
 
 // Ruling is the result of an assessment of a fingerprint.
@@ -235,23 +240,30 @@
 	// Upstreams is the number of dead upstreams that the fingerprint is blamed for, and
 	// Deaths the number of their deaths. AllDeaths counts all deaths in the same period.
 	Upstreams, Deaths, AllDeaths int
-	// Last is the time of the last of these deaths, and Until the end of a quarantine.
-	Last, Until time.Time
+	// Last is the time of the last of these deaths, LearnedAt when this VM learned of it,
+	// and Until the end of a quarantine.
+	Last, LearnedAt, Until time.Time
 }
 
 // Assess returns the finding about a fingerprint.
 func (det *Detector) Assess(now time.Time, fp Fingerprint) Finding {
+	return det.assess(now, fp, det.opts.PeerWait, 0)
+}
+
+// assess is Assess with other times for the reports of peers: peerWait from when the last
+// death became known, and certainWait from when the fingerprint became a suspect.
+func (det *Detector) assess(now time.Time, fp Fingerprint, peerWait, certainWait time.Duration) Finding {
 	e := det.evidenceFor(fp)
-	f := Finding{Upstreams: e.upstreams, Deaths: e.deaths, Last: e.last, Until: e.last.Add(det.opts.Duration)}
+	f := Finding{Upstreams: e.upstreams, Deaths: e.deaths, Last: e.last, LearnedAt: e.learnedAt, Until: e.last.Add(det.opts.Duration)}
 	if e.deaths > 0 {
 		f.AllDeaths = det.deathsBetween(e.first, e.last)
 	}
 	switch {
 	case e.upstreams < det.opts.Threshold || !now.Before(f.Until):
 		f.Ruling = Unsuspected
-	case det.certainByCount(e):
+	case !now.Before(e.suspectSince.Add(certainWait)) && det.certainByCount(e):
 		f.Ruling = Refuse
-	case now.Before(e.learnedAt.Add(det.opts.PeerWait)):
+	case now.Before(e.learnedAt.Add(peerWait)):
 		f.Ruling = AwaitsPeers
 	case !det.explains(e, minExplained):
 		f.Ruling = OtherCauses
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -28,9 +28,10 @@
 	return out
 }
 
-// broadcastRecorder is a relay.Source that records the verdicts and limits it receives.
+// broadcastRecorder is a relay.Source that records what it receives.
 type broadcastRecorder struct {
 	verdicts chan quarantine.Verdict
+	reports  chan quarantine.Report
 	limits   chan backpressure.LimitNotice
 	leavings chan ids.Instance
 }
@@ -41,6 +42,8 @@
 
 func (r broadcastRecorder) ApplyVerdict(v quarantine.Verdict) { r.verdicts <- v }
 
+func (r broadcastRecorder) ApplyCrashReport(report quarantine.Report) { r.reports <- report }
+
 func (r broadcastRecorder) ApplyLimit(n backpressure.LimitNotice) { r.limits <- n }
 
 func (r broadcastRecorder) ApplyLeaving(upstream ids.Instance) { r.leavings <- upstream }
@@ -58,7 +61,7 @@
 	n.upstreams = newUpstreams("a-00", zerolog.Nop(), n.updates)
 	members := append(zoneMembers("a", 3), zoneMembers("b", 2)...)
 	members[0].PeerAddress, members[1].PeerAddress = "127.0.0.1:1", "127.0.0.1:1"
-	r := broadcastRecorder{verdicts: make(chan quarantine.Verdict, len(members)), limits: make(chan backpressure.LimitNotice, len(members)), leavings: make(chan ids.Instance, len(members))}
+	r := broadcastRecorder{verdicts: make(chan quarantine.Verdict, len(members)), reports: make(chan quarantine.Report, len(members)), limits: make(chan backpressure.LimitNotice, len(members)), leavings: make(chan ids.Instance, len(members))}
 	for i := 2; i < len(members); i++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -109,6 +109,7 @@
 	placer     *placer.Placer
 
 	verdicts   *outbox[quarantine.Verdict]
+	crashes    *crashExchange
 	limits     *outbox[backpressure.LimitNotice]
 	leavings   *outbox[saidLeaving]
 	permits    *permits
@@ -131,6 +132,7 @@
 	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New(), storeCalls: newCallCounter()}
 	n.initialized = make(chan struct{})
 	n.verdicts = newOutbox[quarantine.Verdict](maxQueuedVerdicts, n.metrics, "verdicts.dropped")
+	n.crashes = newCrashExchange(n)
 	n.limits = newOutbox[backpressure.LimitNotice](maxQueuedLimits, n.metrics, "limits.dropped")
 	n.leavings = newOutbox[saidLeaving](maxQueuedLeavings, n.metrics, "leavings.dropped")
 	n.updates = newNotifier()
@@ -160,6 +162,9 @@
 		OnRestart: n.upstreams.recordRestart,
 		OnLeaving: n.recordLeaving,
 		Seed:      settings.Seed,
+
+		QuarantineRole: n.crashes.role,
+		OnEvidence:     n.crashes.evidenceDue,
 	})
 	n.configs.onActivated = n.upstreams.setServices
 	n.configs.onMalformed = func(bad listwatch.Removal) { n.reportMalformed("configuration", bad) }
@@ -360,6 +365,7 @@
 	go n.membership.run(ctx)
 	go n.probe.run(ctx)
 	go n.verdicts.run(ctx, n.sendVerdict)
+	n.crashes.start(ctx)
 	go n.limits.run(ctx, n.sendLimit)
 	go n.leavings.run(ctx, n.sendLeaving)
 	go n.logCallsPeriodically(ctx)
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -163,6 +163,13 @@
 	return keepers
 }
 
+// memberList returns the list of nodes, which must not be modified, and its version.
+func (f *fleet) memberList() ([]roster.Member, relay.MemberListVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members, f.listVersion
+}
+
 // memberListVersion returns the revision and digest of the current list.
 func (f *fleet) memberListVersion() relay.MemberListVersion {
 	f.mu.Lock()
--- a/node/entry/permits_test.go
+++ b/node/entry/permits_test.go
@@ -25,6 +25,8 @@
 
 func (permitPeer) ApplyVerdict(quarantine.Verdict) {}
 
+func (permitPeer) ApplyCrashReport(quarantine.Report) {}
+
 func (permitPeer) ApplyLimit(backpressure.LimitNotice) {}
 
 func (permitPeer) ApplyLeaving(ids.Instance) {}
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -32,6 +32,8 @@
 
 func (*fixedPeer) ApplyVerdict(quarantine.Verdict) {}
 
+func (*fixedPeer) ApplyCrashReport(quarantine.Report) {}
+
 func (*fixedPeer) ApplyLimit(backpressure.LimitNotice) {}
 
 func (*fixedPeer) ApplyLeaving(ids.Instance) {}
