Each send asks whether its request is quarantined

What callers met: a stream that was quarantined while it waited for a chain or a retry was kept until its deadline, and a request that waited for a permit was still sent to one more upstream.

Cause: the verdict was looked for on arrival and after a failure only, not after the waits in between, and not where a running stream moves to other engines. Class: a judgement asked at the places that were thought of.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -196,6 +196,23 @@
 	return refused
 }
 
+// checkCrashes returns a failure if the request must not be sent because requests like it
+// crash upstreams. Each send has to be checked, since the verdict may arrive at any time.
+func (x *exchange) checkCrashes() *failure {
+	if !x.quarantined() {
+		return nil
+	}
+	return &failure{phase: outcome.NotSent, reason: outcome.Quarantined, cause: &QuarantinedError{x.fingerprint}}
+}
+
+// QuarantinedError reports a request that must not be sent because it crashes upstreams.
+type QuarantinedError struct{ Fingerprint quarantine.Fingerprint }
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return "requests like " + string(e.Fingerprint) + " crash upstreams"
+}
+
 // recordLostRun records that a connection broke while the request was running on these
 // upstreams, since began.
 func (x *exchange) recordLostRun(began time.Time, upstreams ...ids.Instance) {
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -149,6 +150,8 @@
 	startTimes map[ids.Upstream]int64
 	// leaving are the upstreams whose reports say that they are leaving.
 	leaving map[ids.Instance]bool
+	// slowdowns are the slowdowns that engines report, 1 for those not named.
+	slowdowns map[ids.Instance]float64
 	// stalled are the stages that first stages report as stalled, by request.
 	stalled    map[ids.Instance]map[ids.Request]string
 	refused    map[ids.Instance]bool
@@ -167,7 +170,8 @@
 	if c.dead[u.ID] {
 		return layered.Report{}, &CallerGoneError{Cause: context.DeadlineExceeded}
 	}
-	return layered.Report{StartedMs: c.startTimes[u.ID.Upstream], Slowdown: 1, KVTotal: 100, Stalled: c.stalled[u.ID], Leaving: c.leaving[u.ID]}, nil
+	slowdown := cmp.Or(c.slowdowns[u.ID], 1)
+	return layered.Report{StartedMs: c.startTimes[u.ID.Upstream], Slowdown: slowdown, KVTotal: 100, Stalled: c.stalled[u.ID], Leaving: c.leaving[u.ID]}, nil
 }
 
 // Reroute implements Engines.
@@ -214,6 +218,8 @@
 	// granted is the answer to all requests. There is no keeper if silent is set.
 	granted, silent bool
 	asked           []backpressure.PermitRequest
+	// onAcquire, unless nil, is called before each answer.
+	onAcquire func()
 }
 
 // errNoKeeper is the error of a fakePermits without a keeper.
@@ -224,6 +230,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked = append(f.asked, r)
+	if f.onAcquire != nil {
+		f.onAcquire()
+	}
 	if f.silent {
 		return backpressure.PermitReply{}, errNoKeeper
 	}
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -36,6 +36,10 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[ids.Instance]bool)
 	for refusals := 0; ; {
+		if failed := x.checkCrashes(); failed != nil {
+			x.giveUp(failed.reason, quarantineDetail, quarantineRetryAfter)
+			return
+		}
 		u := x.server.picker.chooseReplica(ctx, x.server.opts.View().ByService(x.service), avoid, x.draw())
 		if u == nil {
 			x.giveUp(outcome.NoUpstream, "no usable upstream", x.plainRetryAfter(noUpstreamRetryAfter))
--- /dev/null
+++ b/adapter/forward/quarantine_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/quarantine"
+)
+
+// verdictOn returns a verdict on requests like one that a test sends.
+func verdictOn(service, method, path, body string) quarantine.Verdict {
+	fingerprint := quarantine.FingerprintOf([]byte(service), []byte("acme"), []byte(method), []byte(path), []byte(body))
+	return quarantine.Verdict{Fingerprint: fingerprint, For: time.Minute, Service: ids.Service(service)}
+}
+
+// Guards against a request that is sent although it was quarantined while it waited for a
+// permit.
+func TestRequestQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	limited := newFakeUpstream(t, "a", "plain", limitedReply("3"))
+	r := newTestServer(t, limited)
+	r.permits.set(true, false)
+	eventually(t, "a permit is asked for", func() bool {
+		r.ask(t, "GET", "/safe/other", "first", "")
+		r.permits.mu.Lock()
+		defer r.permits.mu.Unlock()
+		return len(r.permits.asked) > 0
+	})
+	r.permits.mu.Lock()
+	r.permits.onAcquire = func() { r.AddVerdict(verdictOn("plain", "GET", "/safe/crash", "")) }
+	r.permits.mu.Unlock()
+	resp, _ := r.ask(t, "GET", "/safe/crash", "r1", "")
+	if n := countRuns([]*fakeUpstream{limited}, "/safe/crash"); resp.StatusCode() != 503 || n != 0 {
+		t.Errorf("status %d after %d sends, want 503 after none", resp.StatusCode(), n)
+	}
+}
+
+// quarantineLater sends a stream and quarantines it after a while. It returns how long the
+// caller waited for the end.
+func quarantineLater(t *testing.T, r *testServer) time.Duration {
+	t.Helper()
+	time.AfterFunc(300*time.Millisecond, func() { r.AddVerdict(verdictOn("model", "POST", "/stream/crash", "p")) })
+	sent := time.Now()
+	if resp, complete := r.ask(t, "POST", "/stream/crash", "r1", "p"); complete {
+		t.Errorf("the response %q is complete", resp.Body())
+	}
+	return time.Since(sent)
+}
+
+// mostQuarantineWait is the longest time that a caller waits for the end of a stream that is
+// quarantined after 300 ms. The deadline is 5 s.
+const mostQuarantineWait = time.Second
+
+// Guards against a quarantined stream that ends at its deadline because it waits for a chain.
+func TestStreamQuarantinedWithoutAChainEnds(t *testing.T) {
+	r := newTestServer(t, fakeEngine(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		return eventsFrom(conn, req, 1, 2, false)
+	}))
+	r.engines.dead[instance("a")] = true
+	if took := quarantineLater(t, r); took > mostQuarantineWait {
+		t.Errorf("the caller waited for %v", took)
+	}
+}
+
+// Guards against a quarantined stream that ends at its deadline because it waits for a retry.
+func TestStreamQuarantinedWithoutARetryEnds(t *testing.T) {
+	next := fakeEngine(t, "b", 0, 10, wholeStream(4))
+	var r *testServer
+	r = newTestServer(t, dyingEngine(t, &r, next))
+	r.SetNodes(100_000)
+	if took := quarantineLater(t, r); took > mostQuarantineWait {
+		t.Errorf("the caller waited for %v", took)
+	}
+	if n := len(next.requests()); n != 0 {
+		t.Errorf("sent %d times after its first engine", n)
+	}
+}
+
+// Guards against a quarantined stream that is moved from a slow engine to another one.
+func TestQuarantinedStreamIsNotRerouted(t *testing.T) {
+	first := fakeEngine(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
+		time.Sleep(time.Second)
+		return eventsFrom(conn, req, 1, 3, true)
+	})
+	slow := fakeEngine(t, "b", 5, 10, wholeStream(2))
+	twin := fakeEngine(t, "c", 5, 10, wholeStream(2))
+	twin.Zone = "far"
+	r := newTestServer(t, first, slow, twin)
+	r.engines.slowdowns = map[ids.Instance]float64{slow.ID: 50}
+	time.AfterFunc(20*time.Millisecond, func() { r.AddVerdict(verdictOn("model", "POST", "/stream/crash", "p")) })
+	r.ask(t, "POST", "/stream/crash", "r1", "p")
+	if len(r.engines.rerouted) > 0 {
+		t.Errorf("rerouted %v", r.engines.rerouted)
+	}
+	r.ask(t, "POST", "/stream/other", "r2", "p")
+	if len(r.engines.rerouted) == 0 {
+		t.Error("another stream is not rerouted")
+	}
+}
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -126,7 +126,7 @@
 // the engines of the chain. If one of them is dead or slow, it tries to reroute the
 // request. If that fails, or if silenceFactor timeouts have passed although all engines
 // are alive, it ends the attempt with an *upconn.ReadTimeoutError, provided that the
-// request should be sent again. It also ends the attempt of a quarantined request if an
+// request should be sent again. A quarantined request is not rerouted: the attempt ends if an
 // engine is dead.
 func (w *stallWatch) wait(waited time.Duration) (time.Duration, error) {
 	timeout := w.stallTimeout()
@@ -140,8 +140,11 @@
 	if len(dead)+len(slow) == 0 && !silent {
 		return timeout, nil
 	}
-	if len(dead) > 0 && x.quarantined() {
-		return 0, &upconn.ReadTimeoutError{Waited: waited}
+	if x.quarantined() {
+		if len(dead) > 0 {
+			return 0, &upconn.ReadTimeoutError{Waited: waited}
+		}
+		return timeout, nil
 	}
 	faulty := slices.Concat(dead, slow)
 	if w.reroute(faulty, len(dead) > 0) {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -154,6 +154,9 @@
 		if ctx.Err() != nil {
 			return true
 		}
+		if x.giveUpIfFinal(failed, x.sends-s.unrunSends) {
+			return false
+		}
 	}
 	x.recordRetry(failed)
 	return true
@@ -163,6 +166,9 @@
 // once the request is over.
 func (s *stream) attempt(ctx context.Context) *failure {
 	x := s.x
+	if failed := x.checkCrashes(); failed != nil {
+		return failed
+	}
 	c, failed := s.chooseChain(ctx)
 	if failed != nil {
 		return failed
