Suspects wait while the keepers decide on them

What callers met: while the keepers waited for evidence, repeats of the request crashed further upstreams, each of which cuts all streams that it runs.

Cause: a request that is blamed for two upstreams was sent on like any other until the verdict arrived.

Change: a suspect waits for the decision, 0.5 s after the last news of it, and is then sent at a random moment of the next 0.5 s, so that repeats that wait on many nodes are not sent at once. A running stream without an event is not moved to other engines meanwhile.

Evidence: forward TestSuspectWaitsForTheDecision (sent at once before). Innocent requests that were lost twice wait as well, up to 1 s.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -200,6 +200,18 @@
 	return refused, newVerdict
 }
 
+// holdUntil returns the time until which a request has to wait before it is sent, zero for
+// none. draw is a random number in [0, 1), the same for each call for the request.
+func (c *crashTracker) holdUntil(service ids.Service, fingerprint quarantine.Fingerprint, draw float64) time.Time {
+	if !c.concerns(service, fingerprint) {
+		return time.Time{}
+	}
+	role := c.opts.QuarantineRole(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.judge.HoldUntil(c.opts.Now(), service, fingerprint, role, draw)
+}
+
 // logFinding logs the finding about a suspect.
 func (c *crashTracker) logFinding(now time.Time, service ids.Service, fingerprint quarantine.Fingerprint, f quarantine.Finding) {
 	c.opts.Log.Info().Str("event", "suspect_judged").Str("fingerprint", string(fingerprint)).Str("service", string(service)).
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -49,8 +49,10 @@
 	account       *routing.Account
 	service       ids.Service
 	configVersion int64
-	// fingerprint identifies the request and its repeats.
+	// fingerprint identifies the request and its repeats. suspectDraw is the random number
+	// that spreads those that wait for a decision on them.
 	fingerprint quarantine.Fingerprint
+	suspectDraw float64
 
 	// sends counts the sends for which a connection was made, and sentAt is when the last
 	// of them began. ranOn holds the upstreams on which the request ran or may have run.
@@ -169,8 +171,8 @@
 	if x.account, ok = x.authenticate(table); !ok {
 		return &refusal{fasthttp.StatusUnauthorized, outcome.Unauthorized, "missing or unknown key", 0}
 	}
-	_, draw := x.server.draw()
-	x.service = x.route.PickService(draw)
+	suspectDraw, draw := x.server.draw()
+	x.service, x.suspectDraw = x.route.PickService(draw), suspectDraw
 	x.fingerprint = x.computeFingerprint()
 	x.setDeadline()
 	return nil
@@ -205,6 +207,41 @@
 	return &failure{phase: outcome.NotSent, reason: outcome.Quarantined, cause: &QuarantinedError{x.fingerprint}}
 }
 
+// suspectCheckInterval is how often a request that waits for the decision on it looks for a
+// verdict.
+const suspectCheckInterval = 20 * time.Millisecond
+
+// awaitDecision waits while the keepers may be about to decide whether the request crashes
+// upstreams, until then or the end of ctx, and then returns the result of checkCrashes.
+func (x *exchange) awaitDecision(ctx context.Context) *failure {
+	for {
+		if failed := x.checkCrashes(); failed != nil {
+			return failed
+		}
+		left := x.heldFor()
+		if left <= 0 {
+			return nil
+		}
+		timer := time.NewTimer(min(left, suspectCheckInterval))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+	}
+}
+
+// heldFor returns how long the request has to wait for a decision, zero or less for not at
+// all.
+func (x *exchange) heldFor() time.Duration {
+	until := x.server.crashes.holdUntil(x.service, x.fingerprint, x.suspectDraw)
+	if until.IsZero() {
+		return 0
+	}
+	return until.Sub(x.server.opts.Now())
+}
+
 // QuarantinedError reports a request that must not be sent because it crashes upstreams.
 type QuarantinedError struct{ Fingerprint quarantine.Fingerprint }
 
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -36,7 +36,7 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[ids.Instance]bool)
 	for refusals := 0; ; {
-		if failed := x.checkCrashes(); failed != nil {
+		if failed := x.awaitDecision(ctx); failed != nil {
 			x.giveUp(failed.reason, quarantineDetail, quarantineRetryAfter)
 			return
 		}
--- a/adapter/forward/quarantine_test.go
+++ b/adapter/forward/quarantine_test.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// suspect returns what keepers announce about a request that is blamed for two upstreams.
+func suspect(v quarantine.Verdict) quarantine.Report {
+	event := func(upstream ids.Upstream, age time.Duration) quarantine.Event {
+		return quarantine.Event{Kind: quarantine.Blamed, Upstream: upstream, Fingerprint: v.Fingerprint, Age: age, Ran: time.Millisecond}
+	}
+	return quarantine.Report{Service: v.Service, Events: []quarantine.Event{event("x", time.Second), event("y", 0)}, Announced: true}
+}
+
+// Guards against a suspect that crashes one more upstream while the keepers decide on it.
+func TestSuspectWaitsForTheDecision(t *testing.T) {
+	all := []*fakeUpstream{newFakeUpstream(t, "a", "plain", okReply("fine"))}
+	r := newTestServer(t, all...)
+	r.role.Store(&quarantine.Role{})
+	guilty, innocent := verdictOn("plain", "GET", "/safe/guilty", ""), verdictOn("plain", "GET", "/safe/innocent", "")
+	r.AddCrashReport(suspect(guilty))
+	r.AddCrashReport(suspect(innocent))
+	time.AfterFunc(200*time.Millisecond, func() { r.AddVerdict(guilty) })
+	sent := time.Now()
+	if resp, _ := r.ask(t, "GET", "/safe/guilty", "r1", ""); resp.StatusCode() != 503 || countRuns(all, "/safe/guilty") != 0 {
+		t.Errorf("with a verdict: status %d after %d sends, want 503 after none", resp.StatusCode(), countRuns(all, "/safe/guilty"))
+	}
+	if took := time.Since(sent); took > 400*time.Millisecond {
+		t.Errorf("refused %v after the verdict", took-200*time.Millisecond)
+	}
+	if resp, _ := r.ask(t, "GET", "/safe/innocent", "r2", ""); resp.StatusCode() != 200 {
+		t.Errorf("without a verdict: status %d", resp.StatusCode())
+	}
+	if took := time.Since(sent); took > 1500*time.Millisecond {
+		t.Errorf("sent after %v", took)
+	}
+}
+
 // Guards against a quarantined stream that is moved from a slow engine to another one.
 func TestQuarantinedStreamIsNotRerouted(t *testing.T) {
 	first := fakeEngine(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -126,8 +126,8 @@
 // the engines of the chain. If one of them is dead or slow, it tries to reroute the
 // request. If that fails, or if silenceFactor timeouts have passed although all engines
 // are alive, it ends the attempt with an *upconn.ReadTimeoutError, provided that the
-// request should be sent again. A quarantined request is not rerouted: the attempt ends if an
-// engine is dead.
+// request should be sent again. A request that may crash engines is not rerouted: the attempt
+// ends if an engine is dead.
 func (w *stallWatch) wait(waited time.Duration) (time.Duration, error) {
 	timeout := w.stallTimeout()
 	x := w.s.x
@@ -140,7 +140,7 @@
 	if len(dead)+len(slow) == 0 && !silent {
 		return timeout, nil
 	}
-	if x.quarantined() {
+	if w.mayCrash() {
 		if len(dead) > 0 {
 			return 0, &upconn.ReadTimeoutError{Waited: waited}
 		}
@@ -159,6 +159,13 @@
 	return 0, &upconn.ReadTimeoutError{Waited: waited}
 }
 
+// mayCrash reports whether the request must not be moved to other engines, because it is
+// quarantined, or no event of it has come and a decision on it is due.
+func (w *stallWatch) mayCrash() bool {
+	x := w.s.x
+	return x.quarantined() || !w.eventSeen && x.heldFor() > 0
+}
+
 // classifyProbes returns the cause of a delay, given the engines that did not answer
 // and those that are slow.
 func classifyProbes(dead, slow []*directory.Upstream) lateCause {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -166,7 +166,7 @@
 // once the request is over.
 func (s *stream) attempt(ctx context.Context) *failure {
 	x := s.x
-	if failed := x.checkCrashes(); failed != nil {
+	if failed := x.awaitDecision(ctx); failed != nil {
 		return failed
 	}
 	c, failed := s.chooseChain(ctx)
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -303,7 +303,7 @@
 func (c count) exceeds(other count) bool { return c.blamed > other.blamed || c.cleared > other.cleared }
 
 // Concerns reports whether there is a verdict on requests with a fingerprint, or evidence
-// against them. If not, Convict lets them pass.
+// against them. If not, Convict and HoldUntil let them pass.
 func (j *Judge) Concerns(service ids.Service, fp Fingerprint) bool {
 	if _, held := j.verdicts[fp]; held {
 		return true
@@ -329,6 +329,21 @@
 	return true, f, &v
 }
 
+// HoldUntil returns the time until which a request has to wait before it is sent, because the
+// keepers may be about to decide on it. It is zero if the request does not have to wait.
+// draw is a random number in [0, 1), the same each time that is asked for a request: requests
+// with the same fingerprint that wait are sent one after another, so that one that crashes
+// its upstream is known before the next one is sent.
+func (j *Judge) HoldUntil(now time.Time, service ids.Service, fp Fingerprint, r Role, draw float64) time.Time {
+	d := j.docket(service)
+	e := d.detector.evidenceFor(fp)
+	until := e.learnedAt.Add(suspectHold + time.Duration(draw*float64(suspectSpread)))
+	if r.Alone || e.upstreams < d.detector.opts.Threshold || !now.Before(until) {
+		return time.Time{}
+	}
+	return until
+}
+
 // inForce reports whether a verdict on requests of a service is in force.
 func (j *Judge) inForce(now time.Time, service ids.Service, fp Fingerprint) bool {
 	held, known := j.verdicts[fp]
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -189,6 +189,11 @@
 
 // start sends a request through a node, if it may run there.
 func (f *simFleet) start(node int, fp Fingerprint, runs int, crashes bool) {
+	f.startOrHold(node, fp, runs, crashes, f.rng.Float64())
+}
+
+// startOrHold is start for a request with a random number.
+func (f *simFleet) startOrHold(node int, fp Fingerprint, runs int, crashes bool, draw float64) {
 	n := f.nodes[node]
 	if n.frozenUntil > f.now {
 		return
@@ -209,6 +214,10 @@
 		}
 		return
 	}
+	if until := n.judge.HoldUntil(at(f.now), simService, fp, r, draw); !until.IsZero() {
+		f.after(int(until.Sub(at(f.now)).Milliseconds())+1, func() { f.startOrHold(node, fp, runs, crashes, draw) })
+		return
+	}
 	var first []*simEngine
 	for _, e := range f.engines {
 		if e.downUntil <= f.now {
--- a/decide/quarantine/keepers.go
+++ b/decide/quarantine/keepers.go
@@ -21,6 +21,11 @@
 	// keeperStagger is by how much each keeper waits longer than the one before, so that
 	// normally only the first one informs all nodes.
 	keeperStagger = 100 * time.Millisecond
+	// suspectHold is how long a suspect waits for the decision of the keepers: the first
+	// three of them can reach and send one in that time.
+	suspectHold = evidenceWait + 3*keeperStagger
+	// suspectSpread is the time over which suspects are sent once they have waited.
+	suspectSpread = 500 * time.Millisecond
 )
 
 // Peer is a node that may keep evidence.
