A node that starts or comes back asks its peers which requests crash upstreams

What callers met: a node that started, or was suspended or cut off while the others reached a verdict, sent the request once more.

Cause: a verdict was sent once, to those that could be reached at that moment.

--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -178,6 +178,13 @@
 	return announcements, next
 }
 
+// CrashKnowledge returns the evidence against suspects and the verdicts that a node without
+// any has to be told.
+func (s *Server) CrashKnowledge() (reports []quarantine.Report, verdicts []quarantine.Verdict) {
+	s.crashes.update(func(now time.Time, j *quarantine.Judge) { reports, verdicts = j.Knowledge(now) })
+	return reports, verdicts
+}
+
 // publishVerdict logs and publishes a verdict that this node has just reached.
 func (s *Server) publishVerdict(v quarantine.Verdict) {
 	s.opts.Metrics.Add("upstream.culprits", 1)
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -32,6 +32,8 @@
 	methodVerdict = "verdict"
 	// methodCrashReport reports evidence about requests that crash upstreams.
 	methodCrashReport = "crash_report"
+	// methodCrashKnowledge fetches such evidence and the verdicts in force.
+	methodCrashKnowledge = "crash_knowledge"
 	// methodLimit reports the start and the end of an upstream's rate limit.
 	methodLimit = "limit"
 	// methodLeaving reports an upstream that is leaving.
@@ -141,6 +143,12 @@
 	u.Hops = max(u.Hops, hops)
 }
 
+// CrashKnowledge is what a node knows of requests that crash upstreams.
+type CrashKnowledge struct {
+	Reports  []quarantine.Report  `json:"reports,omitempty"`
+	Verdicts []quarantine.Verdict `json:"verdicts,omitempty"`
+}
+
 // Source provides the node's state to peers. Its methods may be called from any
 // goroutine.
 type Source interface {
@@ -151,6 +159,8 @@
 	ApplyVerdict(v quarantine.Verdict)
 	// ApplyCrashReport applies a peer's evidence about requests that crash upstreams.
 	ApplyCrashReport(r quarantine.Report)
+	// CrashKnowledge returns the evidence and the verdicts that a node without any needs.
+	CrashKnowledge() CrashKnowledge
 	// ApplyLimit applies a limit that an upstream has named to a peer.
 	ApplyLimit(n backpressure.LimitNotice)
 	// ApplyLeaving applies a peer's notice that an upstream has said that it is leaving.
@@ -197,6 +207,9 @@
 		source.ApplyCrashReport(r)
 		return nil, nil
 	}),
+	methodCrashKnowledge: handle(func(_ context.Context, source Source, _ struct{}) (any, error) {
+		return source.CrashKnowledge(), nil
+	}),
 	methodLimit: handle(func(_ context.Context, source Source, n backpressure.LimitNotice) (any, error) {
 		source.ApplyLimit(n)
 		return nil, nil
@@ -274,6 +287,16 @@
 	return nil
 }
 
+// FetchCrashKnowledge returns what the peer at an address knows of requests that crash
+// upstreams. The error is a *CallError.
+func FetchCrashKnowledge(ctx context.Context, peer string) (CrashKnowledge, error) {
+	var k CrashKnowledge
+	if err := call(ctx, peer, callTimeout, methodCrashKnowledge, struct{}{}, &k); err != nil {
+		return CrashKnowledge{}, &CallError{peer, err}
+	}
+	return k, nil
+}
+
 // SendLimit sends a notice about a limit to the peer at an address. The error is a
 // *CallError.
 func SendLimit(ctx context.Context, peer string, n backpressure.LimitNotice) error {
@@ -348,6 +371,9 @@
 // ApplyCrashReport implements Source.
 func (emptySource) ApplyCrashReport(quarantine.Report) {}
 
+// CrashKnowledge implements Source.
+func (emptySource) CrashKnowledge() CrashKnowledge { return CrashKnowledge{} }
+
 // ApplyLimit implements Source.
 func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
 
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -28,15 +28,19 @@
 	list     []directory.Upstream
 	verdicts chan quarantine.Verdict
 	reports  chan quarantine.Report
-	limits   chan backpressure.LimitNotice
-	leavings chan ids.Instance
-	permit   func(backpressure.PermitRequest) (backpressure.PermitReply, error)
+	// knowledge is returned by CrashKnowledge.
+	knowledge CrashKnowledge
+	limits    chan backpressure.LimitNotice
+	leavings  chan ids.Instance
+	permit    func(backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
 func (s *fakeSource) ApplyVerdict(v quarantine.Verdict) { s.verdicts <- v }
 
 func (s *fakeSource) ApplyCrashReport(r quarantine.Report) { s.reports <- r }
 
+func (s *fakeSource) CrashKnowledge() CrashKnowledge { return s.knowledge }
+
 func (s *fakeSource) ApplyLimit(n backpressure.LimitNotice) { s.limits <- n }
 
 func (s *fakeSource) ApplyLeaving(upstream ids.Instance) { s.leavings <- upstream }
@@ -131,6 +135,17 @@
 	}
 }
 
+func TestCrashKnowledgeIsFetched(t *testing.T) {
+	want := CrashKnowledge{
+		Reports:  []quarantine.Report{{Service: "s", Events: testEvents}},
+		Verdicts: []quarantine.Verdict{{Fingerprint: "f", For: time.Minute, Service: "s", Evidence: testEvents}},
+	}
+	got, err := FetchCrashKnowledge(t.Context(), serve(t, &fakeSource{knowledge: want}))
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("%v %s", err, diff)
+	}
+}
+
 func TestLimitsAreDelivered(t *testing.T) {
 	s := &fakeSource{limits: make(chan backpressure.LimitNotice, 1)}
 	want := backpressure.LimitNotice{Upstream: ids.Instance{Upstream: "a", StartedMs: 7}, PerSecond: 3.7}
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -157,6 +157,25 @@
 	return false
 }
 
+// Knowledge returns what a node that knows nothing has to be told: the announcements of all
+// suspects, and the verdicts in force.
+func (j *Judge) Knowledge(now time.Time) ([]Report, []Verdict) {
+	var reports []Report
+	for _, d := range j.sortedDockets() {
+		if events := d.detector.eventsOf(now, d.detector.suspectsOf(now)); len(events) > 0 {
+			reports = append(reports, Report{Service: d.service, Events: events, Announced: true})
+		}
+	}
+	var verdicts []Verdict
+	for fp, held := range j.verdicts {
+		if now.Before(held.until) && !j.isContradicted(held.service, fp) {
+			verdicts = append(verdicts, j.verdict(now, held.service, fp, held.until))
+		}
+	}
+	slices.SortFunc(verdicts, func(x, y Verdict) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+	return reports, verdicts
+}
+
 // Review decides on the suspects of the services of which the node is a keeper. It returns
 // what has to be announced to all nodes, new verdicts, and when the next review is due, zero
 // if not before there is new evidence.
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -181,10 +181,23 @@
 	}
 }
 
-// restart starts a node anew.
+// restart starts a node anew, which then asks another one for what it knows.
 func (f *simFleet) restart(i int) {
 	n := f.nodes[i]
 	n.judge, n.reviewAt = NewJudge(), 0
+	for to := range f.nodes {
+		if to == i || !f.reaches(i, to) || f.nodes[to].frozenUntil > f.now {
+			continue
+		}
+		reports, verdicts := f.nodes[to].judge.Knowledge(at(f.now))
+		for _, r := range reports {
+			n.judge.AddReport(at(f.now), r)
+		}
+		for _, v := range verdicts {
+			n.judge.AddVerdict(at(f.now), v)
+		}
+		return
+	}
 }
 
 // start sends a request through a node, if it may run there.
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -32,8 +32,10 @@
 type broadcastRecorder struct {
 	verdicts chan quarantine.Verdict
 	reports  chan quarantine.Report
-	limits   chan backpressure.LimitNotice
-	leavings chan ids.Instance
+	// knowledge is returned by CrashKnowledge.
+	knowledge relay.CrashKnowledge
+	limits    chan backpressure.LimitNotice
+	leavings  chan ids.Instance
 }
 
 func (broadcastRecorder) UpdateSince(context.Context, relay.UpdateRequest) relay.Update {
@@ -44,6 +46,8 @@
 
 func (r broadcastRecorder) ApplyCrashReport(report quarantine.Report) { r.reports <- report }
 
+func (r broadcastRecorder) CrashKnowledge() relay.CrashKnowledge { return r.knowledge }
+
 func (r broadcastRecorder) ApplyLimit(n backpressure.LimitNotice) { r.limits <- n }
 
 func (r broadcastRecorder) ApplyLeaving(upstream ids.Instance) { r.leavings <- upstream }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -169,7 +169,11 @@
 	n.configs.onActivated = n.upstreams.setServices
 	n.configs.onMalformed = func(bad listwatch.Removal) { n.reportMalformed("configuration", bad) }
 	n.upstreams.onMalformed = func(bad listwatch.Removal) { n.reportMalformed("upstream", bad) }
-	n.upstreams.onRemoved, n.upstreams.onStoreRecovered = n.server.UpstreamRemoved, n.server.StoreReconnected
+	n.upstreams.onRemoved = n.server.UpstreamRemoved
+	n.upstreams.onStoreRecovered = func() {
+		n.server.StoreReconnected()
+		n.crashes.missed()
+	}
 	n.elector = leader.New(leader.Options{
 		Lease: lease.Options{
 			Holder:       processID(settings),
--- a/node/entry/permits_test.go
+++ b/node/entry/permits_test.go
@@ -27,6 +27,8 @@
 
 func (permitPeer) ApplyCrashReport(quarantine.Report) {}
 
+func (permitPeer) CrashKnowledge() relay.CrashKnowledge { return relay.CrashKnowledge{} }
+
 func (permitPeer) ApplyLimit(backpressure.LimitNotice) {}
 
 func (permitPeer) ApplyLeaving(ids.Instance) {}
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -34,6 +34,8 @@
 
 func (*fixedPeer) ApplyCrashReport(quarantine.Report) {}
 
+func (*fixedPeer) CrashKnowledge() relay.CrashKnowledge { return relay.CrashKnowledge{} }
+
 func (*fixedPeer) ApplyLimit(backpressure.LimitNotice) {}
 
 func (*fixedPeer) ApplyLeaving(ids.Instance) {}
