Streams that crash engines after an event are recognized, and end when they may run nowhere

What callers met: a stream whose engines crash after its first event was never recognized, however often it came again; after its second engine its caller waited until the deadline.

Cause: only losses before an event were blamed, because an innocent stream of some seconds was once refused: a death cuts off all streams. And a stream that has used up the engines its route allows waited for a chain among them though they had crashed.

Change: a death counts half if an event had come, so four upstreams are needed instead of two. A stream that may run only on upstreams that have crashed or are gone ends at once.

Evidence: forward TestStreamThatCrashesEnginesAfterAnEventIsRefused (a third request ran, before) and TestStreamThatMayRunNowhereEnds (5.0 s, the deadline, before); TestStreamThatRanIsNotBlamed is unchanged.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -33,6 +33,8 @@
 	upstreams   []ids.Instance
 	// began is when it was sent to these upstreams, zero if that is not known.
 	began time.Time
+	// started is true if an event of the response had come.
+	started bool
 	// lostAt is when the connection was lost, zero while it is open.
 	lostAt time.Time
 	// blamed is true once a death was attributed to the run. A run is blamed for one
@@ -124,7 +126,7 @@
 	for _, r := range c.lostByUpstream[id] {
 		if !r.blamed && r.service == service {
 			r.blamed = true
-			blamed = append(blamed, quarantine.Run{Fingerprint: r.fingerprint, Began: r.began})
+			blamed = append(blamed, quarantine.Run{Fingerprint: r.fingerprint, Began: r.began, Started: r.started})
 			if r.lostAt.Before(at) {
 				at = r.lostAt
 			}
@@ -161,6 +163,14 @@
 	}
 }
 
+// hasDied reports whether an upstream has crashed lately.
+func (c *crashTracker) hasDied(id ids.Instance) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, died := c.diedAt[id]
+	return died
+}
+
 // update reads or changes the node's evidence and verdicts.
 func (c *crashTracker) update(change func(now time.Time, j *quarantine.Judge)) {
 	c.mu.Lock()
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -251,14 +251,14 @@
 }
 
 // recordLostRun records that a connection broke while the request was running on these
-// upstreams, since began.
-func (x *exchange) recordLostRun(began time.Time, upstreams ...ids.Instance) {
+// upstreams, since began. started is true if an event of it had come.
+func (x *exchange) recordLostRun(began time.Time, started bool, upstreams ...ids.Instance) {
 	lost := zerolog.Arr()
 	for _, id := range upstreams {
 		lost.Str(id.String())
 	}
-	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Str("service", string(x.service)).Array("upstreams", lost).Send()
-	x.server.crashes.runLost(&run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams, began: began})
+	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Str("service", string(x.service)).Bool("started", started).Array("upstreams", lost).Send()
+	x.server.crashes.runLost(&run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams, began: began, started: started})
 }
 
 // quarantineDetail is the detail of a refusal because of quarantine.
@@ -422,6 +422,18 @@
 	x.ranOn[id] = true
 }
 
+// hasNowhereToRun reports whether the request may run only on upstreams that have crashed or
+// are gone.
+func (x *exchange) hasNowhereToRun() bool {
+	allowed := x.allowedUpstreams()
+	for id := range allowed {
+		if x.server.opts.View().Get(id) != nil && !x.server.crashes.hasDied(id) {
+			return false
+		}
+	}
+	return allowed != nil
+}
+
 // allowedUpstreams returns the upstreams to which further sends are restricted: those
 // on which the request ran, and also, the upstreams on which it may run next. It
 // returns nil, for no restriction, while they are fewer than the attempts of the route.
--- a/adapter/forward/quarantine_test.go
+++ b/adapter/forward/quarantine_test.go
@@ -111,6 +111,47 @@
 	}
 }
 
+// Guards against a request that is never recognized because it crashes engines after its first
+// event.
+func TestStreamThatCrashesEnginesAfterAnEventIsRefused(t *testing.T) {
+	const path = "/stream/crash"
+	r, all := crashingEngines(t, func(conn net.Conn, req *fasthttp.Request) bool {
+		from := nextEventID(req)
+		eventsFrom(conn, req, from, from, false)
+		return false
+	})
+	for _, id := range []string{"r1", "r2"} {
+		r.ask(t, "POST", path, id, "p")
+	}
+	if got := countRuns(all, path); got != 4 {
+		t.Fatalf("two requests ran %d times, want 4", got)
+	}
+	resp, _ := r.ask(t, "POST", path, "r3", "p")
+	if got := countRuns(all, path); resp.StatusCode() != 503 || got != 4 {
+		t.Errorf("status %d after %d runs, want 503 after 4", resp.StatusCode(), got)
+	}
+}
+
+// Guards against a stream that waits until its deadline although all engines on which it may
+// still run have crashed.
+func TestStreamThatMayRunNowhereEnds(t *testing.T) {
+	r, all := crashingEngines(t, func(conn net.Conn, req *fasthttp.Request) bool {
+		from := nextEventID(req)
+		eventsFrom(conn, req, from, from, false)
+		return false
+	})
+	sent := time.Now()
+	if _, complete := r.ask(t, "POST", "/stream/x", "r1", "p"); complete {
+		t.Error("the response is complete")
+	}
+	if took := time.Since(sent); took > time.Second {
+		t.Errorf("the caller waited for %v, the deadline is 5 s", took)
+	}
+	if got := countRuns(all, "/stream/x"); got != 2 {
+		t.Errorf("ran on %d engines, want the two that the route allows", got)
+	}
+}
+
 // Guards against a quarantined stream that is moved from a slow engine to another one.
 func TestQuarantinedStreamIsNotRerouted(t *testing.T) {
 	first := fakeEngine(t, "a", 0, 5, func(conn net.Conn, req *fasthttp.Request) bool {
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -163,7 +163,7 @@
 // quarantined, or no event of it has come and a decision on it is due.
 func (w *stallWatch) mayCrash() bool {
 	x := w.s.x
-	return x.quarantined() || !w.eventSeen && x.heldFor() > 0
+	return x.quarantined() || !w.hasStarted() && x.heldFor() > 0
 }
 
 // classifyProbes returns the cause of a delay, given the engines that did not answer
@@ -238,17 +238,17 @@
 	return w.reroutedAt
 }
 
+// hasStarted reports whether an event of the response has come, through this chain or an
+// earlier one.
+func (w *stallWatch) hasStarted() bool { return w.eventSeen || w.s.x.events > 0 }
+
 // recordBypassed records the engines that a reroute has removed from the chain as lost
-// runs, unless the chain has already produced events: they may have crashed when they
-// started to run the request.
+// runs: they may have crashed because of the request.
 func (w *stallWatch) recordBypassed(old, present chain.Chain) {
-	if w.eventSeen {
-		return
-	}
 	kept := present.Engines()
 	gone := slices.DeleteFunc(old.Engines(), func(id ids.Instance) bool { return slices.Contains(kept, id) })
 	if len(gone) > 0 {
-		w.s.x.recordLostRun(w.beganAt(), gone...)
+		w.s.x.recordLostRun(w.beganAt(), w.hasStarted(), gone...)
 	}
 }
 
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -80,7 +80,7 @@
 	x := s.x
 	var noChain *chain.NoChainError
 	if errors.As(failed.cause, &noChain) {
-		if x.responseStarted {
+		if x.responseStarted && !x.hasNowhereToRun() {
 			s.waitToResume(ctx)
 			return true
 		}
@@ -414,8 +414,8 @@
 func (s *stream) recordFailure(ctx context.Context, w *stallWatch, failed *failure) {
 	x, c := s.x, w.chain
 	x.recordPossibleRun(c[0].Engine, failed)
-	if ctx.Err() == nil && failed.lostWhileRunning() && !w.eventSeen {
-		x.recordLostRun(w.beganAt(), c.Engines()...)
+	if ctx.Err() == nil && failed.lostWhileRunning() {
+		x.recordLostRun(w.beganAt(), w.hasStarted(), c.Engines()...)
 	}
 	var held *HeldError
 	switch {
--- a/decide/quarantine/digest.go
+++ b/decide/quarantine/digest.go
@@ -39,6 +39,8 @@
 	// Ran is how long the first run of the fingerprint had been on the upstream when it
 	// died, 0 if that is not known.
 	Ran time.Duration `json:"ran_ns,omitempty"`
+	// Started is true if part of the response had come in all of its runs there.
+	Started bool `json:"started,omitempty"`
 }
 
 // MergeDigest adds the events of a peer's digest to the evidence. Peers relay
@@ -60,7 +62,7 @@
 		if e.Ran > 0 {
 			ran = e.Ran
 		}
-		if det.addBlame(now, d, e.Fingerprint, ran) && e.Kind == Blamed {
+		if det.addBlame(now, d, e.Fingerprint, ran, e.Started) && e.Kind == Blamed {
 			contradicted = true
 		}
 		if e.Kind == Cleared {
@@ -108,7 +110,12 @@
 // event returns an event about the death.
 func (d *death) event(kind Kind, fp Fingerprint, age time.Duration) Event {
 	e := Event{Kind: kind, Upstream: d.id.upstream, Epoch: d.id.epoch, Fingerprint: fp, Age: age}
-	if b := d.inFlight[fp]; b != nil && b.ran != unknownRan {
+	b := d.inFlight[fp]
+	if b == nil {
+		return e
+	}
+	e.Started = b.started
+	if b.ran != unknownRan {
 		e.Ran = max(b.ran, 1)
 	}
 	return e
--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -13,6 +13,8 @@
 	// deaths is the number of deaths blamed on the fingerprint. upstreams is the number
 	// of distinct upstreams among them, of which those that died together count as one.
 	deaths, upstreams int
+	// weight is the sum of the weights of these upstreams.
+	weight float64
 	// blameShare is the sum over these deaths of 1/n, where n is the number of
 	// fingerprints that are blamed for the death.
 	blameShare float64
@@ -23,13 +25,13 @@
 	learnedAt, suspectSince time.Time
 }
 
-// score ranks fingerprints by the number of upstreams and then by their mean
+// score ranks fingerprints by the weight of their upstreams and then by their mean
 // share of the blame.
 func (e evidence) score() float64 {
 	if e.deaths == 0 {
 		return 0
 	}
-	return float64(e.upstreams) + e.blameShare/float64(e.deaths)
+	return e.weight + e.blameShare/float64(e.deaths)
 }
 
 // evidenceFor summarizes the evidence against a fingerprint.
@@ -54,7 +56,9 @@
 		if slices.Contains(seen, d.id.upstream) {
 			continue
 		}
-		if seen = append(seen, d.id.upstream); len(seen) == det.opts.Threshold {
+		seen = append(seen, d.id.upstream)
+		before := det.isSuspect(e)
+		if e.weight += d.inFlight[fp].weight(); !before && det.isSuspect(e) {
 			e.suspectSince = e.learnedAt
 		}
 	}
@@ -95,15 +99,16 @@
 
 // addBlame blames a death on a fingerprint. The blame is cleared at once if the fingerprint
 // has succeeded since the death or shortly before; contradicted reports that.
-func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration) (contradicted bool) {
+func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration, started bool) (contradicted bool) {
 	if known := d.inFlight[fp]; known != nil {
 		known.ran = max(known.ran, ran)
+		known.started = known.started && started
 		return false
 	}
-	if len(d.inFlight) >= det.opts.MaxInFlight {
+	if len(d.inFlight) >= det.maxInFlight(started) {
 		return false
 	}
-	d.inFlight[fp] = &blame{learnedAt: now, ran: ran}
+	d.inFlight[fp] = &blame{learnedAt: now, ran: ran, started: started}
 	d.blamed++
 	det.suspects[fp] = append(det.suspects[fp], d)
 	if success, ok := det.successes[fp]; ok && !success.Before(d.at.Add(-successMemory)) {
@@ -112,6 +117,15 @@
 	return false
 }
 
+// maxInFlight returns the number of fingerprints blamed for one death from which on no
+// further one is added.
+func (det *Detector) maxInFlight(started bool) int {
+	if started {
+		return int(maxStartedShare * float64(det.opts.MaxInFlight))
+	}
+	return det.opts.MaxInFlight
+}
+
 // clear permanently removes a fingerprint's blame for the death. It reports whether there
 // was one.
 func (d *death) clear(fp Fingerprint) bool {
@@ -123,22 +137,22 @@
 	return true
 }
 
-// suspectsOf returns the fingerprints that are blamed for at least Threshold upstreams and
-// whose quarantine would not be over, those blamed for the most upstreams first.
+// suspectsOf returns the suspects whose quarantine would not be over, those with the most
+// evidence against them first.
 func (det *Detector) suspectsOf(now time.Time) []Fingerprint {
-	upstreams := make(map[Fingerprint]int)
+	weights := make(map[Fingerprint]float64)
 	var suspects []Fingerprint
 	for fp, deaths := range det.suspects {
 		if len(deaths) < det.opts.Threshold {
 			continue
 		}
-		if e := det.evidenceFor(fp); e.upstreams >= det.opts.Threshold && now.Before(e.last.Add(det.opts.Duration)) {
-			upstreams[fp] = e.upstreams
+		if e := det.evidenceFor(fp); det.isSuspect(e) && now.Before(e.last.Add(det.opts.Duration)) {
+			weights[fp] = e.weight
 			suspects = append(suspects, fp)
 		}
 	}
 	slices.SortFunc(suspects, func(x, y Fingerprint) int {
-		return cmp.Or(cmp.Compare(upstreams[y], upstreams[x]), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(weights[y], weights[x]), cmp.Compare(x, y))
 	})
 	return suspects
 }
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -357,7 +357,7 @@
 	d := j.docket(service)
 	e := d.detector.evidenceFor(fp)
 	until := e.learnedAt.Add(suspectHold + time.Duration(draw*float64(suspectSpread)))
-	if r.Alone || e.upstreams < d.detector.opts.Threshold || !now.Before(until) {
+	if r.Alone || !d.detector.isSuspect(e) || !now.Before(until) {
 		return time.Time{}
 	}
 	return until
@@ -376,7 +376,7 @@
 	if d == nil || d.detector.count(fp).cleared == 0 {
 		return false
 	}
-	return d.detector.evidenceFor(fp).upstreams < d.detector.opts.Threshold
+	return !d.detector.isSuspect(d.detector.evidenceFor(fp))
 }
 
 // hold puts a verdict in force. If there is no room, the verdict is dropped, and a keeper
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -21,6 +21,8 @@
 	// servedTime how long until it is served.
 	eventlessTime = 300
 	servedTime    = 1500
+	// usualCrashDelay is the least time until a run crashes its engine, in ms.
+	usualCrashDelay = 70
 	// restartTime is how long an engine that has crashed is down, in ms.
 	restartTime = 3000
 	// retryPause is the time from the loss of a run until the node has confirmed the
@@ -80,6 +82,8 @@
 	serial  int
 	// later holds what happens at later times.
 	later map[int][]func()
+	// crashDelay is the least time until a run crashes its engine, in ms.
+	crashDelay int
 	// lossRate is the fraction of messages that are lost.
 	lossRate float64
 	// cutZone is a zone whose nodes reach only each other, empty for none.
@@ -93,7 +97,7 @@
 
 // newSimFleet returns a fleet of n nodes.
 func newSimFleet(t *testing.T, n int, seed uint64) *simFleet {
-	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int)}
+	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int)}
 	for i := range n {
 		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, judge: NewJudge()})
 	}
@@ -244,7 +248,7 @@
 	e := first[f.rng.IntN(min(firstEngines, len(first)))]
 	run := simRun{fp: fp, node: node, began: f.now, runs: runs + 1}
 	if crashes {
-		run.crashAt = f.now + 70 + f.rng.IntN(40)
+		run.crashAt = f.now + f.crashDelay + f.rng.IntN(40)
 		f.sends[fp] = append(f.sends[fp], f.now)
 	}
 	e.runs = append(e.runs, run)
@@ -256,9 +260,7 @@
 	lost := make(map[int][]Run)
 	began, id := f.now, ids.Upstream(fmt.Sprint(e.id))
 	for _, r := range e.runs {
-		if f.now-r.began < eventlessTime {
-			lost[r.node] = append(lost[r.node], Run{r.fp, at(r.began)})
-		}
+		lost[r.node] = append(lost[r.node], Run{Fingerprint: r.fp, Began: at(r.began), Started: f.now-r.began >= eventlessTime})
 		if r.runs < maxRuns {
 			f.after(retryPause, func() { f.start(r.node, r.fp, r.runs, r.crashAt > 0) })
 		}
@@ -413,6 +415,38 @@
 	}
 }
 
+// Guards against a request that is not recognized because it crashes engines after its first
+// event, comes seldom, or comes many times at once.
+func TestRequestThatCrashesEnginesInOtherWays(t *testing.T) {
+	ways := []struct {
+		what                             string
+		seconds, interval, delay, copies int
+		mostCrashes                      int
+	}{
+		{"after its first event", 14, 300, eventlessTime + 20, 1, 16},
+		{"after its first event, each 1.7 s", 20, 1700, eventlessTime + 20, 1, 8},
+		{"after its first event, each 30 s", 150, 30_000, eventlessTime + 20, 1, 8},
+		{"each 2 s", 20, 2000, usualCrashDelay, 1, 6},
+		{"each 30 s", 150, 30_000, usualCrashDelay, 1, 6},
+		{"twenty at once", 14, 1000, usualCrashDelay, 20, 14},
+	}
+	for _, w := range ways {
+		for _, n := range fleetSizes[:3] {
+			crashes := 0
+			const seeds = 2
+			for seed := range uint64(seeds) {
+				f := newSimFleet(t, n, 500+seed)
+				f.crashDelay = w.delay
+				f.play(2, 300)
+				f.play(w.seconds, w.interval, slices.Repeat([]Fingerprint{"poison"}, w.copies)...)
+				f.check(w.what, w.mostCrashes, "poison")
+				crashes += len(f.crashes["poison"])
+			}
+			t.Logf("%s, %d nodes: %.1f engines crashed", w.what, n, float64(crashes)/seeds)
+		}
+	}
+}
+
 // Guards against verdicts that depend on nodes that are killed, frozen, cut off or not heard.
 func TestRequestThatCrashesEnginesBesideFaultsOfNodes(t *testing.T) {
 	faults := map[string]func(f *simFleet){
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -18,6 +18,9 @@
 //     This is not the case when a rack fails.
 //   - Peers had PeerWait to report what they had in flight.
 //
+// A death at which part of the response had come counts half: long responses are cut off by
+// deaths that they have not caused.
+//
 // Upstreams that die together, as in a rack, count as one if the runs on them began before
 // the first of these deaths: a request that crashes upstreams is sent again after each.
 //
@@ -68,6 +71,12 @@
 	// deaths in the period, is quarantined without further conditions.
 	certainExtraUpstreams = 2
 	certainMinExplained   = 0.45
+	// startedWeight is how much a death counts at which part of the response had come. Most
+	// requests that crash an upstream do so as they begin to run there, while each death
+	// cuts off all responses that have started.
+	startedWeight = 0.5
+	// maxStartedShare is the fraction of MaxInFlight that such requests may take.
+	maxStartedShare = 0.5
 	// maxTieWaitFactor is the longest wait of suspects with similar scores, in
 	// multiples of PeerWait.
 	maxTieWaitFactor = 4
@@ -111,6 +120,8 @@
 	Fingerprint Fingerprint
 	// Began is when the upstream got the request, zero if that is not known.
 	Began time.Time
+	// Started is true if part of the response had come.
+	Started bool
 }
 
 // deathID identifies a death by the upstream and the epoch of the process that
@@ -139,6 +150,17 @@
 	// ran is how long the first of its runs had been on the upstream, unknownRan if that is
 	// not known.
 	ran time.Duration
+	// started is true if part of the response had come in all of its runs.
+	started bool
+}
+
+// weight returns how much the blame counts, 1 for an upstream that died before it
+// responded.
+func (b *blame) weight() float64 {
+	if b.started {
+		return startedWeight
+	}
+	return 1
 }
 
 // unknownRan stands for the time of a run whose start is not known.
@@ -201,7 +223,7 @@
 		if !r.Began.IsZero() {
 			ran = max(at.Sub(r.Began), 0)
 		}
-		det.addBlame(now, d, r.Fingerprint, ran)
+		det.addBlame(now, d, r.Fingerprint, ran, r.Started)
 	}
 }
 
@@ -259,7 +281,7 @@
 		f.AllDeaths = det.deathsBetween(e.first, e.last)
 	}
 	switch {
-	case e.upstreams < det.opts.Threshold || !now.Before(f.Until):
+	case !det.isSuspect(e) || !now.Before(f.Until):
 		f.Ruling = Unsuspected
 	case !now.Before(e.suspectSince.Add(certainWait)) && det.certainByCount(e):
 		f.Ruling = Refuse
@@ -285,11 +307,15 @@
 	return true, f.Until
 }
 
+// isSuspect reports whether the evidence is sufficient for a quarantine if nothing else
+// explains the deaths.
+func (det *Detector) isSuspect(e evidence) bool { return e.weight >= float64(det.opts.Threshold) }
+
 // certainByCount reports whether the number of upstreams is sufficient evidence
 // without the other conditions. Without this rule, two culprits that kill
 // upstreams at the same time might never be quarantined.
 func (det *Detector) certainByCount(e evidence) bool {
-	return e.upstreams >= det.opts.Threshold+certainExtraUpstreams && det.explains(e, certainMinExplained)
+	return e.weight >= float64(det.opts.Threshold+certainExtraUpstreams) && det.explains(e, certainMinExplained)
 }
 
 // explains reports whether at least the given fraction of all deaths in the
@@ -310,7 +336,7 @@
 // caller that does not wait lets a culprit kill more upstreams.
 func (det *Detector) Suspected(now time.Time, fp Fingerprint) (upstreams int, holdUntil time.Time) {
 	e := det.evidenceFor(fp)
-	if e.upstreams < det.opts.Threshold {
+	if !det.isSuspect(e) {
 		return e.upstreams, time.Time{}
 	}
 	hold := e.learnedAt.Add(det.opts.PeerWait)
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -93,13 +93,13 @@
 	a, b := New(Options{PeerWait: -1}), New(Options{PeerWait: -1})
 	for i := range 10 {
 		det := []*Detector{a, b}[i%2]
-		det.RecordDeathAt(at(1000+i), at(1000+i), ids.Upstream(fmt.Sprint(i)), "a", []Run{{"popular", at(600 + 10*i)}})
+		det.RecordDeathAt(at(1000+i), at(1000+i), ids.Upstream(fmt.Sprint(i)), "a", []Run{{Fingerprint: "popular", Began: at(600 + 10*i)}})
 	}
 	a.MergeDigest(at(1050), "b", b.Digest(at(1040)))
 	if f := a.Assess(at(2000), "popular"); f.Ruling != Unsuspected || f.Upstreams != 1 || f.Deaths != 10 {
 		t.Errorf("%+v", f)
 	}
-	b.RecordDeathAt(at(1500), at(1450), "next", "a", []Run{{"popular", at(1200)}})
+	b.RecordDeathAt(at(1500), at(1450), "next", "a", []Run{{Fingerprint: "popular", Began: at(1200)}})
 	a.MergeDigest(at(1510), "b", b.Digest(at(1505)))
 	if f := a.Assess(at(2000), "popular"); f.Ruling != Refuse || f.Upstreams != 2 {
 		t.Errorf("after a run that began later: %+v", f)
