Only a request that was lost at half of the same deaths hides a culprit

What callers met: a request that twenty callers send at once crashed 9 to 12 engines, as streams that were lost with it twice counted as rivals.

Cause: a fingerprint that shared one death and had a similar score stood for another explanation of all deaths, also if it was blamed for a third of them.

Change: a rival is blamed for at least half of the deaths that the suspect is blamed for.

--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -423,12 +423,12 @@
 		seconds, interval, delay, copies int
 		mostCrashes                      int
 	}{
-		{"after its first event", 14, 300, eventlessTime + 20, 1, 16},
+		{"after its first event", 14, 300, eventlessTime + 20, 1, 12},
 		{"after its first event, each 1.7 s", 20, 1700, eventlessTime + 20, 1, 8},
 		{"after its first event, each 30 s", 150, 30_000, eventlessTime + 20, 1, 8},
 		{"each 2 s", 20, 2000, usualCrashDelay, 1, 6},
 		{"each 30 s", 150, 30_000, usualCrashDelay, 1, 6},
-		{"twenty at once", 14, 1000, usualCrashDelay, 20, 14},
+		{"twenty at once", 14, 1000, usualCrashDelay, 20, 8},
 	}
 	for _, w := range ways {
 		for _, n := range fleetSizes[:3] {
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -10,7 +10,7 @@
 // a death with n fingerprints still blamed. A fingerprint is quarantined once it
 // is blamed for Threshold upstreams and all of the following hold:
 //
-//   - No other fingerprint that is blamed for the same deaths has a similar
+//   - No other fingerprint that is blamed for half of the same deaths has a similar
 //     score. An innocent request that was always retried on the same upstreams
 //     as the culprit has the same score; neither is quarantined until a success
 //     or another death distinguishes them.
@@ -350,21 +350,24 @@
 }
 
 // hasRival reports whether another fingerprint that satisfies match is blamed
-// for one of the same deaths and has a similar or higher score.
+// for at least half of the same deaths and has a similar or higher score.
 func (det *Detector) hasRival(fp Fingerprint, e evidence, match func(Fingerprint) bool) bool {
+	shared := make(map[Fingerprint]int)
 	for _, d := range det.suspects[fp] {
 		if !d.isBlamed(fp) {
 			continue
 		}
 		for other := range d.inFlight {
-			if other == fp || !d.isBlamed(other) || !match(other) {
-				continue
-			}
-			if det.evidenceFor(other).score() > e.score()-minScoreLead {
-				return true
+			if other != fp && d.isBlamed(other) && match(other) {
+				shared[other]++
 			}
 		}
 	}
+	for other, deaths := range shared {
+		if 2*deaths >= e.deaths && det.evidenceFor(other).score() > e.score()-minScoreLead {
+			return true
+		}
+	}
 	return false
 }
 
