Keepers log each new finding on a suspect, with the rival and who reported

Cause: since keepers decide without a request at hand, a finding was logged only when a request came; the log did not tell why a suspect was not quarantined until then.

Change: Review returns the findings that differ from earlier ones, with the rival that hides a culprit; reports carry their sender. From one keeper's log: deaths counted, all deaths in that time, the rival, the reports behind them.

Measured: tests of decide/quarantine, adapter/forward, adapter/relay, node/entry and e2e pass.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -225,7 +225,7 @@
 // logFinding logs the finding about a suspect.
 func (c *crashTracker) logFinding(now time.Time, service ids.Service, fingerprint quarantine.Fingerprint, f quarantine.Finding) {
 	c.opts.Log.Info().Str("event", "suspect_judged").Str("fingerprint", string(fingerprint)).Str("service", string(service)).
-		Str("ruling", string(f.Ruling)).Int("upstreams", f.Upstreams).Int("deaths", f.Deaths).Int("all_deaths", f.AllDeaths).
+		Str("ruling", string(f.Ruling)).Int("upstreams", f.Upstreams).Int("deaths", f.Deaths).Int("all_deaths", f.AllDeaths).Str("rival", string(f.Rival)).
 		Dur("age_ms", now.Sub(f.Last)).Send()
 }
 
@@ -233,6 +233,8 @@
 func (c *crashTracker) addReport(r quarantine.Report) {
 	c.mu.Lock()
 	defer c.unlock()
+	c.opts.Log.Info().Str("event", "crash_report").Str("service", string(r.Service)).Str("peer", string(r.From)).
+		Bool("announced", r.Announced).Int("evidence", len(r.Events)).Send()
 	c.judge.AddReport(c.opts.Now(), r)
 }
 
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -168,14 +168,18 @@
 // publishes new verdicts, and returns what has to be announced to all nodes and when the next
 // review is due, zero if not before there is new evidence.
 func (s *Server) ReviewSuspects() (announcements []quarantine.Report, next time.Time) {
-	var verdicts []quarantine.Verdict
-	s.crashes.update(func(now time.Time, j *quarantine.Judge) {
-		announcements, verdicts, next = j.Review(now, s.opts.QuarantineRole)
+	var actions quarantine.Actions
+	var now time.Time
+	s.crashes.update(func(at time.Time, j *quarantine.Judge) {
+		now, actions = at, j.Review(at, s.opts.QuarantineRole)
 	})
-	for _, v := range verdicts {
+	for _, d := range actions.Decisions {
+		s.crashes.logFinding(now, d.Service, d.Fingerprint, d.Finding)
+	}
+	for _, v := range actions.Verdicts {
 		s.publishVerdict(v)
 	}
-	return announcements, next
+	return actions.Announcements, actions.Next
 }
 
 // CrashKnowledge returns the evidence against suspects and the verdicts that a node without
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -126,7 +126,7 @@
 
 func TestCrashReportsAreDelivered(t *testing.T) {
 	s := &fakeSource{reports: make(chan quarantine.Report, 1)}
-	want := quarantine.Report{Service: "s", Events: testEvents, Announced: true}
+	want := quarantine.Report{Service: "s", Events: testEvents, Announced: true, From: "vm"}
 	if err := SendCrashReport(t.Context(), serve(t, s), want); err != nil {
 		t.Fatal(err)
 	}
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,26 @@
 	Events  []Event     `json:"events"`
 	// Announced is true if the report goes to all nodes.
 	Announced bool `json:"announced,omitempty"`
+	// From is the node that sends the report.
+	From ids.VM `json:"from,omitempty"`
+}
+
+// Decision is what a keeper has found about a suspect.
+type Decision struct {
+	Service     ids.Service
+	Fingerprint Fingerprint
+	Finding     Finding
+}
+
+// Actions are the results of a review.
+type Actions struct {
+	// Announcements and Verdicts have to be sent to all nodes.
+	Announcements []Report
+	Verdicts      []Verdict
+	// Decisions are the findings that differ from those of earlier reviews.
+	Decisions []Decision
+	// Next is when the next review is due, zero if not before there is new evidence.
+	Next time.Time
 }
 
 // Judge holds the evidence of one node about requests that crash upstreams, and the verdicts
@@ -59,6 +80,8 @@
 	detector *Detector
 	// unreported is true if the node has evidence that it has not reported.
 	unreported bool
+	// findings holds the findings about suspects of the latest review.
+	findings map[Fingerprint]Finding
 	// reviewed is false if there is evidence that has not been reviewed. decideAt is when a
 	// suspect can be decided on without more evidence, zero for none.
 	reviewed bool
@@ -90,7 +113,7 @@
 func (j *Judge) docket(service ids.Service) *docket {
 	d := j.dockets[service]
 	if d == nil {
-		d = &docket{service: service, detector: New(Options{}), announced: make(map[Fingerprint]count)}
+		d = &docket{service: service, detector: New(Options{}), findings: make(map[Fingerprint]Finding), announced: make(map[Fingerprint]count)}
 		j.dockets[service] = d
 	}
 	return d
@@ -176,10 +199,9 @@
 	return reports, verdicts
 }
 
-// Review decides on the suspects of the services of which the node is a keeper. It returns
-// what has to be announced to all nodes, new verdicts, and when the next review is due, zero
-// if not before there is new evidence.
-func (j *Judge) Review(now time.Time, role func(ids.Service) Role) (announcements []Report, verdicts []Verdict, next time.Time) {
+// Review decides on the suspects of the services of which the node is a keeper.
+func (j *Judge) Review(now time.Time, role func(ids.Service) Role) Actions {
+	var a Actions
 	for _, d := range j.sortedDockets() {
 		r := role(d.service)
 		if !r.Keeper {
@@ -187,14 +209,14 @@
 			continue
 		}
 		if !d.reviewed || !d.decideAt.IsZero() && !now.Before(d.decideAt) {
-			verdicts = append(verdicts, j.decideAll(now, d, r)...)
+			j.decideAll(now, d, r, &a)
 		}
 		if report := d.announce(now, r); report != nil {
-			announcements = append(announcements, *report)
+			a.Announcements = append(a.Announcements, *report)
 		}
-		next = earliest(next, d.decideAt, d.announceAt(r))
+		a.Next = earliest(a.Next, d.decideAt, d.announceAt(r))
 	}
-	return announcements, verdicts, next
+	return a
 }
 
 // earliest returns the earliest of some times that are not zero, zero if all are.
@@ -208,45 +230,42 @@
 	return first
 }
 
-// decideAll decides on the suspects of a service and returns the verdicts that the node has
-// just reached.
-func (j *Judge) decideAll(now time.Time, d *docket, r Role) []Verdict {
+// decideAll decides on the suspects of a service.
+func (j *Judge) decideAll(now time.Time, d *docket, r Role, a *Actions) {
 	d.reviewed, d.decideAt = true, time.Time{}
-	var verdicts []Verdict
-	for _, fp := range d.detector.suspectsOf(now) {
+	suspects := d.detector.suspectsOf(now)
+	for _, fp := range suspects {
 		if d.detector.count(fp).exceeds(d.announced[fp]) {
 			d.noteChange(now)
 		}
-		verdict, at := j.decide(now, d, fp, r)
-		if verdict != nil {
-			verdicts = append(verdicts, *verdict)
-		}
-		d.decideAt = earliest(d.decideAt, at)
+		j.decide(now, d, fp, r, a)
 	}
 	for fp, known := range d.announced {
 		if d.detector.count(fp).cleared > known.cleared {
 			d.noteChange(now)
 		}
 	}
-	return verdicts
+	maps.DeleteFunc(d.findings, func(fp Fingerprint, _ Finding) bool { return !slices.Contains(suspects, fp) })
 }
 
-// decide returns a verdict if the node, as a keeper, has just reached one, and otherwise when
-// it can reach one, zero if not before there is new evidence.
-func (j *Judge) decide(now time.Time, d *docket, fp Fingerprint, r Role) (*Verdict, time.Time) {
+// decide decides on one suspect.
+func (j *Judge) decide(now time.Time, d *docket, fp Fingerprint, r Role, a *Actions) {
 	f := d.detector.assess(now, fp, r.wait(), r.wait())
+	if known := d.findings[fp]; known.Ruling != f.Ruling || known.Deaths != f.Deaths {
+		d.findings[fp] = f
+		a.Decisions = append(a.Decisions, Decision{d.service, fp, f})
+	}
 	if j.inForce(now, d.service, fp) && f.LearnedAt.Before(j.verdicts[fp].toldAt.Add(verdictTravel)) {
-		return nil, time.Time{}
+		return
 	}
 	switch f.Ruling {
 	case AwaitsPeers:
-		return nil, f.LearnedAt.Add(r.wait())
+		d.decideAt = earliest(d.decideAt, f.LearnedAt.Add(r.wait()))
 	case Refuse:
 		verdict := j.verdict(now, d.service, fp, f.Until)
 		j.hold(now, verdict)
-		return &verdict, time.Time{}
+		a.Verdicts = append(a.Verdicts, verdict)
 	}
-	return nil, time.Time{}
 }
 
 // verdict returns the verdict on a fingerprint, with its evidence.
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -168,18 +168,18 @@
 		return
 	}
 	n.reviewAt = 0
-	announcements, verdicts, next := n.judge.Review(at(f.now), func(ids.Service) Role { return f.role(i) })
-	if !next.IsZero() {
-		n.reviewAt = int(next.Sub(t0).Milliseconds()) + fleetStep
+	actions := n.judge.Review(at(f.now), func(ids.Service) Role { return f.role(i) })
+	if !actions.Next.IsZero() {
+		n.reviewAt = int(actions.Next.Sub(t0).Milliseconds()) + fleetStep
 	}
 	for to := range f.nodes {
 		if to == i {
 			continue
 		}
-		for _, a := range announcements {
+		for _, a := range actions.Announcements {
 			f.send(i, to, len(a.Events), func(to *simNode) { to.judge.AddReport(at(f.now), a) })
 		}
-		for _, v := range verdicts {
+		for _, v := range actions.Verdicts {
 			f.send(i, to, len(v.Evidence), func(to *simNode) { to.judge.AddVerdict(at(f.now), v) })
 		}
 	}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -262,6 +262,9 @@
 	// Upstreams is the number of dead upstreams that the fingerprint is blamed for, and
 	// Deaths the number of their deaths. AllDeaths counts all deaths in the same period.
 	Upstreams, Deaths, AllDeaths int
+	// Rival is another fingerprint that explains the deaths as well, empty if the ruling is
+	// not Rivaled.
+	Rival Fingerprint
 	// Last is the time of the last of these deaths, LearnedAt when this VM learned of it,
 	// and Until the end of a quarantine.
 	Last, LearnedAt, Until time.Time
@@ -289,10 +292,11 @@
 		f.Ruling = AwaitsPeers
 	case !det.explains(e, minExplained):
 		f.Ruling = OtherCauses
-	case det.hasRival(fp, e, anyFingerprint):
-		f.Ruling = Rivaled
 	default:
 		f.Ruling = Refuse
+		if f.Rival = det.rivalOf(fp, e, anyFingerprint); f.Rival != "" {
+			f.Ruling = Rivaled
+		}
 	}
 	return f
 }
@@ -340,7 +344,7 @@
 		return e.upstreams, time.Time{}
 	}
 	hold := e.learnedAt.Add(det.opts.PeerWait)
-	if det.hasRival(fp, e, func(other Fingerprint) bool { return other < fp }) {
+	if det.rivalOf(fp, e, func(other Fingerprint) bool { return other < fp }) != "" {
 		hold = e.learnedAt.Add(maxTieWaitFactor * det.opts.PeerWait)
 	}
 	if now.Before(hold) {
@@ -349,9 +353,10 @@
 	return e.upstreams, holdUntil
 }
 
-// hasRival reports whether another fingerprint that satisfies match is blamed
-// for at least half of the same deaths and has a similar or higher score.
-func (det *Detector) hasRival(fp Fingerprint, e evidence, match func(Fingerprint) bool) bool {
+// rivalOf returns another fingerprint that satisfies match, is blamed for at least half of
+// the same deaths and has a similar or higher score, the first one in their order. It is
+// empty if there is none.
+func (det *Detector) rivalOf(fp Fingerprint, e evidence, match func(Fingerprint) bool) Fingerprint {
 	shared := make(map[Fingerprint]int)
 	for _, d := range det.suspects[fp] {
 		if !d.isBlamed(fp) {
@@ -363,12 +368,13 @@
 			}
 		}
 	}
+	var rival Fingerprint
 	for other, deaths := range shared {
-		if 2*deaths >= e.deaths && det.evidenceFor(other).score() > e.score()-minScoreLead {
-			return true
+		if 2*deaths >= e.deaths && (rival == "" || other < rival) && det.evidenceFor(other).score() > e.score()-minScoreLead {
+			rival = other
 		}
 	}
-	return false
+	return rival
 }
 
 // anyFingerprint is a match function for all fingerprints.
--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -131,10 +131,12 @@
 // not before there is new evidence.
 func (c *crashExchange) exchange() time.Time {
 	for _, r := range c.node.server.TakeCrashReports() {
+		r.From = c.node.settings.VM
 		c.reports.add(r)
 	}
 	announcements, next := c.node.server.ReviewSuspects()
 	for _, a := range announcements {
+		a.From = c.node.settings.VM
 		c.announcements.add(a)
 	}
 	return next
