--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -483,6 +483,24 @@
 	}
 }
 
+// Guards against a request that crashes engines again because all nodes have been killed and
+// nobody knows of it.
+func TestRequestThatCrashesEnginesAfterAllNodesRestart(t *testing.T) {
+	for _, n := range fleetSizes[1:3] {
+		for seed := range uint64(2) {
+			f := newSimFleet(t, n, 100+seed)
+			f.play(2, 300)
+			f.after(8000, func() {
+				for i := range f.nodes {
+					f.nodes[i].judge, f.nodes[i].reviewAt = NewJudge(), 0
+				}
+			})
+			f.play(12, 300, "poison")
+			f.check("all nodes killed long after", 10, "poison")
+		}
+	}
+}
+
 // Guards against verdicts that other crashes hide: those of a rack, and of other requests
 // that crash engines.
 func TestRequestThatCrashesEnginesBesideOtherCrashes(t *testing.T) {
