A keeper announces all suspects, those with the most evidence first

Cause (found by reading): an announcement holds 64 suspects; which ones was chosen by the order of their fingerprints, and those left over were announced only with the next news, if ever. After a crash that cuts many requests for the second time the culprit could be among them.

Change: the most blamed come first, and what does not fit follows.

Evidence: quarantine TestAllSuspectsAreAnnouncedInBoundedReports, 192 suspects: s000 comes first and 128 are told in two seconds, before.

--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -235,15 +235,10 @@
 	d.reviewed, d.decideAt = true, time.Time{}
 	suspects := d.detector.suspectsOf(now)
 	for _, fp := range suspects {
-		if d.detector.count(fp).exceeds(d.announced[fp]) {
-			d.noteChange(now)
-		}
 		j.decide(now, d, fp, r, a)
 	}
-	for fp, known := range d.announced {
-		if d.detector.count(fp).cleared > known.cleared {
-			d.noteChange(now)
-		}
+	if len(d.unannounced(now)) > 0 {
+		d.noteChange(now)
 	}
 	maps.DeleteFunc(d.findings, func(fp Fingerprint, _ Finding) bool { return !slices.Contains(suspects, fp) })
 }
@@ -282,30 +277,40 @@
 	return d.changedAt.Add(announceDelay + time.Duration(r.Rank)*keeperStagger)
 }
 
-// announce returns the announcement that is due, nil if there is none.
+// announce returns the announcement that is due, nil if there is none. What does not fit into
+// it follows with the next one.
 func (d *docket) announce(now time.Time, r Role) *Report {
 	if due := d.announceAt(r); due.IsZero() || now.Before(due) {
 		return nil
 	}
 	d.changedAt = time.Time{}
+	news := d.unannounced(now)
+	if len(news) == 0 {
+		return nil
+	}
+	report := &Report{Service: d.service, Events: d.detector.eventsOf(now, news[:min(len(news), maxAnnounced)]), Announced: true}
+	d.noteAnnounced(report.Events)
+	if len(d.unannounced(now)) > 0 {
+		d.changedAt = now
+	}
+	return report
+}
+
+// unannounced returns the fingerprints of which there is more to tell than was announced: the
+// suspects, those with the most evidence against them first, and those that were cleared.
+func (d *docket) unannounced(now time.Time) []Fingerprint {
 	var news []Fingerprint
 	for _, fp := range d.detector.suspectsOf(now) {
 		if d.detector.count(fp).exceeds(d.announced[fp]) {
 			news = append(news, fp)
 		}
 	}
-	for fp, known := range d.announced {
-		if d.detector.count(fp).cleared > known.cleared && !slices.Contains(news, fp) {
+	for _, fp := range slices.Sorted(maps.Keys(d.announced)) {
+		if d.detector.count(fp).cleared > d.announced[fp].cleared && !slices.Contains(news, fp) {
 			news = append(news, fp)
 		}
 	}
-	if len(news) == 0 {
-		return nil
-	}
-	slices.Sort(news)
-	report := &Report{Service: d.service, Events: d.detector.eventsOf(now, news[:min(len(news), maxAnnounced)]), Announced: true}
-	d.noteAnnounced(report.Events)
-	return report
+	return news
 }
 
 // noteChange records that there may be something to announce.
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/judge_test.go
@@ -408,6 +408,39 @@
 	}
 }
 
+// Guards against suspects that are never announced because there are too many at once.
+func TestAllSuspectsAreAnnouncedInBoundedReports(t *testing.T) {
+	const suspects = 3 * maxAnnounced
+	j := NewJudge()
+	for u := range 3 {
+		var runs []Run
+		for i := range suspects {
+			if u < 2 || i == suspects-1 {
+				runs = append(runs, Run{Fingerprint: Fingerprint(fmt.Sprintf("s%03d", i)), Began: at(1000*u - 100)})
+			}
+		}
+		j.RecordDeath(at(1000*u), at(1000*u), simService, ids.Upstream(fmt.Sprint(u)), "", runs)
+	}
+	told := make(map[Fingerprint]bool)
+	role := func(ids.Service) Role { return Role{Keeper: true} }
+	for ms := 2000; ms < 4000; ms += 10 {
+		for i, report := range j.Review(at(ms), role).Announcements {
+			if len(told) == 0 && i == 0 && report.Events[0].Fingerprint != "s191" {
+				t.Errorf("the first one announced is %s, want the one blamed for three upstreams", report.Events[0].Fingerprint)
+			}
+			if len(report.Events) > DefaultMaxEvents {
+				t.Errorf("announcement of %d events", len(report.Events))
+			}
+			for _, e := range report.Events {
+				told[e.Fingerprint] = true
+			}
+		}
+	}
+	if len(told) != suspects {
+		t.Errorf("%d of %d suspects announced", len(told), suspects)
+	}
+}
+
 // failEngines ends the engines from one index to another, pause ms apart.
 func (f *simFleet) failEngines(from, to, pause int) {
 	for i := from; i < to; i++ {
