Reviews of suspects cost less while many engines fail

Change: the evidence against a fingerprint is summed up once until it changes, and a review decides on the 64 suspects with the most evidence against them; more that have as much are rivals of each other. A rival is looked for in one pass.

--- a/decide/quarantine/digest.go
+++ b/decide/quarantine/digest.go
@@ -66,7 +66,7 @@
 			contradicted = true
 		}
 		if e.Kind == Cleared {
-			d.clear(e.Fingerprint)
+			det.clear(d, e.Fingerprint)
 		}
 	}
 	return contradicted
--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -36,6 +36,23 @@
 
 // evidenceFor summarizes the evidence against a fingerprint.
 func (det *Detector) evidenceFor(fp Fingerprint) evidence {
+	if len(det.suspects[fp]) == 0 {
+		return evidence{}
+	}
+	e, known := det.summaries[fp]
+	if !known {
+		e = det.summarize(fp)
+		det.summaries[fp] = e
+	}
+	return e
+}
+
+// changed drops the summaries of the evidence. It has to be called after each change of the
+// deaths.
+func (det *Detector) changed() { clear(det.summaries) }
+
+// summarize computes what evidenceFor returns.
+func (det *Detector) summarize(fp Fingerprint) evidence {
 	var e evidence
 	var seen []ids.Upstream
 	var counted time.Time
@@ -84,6 +101,7 @@
 	if d, known := det.byID[id]; known {
 		if at.Before(d.at) {
 			d.at = at
+			det.changed()
 		}
 		return d
 	}
@@ -91,6 +109,7 @@
 		det.removeReferences(det.deaths[0])
 		det.deaths = slices.Delete(det.deaths, 0, 1)
 	}
+	det.changed()
 	d := &death{id: id, at: at, inFlight: make(map[Fingerprint]*blame)}
 	det.deaths = append(det.deaths, d)
 	det.byID[id] = d
@@ -101,18 +120,22 @@
 // has succeeded since the death or shortly before; contradicted reports that.
 func (det *Detector) addBlame(now time.Time, d *death, fp Fingerprint, ran time.Duration, started bool) (contradicted bool) {
 	if known := d.inFlight[fp]; known != nil {
-		known.ran = max(known.ran, ran)
-		known.started = known.started && started
+		if ran > known.ran || known.started && !started {
+			known.ran = max(known.ran, ran)
+			known.started = known.started && started
+			det.changed()
+		}
 		return false
 	}
 	if len(d.inFlight) >= det.maxInFlight(started) {
 		return false
 	}
+	det.changed()
 	d.inFlight[fp] = &blame{learnedAt: now, ran: ran, started: started}
 	d.blamed++
 	det.suspects[fp] = append(det.suspects[fp], d)
 	if success, ok := det.successes[fp]; ok && !success.Before(d.at.Add(-successMemory)) {
-		return d.clear(fp)
+		return det.clear(d, fp)
 	}
 	return false
 }
@@ -126,12 +149,13 @@
 	return det.opts.MaxInFlight
 }
 
-// clear permanently removes a fingerprint's blame for the death. It reports whether there
-// was one.
-func (d *death) clear(fp Fingerprint) bool {
+// clear permanently removes a fingerprint's blame for a death. It reports whether there was
+// one.
+func (det *Detector) clear(d *death, fp Fingerprint) bool {
 	if !d.isBlamed(fp) {
 		return false
 	}
+	det.changed()
 	d.inFlight[fp].cleared = true
 	d.blamed--
 	return true
@@ -206,6 +230,7 @@
 		if now.Sub(d.at) < keep {
 			return false
 		}
+		det.changed()
 		det.removeReferences(d)
 		return true
 	})
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/judge.go
@@ -14,6 +14,9 @@
 	announceDelay = 50 * time.Millisecond
 	// maxAnnounced bounds the suspects of one announcement.
 	maxAnnounced = 64
+	// maxDecided bounds the suspects that a review decides on, those with the most evidence
+	// against them. More that have as much are rivals of each other.
+	maxDecided = 64
 	// maxVerdicts bounds the verdicts that are kept, to about 0.1 MB. Each stands for two
 	// crashed upstreams.
 	maxVerdicts = 1024
@@ -234,6 +237,7 @@
 func (j *Judge) decideAll(now time.Time, d *docket, r Role, a *Actions) {
 	d.reviewed, d.decideAt = true, time.Time{}
 	suspects := d.detector.suspectsOf(now)
+	suspects = suspects[:min(len(suspects), maxDecided)]
 	for _, fp := range suspects {
 		j.decide(now, d, fp, r, a)
 	}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -179,6 +179,8 @@
 	deaths   []*death
 	byID     map[deathID]*death
 	suspects map[Fingerprint][]*death
+	// summaries holds the evidence against fingerprints, until it changes.
+	summaries map[Fingerprint]evidence
 	// successes maps fingerprints to their last success on this VM. successRing
 	// lists them in the order they were added, and ringNext is the next index to
 	// replace.
@@ -192,6 +194,7 @@
 	det := &Detector{
 		byID:      make(map[deathID]*death),
 		suspects:  make(map[Fingerprint][]*death),
+		summaries: make(map[Fingerprint]evidence),
 		successes: make(map[Fingerprint]time.Time),
 	}
 	det.SetOptions(opts)
@@ -199,7 +202,10 @@
 }
 
 // SetOptions replaces the options. They apply to existing evidence too.
-func (det *Detector) SetOptions(opts Options) { det.opts = withDefaults(opts) }
+func (det *Detector) SetOptions(opts Options) {
+	det.opts = withDefaults(opts)
+	det.changed()
+}
 
 // RecordDeath blames the death of an upstream on the fingerprints that this VM
 // had in flight there. It must also be called if there were none. A death is a
@@ -232,7 +238,7 @@
 func (det *Detector) RecordSuccess(now time.Time, fp Fingerprint) (cleared bool) {
 	det.storeSuccess(now, fp)
 	for _, d := range det.suspects[fp] {
-		if !d.at.After(now) && d.clear(fp) {
+		if !d.at.After(now) && det.clear(d, fp) {
 			cleared = true
 		}
 	}
@@ -358,20 +364,18 @@
 // empty if there is none.
 func (det *Detector) rivalOf(fp Fingerprint, e evidence, match func(Fingerprint) bool) Fingerprint {
 	shared := make(map[Fingerprint]int)
+	var rival Fingerprint
 	for _, d := range det.suspects[fp] {
 		if !d.isBlamed(fp) {
 			continue
 		}
-		for other := range d.inFlight {
-			if other != fp && d.isBlamed(other) && match(other) {
-				shared[other]++
+		for other, b := range d.inFlight {
+			if b.cleared || other == fp || rival != "" && other >= rival || !match(other) {
+				continue
+			}
+			if shared[other]++; 2*shared[other] >= e.deaths && det.evidenceFor(other).score() > e.score()-minScoreLead {
+				rival = other
 			}
-		}
-	}
-	var rival Fingerprint
-	for other, deaths := range shared {
-		if 2*deaths >= e.deaths && (rival == "" || other < rival) && det.evidenceFor(other).score() > e.score()-minScoreLead {
-			rival = other
 		}
 	}
 	return rival
