decide/quarantine: plainer names, and files of one job

Judge is Decider, docket is serviceEvidence, Convict is Check, the log event suspect_judged is suspect_assessed. The simulated fleet of the tests and what a node asks its peers when it starts stand in files of their own.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -50,7 +50,7 @@
 	opts Options
 
 	mu             sync.Mutex
-	judge          *quarantine.Judge
+	decider        *quarantine.Decider
 	lostRuns       []*run
 	lostByUpstream map[ids.Instance][]*run
 	diedAt         map[ids.Instance]time.Time
@@ -60,7 +60,7 @@
 func newCrashTracker(o Options) *crashTracker {
 	return &crashTracker{
 		opts:           o,
-		judge:          quarantine.NewJudge(),
+		decider:        quarantine.NewDecider(),
 		lostByUpstream: make(map[ids.Instance][]*run),
 		diedAt:         make(map[ids.Instance]time.Time),
 	}
@@ -135,7 +135,7 @@
 	c.logBlamed(id, service, blamed)
 	// A death without lost runs is reported too: it is evidence for a cause other than a
 	// request.
-	c.judge.RecordDeath(now, at, service, id.Upstream, strconv.FormatInt(id.StartedMs, 10), blamed)
+	c.decider.RecordDeath(now, at, service, id.Upstream, strconv.FormatInt(id.StartedMs, 10), blamed)
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
@@ -156,7 +156,7 @@
 
 // unlock releases the lock, and tells the node if its evidence has to go to its peers.
 func (c *crashTracker) unlock() {
-	due := c.judge.Due()
+	due := c.decider.Due()
 	c.mu.Unlock()
 	if due {
 		c.opts.OnEvidence()
@@ -172,17 +172,17 @@
 }
 
 // update reads or changes the node's evidence and verdicts.
-func (c *crashTracker) update(change func(now time.Time, j *quarantine.Judge)) {
+func (c *crashTracker) update(change func(now time.Time, d *quarantine.Decider)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	change(c.opts.Now(), c.judge)
+	change(c.opts.Now(), c.decider)
 }
 
 // requestServed records that a request was answered completely, which clears it.
 func (c *crashTracker) requestServed(service ids.Service, fingerprint quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.unlock()
-	c.judge.RecordSuccess(c.opts.Now(), service, fingerprint)
+	c.decider.RecordSuccess(c.opts.Now(), service, fingerprint)
 }
 
 // concerns reports whether there is a verdict on requests with a fingerprint, or evidence
@@ -190,7 +190,7 @@
 func (c *crashTracker) concerns(service ids.Service, fingerprint quarantine.Fingerprint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.judge.Concerns(service, fingerprint)
+	return c.decider.Concerns(service, fingerprint)
 }
 
 // quarantined reports whether requests with a fingerprint are to be refused. newVerdict
@@ -203,7 +203,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Now()
-	refused, finding, newVerdict := c.judge.Convict(now, service, fingerprint, role)
+	refused, finding, newVerdict := c.decider.Check(now, service, fingerprint, role)
 	if finding.Ruling != quarantine.Unsuspected && (!refused || newVerdict != nil) {
 		c.logFinding(now, service, fingerprint, finding)
 	}
@@ -219,12 +219,12 @@
 	role := c.opts.QuarantineRole(service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.judge.HoldUntil(c.opts.Now(), service, fingerprint, role, draw)
+	return c.decider.HoldUntil(c.opts.Now(), service, fingerprint, role, draw)
 }
 
 // logFinding logs the finding about a suspect.
 func (c *crashTracker) logFinding(now time.Time, service ids.Service, fingerprint quarantine.Fingerprint, f quarantine.Finding) {
-	c.opts.Log.Info().Str("event", "suspect_judged").Str("fingerprint", string(fingerprint)).Str("service", string(service)).
+	c.opts.Log.Info().Str("event", "suspect_assessed").Str("fingerprint", string(fingerprint)).Str("service", string(service)).
 		Str("ruling", string(f.Ruling)).Int("upstreams", f.Upstreams).Int("deaths", f.Deaths).Int("all_deaths", f.AllDeaths).Str("rival", string(f.Rival)).
 		Dur("age_ms", now.Sub(f.Last)).Send()
 }
@@ -235,12 +235,12 @@
 	defer c.unlock()
 	c.opts.Log.Info().Str("event", "crash_report").Str("service", string(r.Service)).Str("peer", string(r.From)).
 		Bool("announced", r.Announced).Int("evidence", len(r.Events)).Send()
-	c.judge.AddReport(c.opts.Now(), r)
+	c.decider.AddReport(c.opts.Now(), r)
 }
 
 // addPeerVerdict applies a verdict received from a peer.
 func (c *crashTracker) addPeerVerdict(v quarantine.Verdict) {
 	c.mu.Lock()
 	defer c.unlock()
-	c.judge.AddVerdict(c.opts.Now(), v)
+	c.decider.AddVerdict(c.opts.Now(), v)
 }
--- a/decide/quarantine/judge.go
+++ b/decide/quarantine/decider.go
@@ -56,7 +56,7 @@
 	Next time.Time
 }
 
-// Judge holds the evidence of one node about requests that crash upstreams, and the verdicts
+// Decider holds the evidence of one node about requests that crash upstreams, and the verdicts
 // that are in force there. All evidence of a service is brought together at its keepers,
 // which decide:
 //
@@ -71,14 +71,14 @@
 // through n nodes crashes n times as many upstreams, and what others lost counts as another
 // cause), and evidence sent to all nodes (n times n messages for each death).
 //
-// A Judge is not safe for concurrent use and reads no clock.
-type Judge struct {
-	dockets  map[ids.Service]*docket
+// A Decider is not safe for concurrent use and reads no clock.
+type Decider struct {
+	services map[ids.Service]*serviceEvidence
 	verdicts map[Fingerprint]heldVerdict
 }
 
-// docket is the evidence of one service.
-type docket struct {
+// serviceEvidence is the evidence of one service.
+type serviceEvidence struct {
 	service  ids.Service
 	detector *Detector
 	// unreported is true if the node has evidence that it has not reported.
@@ -107,40 +107,40 @@
 	toldAt time.Time
 }
 
-// NewJudge returns a Judge without evidence.
-func NewJudge() *Judge {
-	return &Judge{dockets: make(map[ids.Service]*docket), verdicts: make(map[Fingerprint]heldVerdict)}
+// NewDecider returns a Decider without evidence.
+func NewDecider() *Decider {
+	return &Decider{services: make(map[ids.Service]*serviceEvidence), verdicts: make(map[Fingerprint]heldVerdict)}
 }
 
-// docket returns the docket of a service, and creates it if there is none.
-func (j *Judge) docket(service ids.Service) *docket {
-	d := j.dockets[service]
+// service returns the evidence of a service, and creates it if there is none.
+func (dec *Decider) service(service ids.Service) *serviceEvidence {
+	d := dec.services[service]
 	if d == nil {
-		d = &docket{service: service, detector: New(Options{}), findings: make(map[Fingerprint]Finding), announced: make(map[Fingerprint]count)}
-		j.dockets[service] = d
+		d = &serviceEvidence{service: service, detector: New(Options{}), findings: make(map[Fingerprint]Finding), announced: make(map[Fingerprint]count)}
+		dec.services[service] = d
 	}
 	return d
 }
 
 // RecordDeath records the death of an upstream, at which the node lost runs or not.
-func (j *Judge) RecordDeath(now, at time.Time, service ids.Service, upstream ids.Upstream, epoch string, runs []Run) {
-	d := j.docket(service)
+func (dec *Decider) RecordDeath(now, at time.Time, service ids.Service, upstream ids.Upstream, epoch string, runs []Run) {
+	d := dec.service(service)
 	d.detector.RecordDeathAt(now, at, upstream, epoch, runs)
 	d.reviewed = false
 	d.unreported = d.unreported || len(runs) > 0
 }
 
 // RecordSuccess records that an upstream served a request completely.
-func (j *Judge) RecordSuccess(now time.Time, service ids.Service, fp Fingerprint) {
-	d := j.docket(service)
+func (dec *Decider) RecordSuccess(now time.Time, service ids.Service, fp Fingerprint) {
+	d := dec.service(service)
 	if d.detector.RecordSuccess(now, fp) {
 		d.reviewed, d.unreported = false, true
 	}
 }
 
 // AddReport merges the evidence of another node.
-func (j *Judge) AddReport(now time.Time, r Report) {
-	d := j.docket(r.Service)
+func (dec *Decider) AddReport(now time.Time, r Report) {
+	d := dec.service(r.Service)
 	if d.detector.MergeDigest(now, "", r.Events) {
 		d.unreported = true
 	}
@@ -152,18 +152,18 @@
 
 // AddVerdict puts a verdict of another node in force, unless the node has served such a
 // request since the deaths on which it is based.
-func (j *Judge) AddVerdict(now time.Time, v Verdict) {
+func (dec *Decider) AddVerdict(now time.Time, v Verdict) {
 	if v.Service != "" {
-		j.AddReport(now, Report{Service: v.Service, Events: v.Evidence, Announced: true})
+		dec.AddReport(now, Report{Service: v.Service, Events: v.Evidence, Announced: true})
 	}
-	j.hold(now, v)
+	dec.hold(now, v)
 }
 
 // TakeReports returns the evidence of services for which the node has some that it has not
 // reported.
-func (j *Judge) TakeReports(now time.Time) []Report {
+func (dec *Decider) TakeReports(now time.Time) []Report {
 	var reports []Report
-	for _, d := range j.sortedDockets() {
+	for _, d := range dec.sortedServices() {
 		if !d.unreported {
 			continue
 		}
@@ -174,8 +174,8 @@
 }
 
 // Due reports whether TakeReports or Review has something to do.
-func (j *Judge) Due() bool {
-	for _, d := range j.dockets {
+func (dec *Decider) Due() bool {
+	for _, d := range dec.services {
 		if d.unreported || !d.reviewed {
 			return true
 		}
@@ -185,17 +185,17 @@
 
 // Knowledge returns what a node that knows nothing has to be told: the announcements of all
 // suspects, and the verdicts in force.
-func (j *Judge) Knowledge(now time.Time) ([]Report, []Verdict) {
+func (dec *Decider) Knowledge(now time.Time) ([]Report, []Verdict) {
 	var reports []Report
-	for _, d := range j.sortedDockets() {
+	for _, d := range dec.sortedServices() {
 		if events := d.detector.eventsOf(now, d.detector.suspectsOf(now)); len(events) > 0 {
 			reports = append(reports, Report{Service: d.service, Events: events, Announced: true})
 		}
 	}
 	var verdicts []Verdict
-	for fp, held := range j.verdicts {
-		if now.Before(held.until) && !j.isContradicted(held.service, fp) {
-			verdicts = append(verdicts, j.verdict(now, held.service, fp, held.until))
+	for fp, held := range dec.verdicts {
+		if now.Before(held.until) && !dec.isContradicted(held.service, fp) {
+			verdicts = append(verdicts, dec.verdict(now, held.service, fp, held.until))
 		}
 	}
 	slices.SortFunc(verdicts, func(x, y Verdict) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
@@ -203,16 +203,16 @@
 }
 
 // Review decides on the suspects of the services of which the node is a keeper.
-func (j *Judge) Review(now time.Time, role func(ids.Service) Role) Actions {
+func (dec *Decider) Review(now time.Time, role func(ids.Service) Role) Actions {
 	var a Actions
-	for _, d := range j.sortedDockets() {
+	for _, d := range dec.sortedServices() {
 		r := role(d.service)
 		if !r.Keeper {
 			d.reviewed = true
 			continue
 		}
 		if !d.reviewed || !d.decideAt.IsZero() && !now.Before(d.decideAt) {
-			j.decideAll(now, d, r, &a)
+			dec.decideAll(now, d, r, &a)
 		}
 		if report := d.announce(now, r); report != nil {
 			a.Announcements = append(a.Announcements, *report)
@@ -234,12 +234,12 @@
 }
 
 // decideAll decides on the suspects of a service.
-func (j *Judge) decideAll(now time.Time, d *docket, r Role, a *Actions) {
+func (dec *Decider) decideAll(now time.Time, d *serviceEvidence, r Role, a *Actions) {
 	d.reviewed, d.decideAt = true, time.Time{}
 	suspects := d.detector.suspectsOf(now)
 	suspects = suspects[:min(len(suspects), maxDecided)]
 	for _, fp := range suspects {
-		j.decide(now, d, fp, r, a)
+		dec.decide(now, d, fp, r, a)
 	}
 	if len(d.unannounced(now)) > 0 {
 		d.noteChange(now)
@@ -248,33 +248,33 @@
 }
 
 // decide decides on one suspect.
-func (j *Judge) decide(now time.Time, d *docket, fp Fingerprint, r Role, a *Actions) {
+func (dec *Decider) decide(now time.Time, d *serviceEvidence, fp Fingerprint, r Role, a *Actions) {
 	f := d.detector.assess(now, fp, r.wait(), r.wait())
 	if known := d.findings[fp]; known.Ruling != f.Ruling || known.Deaths != f.Deaths {
 		d.findings[fp] = f
 		a.Decisions = append(a.Decisions, Decision{d.service, fp, f})
 	}
-	if j.inForce(now, d.service, fp) && f.LearnedAt.Before(j.verdicts[fp].toldAt.Add(verdictTravel)) {
+	if dec.inForce(now, d.service, fp) && f.LearnedAt.Before(dec.verdicts[fp].toldAt.Add(verdictTravel)) {
 		return
 	}
 	switch f.Ruling {
 	case AwaitsPeers:
 		d.decideAt = earliest(d.decideAt, f.LearnedAt.Add(r.wait()))
 	case Refuse:
-		verdict := j.verdict(now, d.service, fp, f.Until)
-		j.hold(now, verdict)
+		verdict := dec.verdict(now, d.service, fp, f.Until)
+		dec.hold(now, verdict)
 		a.Verdicts = append(a.Verdicts, verdict)
 	}
 }
 
 // verdict returns the verdict on a fingerprint, with its evidence.
-func (j *Judge) verdict(now time.Time, service ids.Service, fp Fingerprint, until time.Time) Verdict {
-	events := j.docket(service).detector.eventsOf(now, []Fingerprint{fp})
+func (dec *Decider) verdict(now time.Time, service ids.Service, fp Fingerprint, until time.Time) Verdict {
+	events := dec.service(service).detector.eventsOf(now, []Fingerprint{fp})
 	return Verdict{Fingerprint: fp, For: until.Sub(now), Service: service, Evidence: events[max(0, len(events)-maxVerdictEvents):]}
 }
 
 // announceAt returns when the node announces the changes, zero if there are none.
-func (d *docket) announceAt(r Role) time.Time {
+func (d *serviceEvidence) announceAt(r Role) time.Time {
 	if d.changedAt.IsZero() || r.Alone {
 		return time.Time{}
 	}
@@ -283,7 +283,7 @@
 
 // announce returns the announcement that is due, nil if there is none. What does not fit into
 // it follows with the next one.
-func (d *docket) announce(now time.Time, r Role) *Report {
+func (d *serviceEvidence) announce(now time.Time, r Role) *Report {
 	if due := d.announceAt(r); due.IsZero() || now.Before(due) {
 		return nil
 	}
@@ -302,7 +302,7 @@
 
 // unannounced returns the fingerprints of which there is more to tell than was announced: the
 // suspects, those with the most evidence against them first, and those that were cleared.
-func (d *docket) unannounced(now time.Time) []Fingerprint {
+func (d *serviceEvidence) unannounced(now time.Time) []Fingerprint {
 	var news []Fingerprint
 	for _, fp := range d.detector.suspectsOf(now) {
 		if d.detector.count(fp).exceeds(d.announced[fp]) {
@@ -318,14 +318,14 @@
 }
 
 // noteChange records that there may be something to announce.
-func (d *docket) noteChange(now time.Time) {
+func (d *serviceEvidence) noteChange(now time.Time) {
 	if d.changedAt.IsZero() {
 		d.changedAt = now
 	}
 }
 
 // noteAnnounced records that all nodes have been told events.
-func (d *docket) noteAnnounced(events []Event) {
+func (d *serviceEvidence) noteAnnounced(events []Event) {
 	told := make(map[Fingerprint]count)
 	for _, e := range events {
 		c := told[e.Fingerprint]
@@ -350,29 +350,29 @@
 func (c count) exceeds(other count) bool { return c.blamed > other.blamed || c.cleared > other.cleared }
 
 // Concerns reports whether there is a verdict on requests with a fingerprint, or evidence
-// against them. If not, Convict and HoldUntil let them pass.
-func (j *Judge) Concerns(service ids.Service, fp Fingerprint) bool {
-	if _, held := j.verdicts[fp]; held {
+// against them. If not, Check and HoldUntil let them pass.
+func (dec *Decider) Concerns(service ids.Service, fp Fingerprint) bool {
+	if _, held := dec.verdicts[fp]; held {
 		return true
 	}
-	d := j.dockets[service]
+	d := dec.services[service]
 	return d != nil && len(d.detector.suspects[fp]) > 0
 }
 
-// Convict decides on a request that has arrived or is to be sent again: it reports whether
+// Check decides on a request that has arrived or is to be sent again: it reports whether
 // it has to be refused, with the finding on it. If the node is a keeper and has just reached
 // a verdict, that is returned too, for all other nodes.
-func (j *Judge) Convict(now time.Time, service ids.Service, fp Fingerprint, r Role) (refused bool, f Finding, verdict *Verdict) {
-	if j.inForce(now, service, fp) {
+func (dec *Decider) Check(now time.Time, service ids.Service, fp Fingerprint, r Role) (refused bool, f Finding, verdict *Verdict) {
+	if dec.inForce(now, service, fp) {
 		return true, Finding{Ruling: Refuse}, nil
 	}
-	d := j.docket(service)
+	d := dec.service(service)
 	f = d.detector.assess(now, fp, r.wait(), r.wait())
 	if f.Ruling != Refuse || !r.Keeper {
 		return false, f, nil
 	}
-	v := j.verdict(now, service, fp, f.Until)
-	j.hold(now, v)
+	v := dec.verdict(now, service, fp, f.Until)
+	dec.hold(now, v)
 	return true, f, &v
 }
 
@@ -381,8 +381,8 @@
 // draw is a random number in [0, 1), the same each time that is asked for a request: requests
 // with the same fingerprint that wait are sent one after another, so that one that crashes
 // its upstream is known before the next one is sent.
-func (j *Judge) HoldUntil(now time.Time, service ids.Service, fp Fingerprint, r Role, draw float64) time.Time {
-	d := j.docket(service)
+func (dec *Decider) HoldUntil(now time.Time, service ids.Service, fp Fingerprint, r Role, draw float64) time.Time {
+	d := dec.service(service)
 	e := d.detector.evidenceFor(fp)
 	until := e.learnedAt.Add(suspectHold + time.Duration(draw*float64(suspectSpread)))
 	if r.Alone || !d.detector.isSuspect(e) || !now.Before(until) {
@@ -392,15 +392,15 @@
 }
 
 // inForce reports whether a verdict on requests of a service is in force.
-func (j *Judge) inForce(now time.Time, service ids.Service, fp Fingerprint) bool {
-	held, known := j.verdicts[fp]
-	return known && now.Before(held.until) && !j.isContradicted(held.service, fp)
+func (dec *Decider) inForce(now time.Time, service ids.Service, fp Fingerprint) bool {
+	held, known := dec.verdicts[fp]
+	return known && now.Before(held.until) && !dec.isContradicted(held.service, fp)
 }
 
 // isContradicted reports whether a request that was blamed has succeeded since, so that too
 // little remains against it.
-func (j *Judge) isContradicted(service ids.Service, fp Fingerprint) bool {
-	d := j.dockets[service]
+func (dec *Decider) isContradicted(service ids.Service, fp Fingerprint) bool {
+	d := dec.services[service]
 	if d == nil || d.detector.count(fp).cleared == 0 {
 		return false
 	}
@@ -409,25 +409,25 @@
 
 // hold puts a verdict in force. If there is no room, the verdict is dropped, and a keeper
 // reaches it again.
-func (j *Judge) hold(now time.Time, v Verdict) {
-	if len(j.verdicts) >= maxVerdicts {
-		for fp, held := range j.verdicts {
+func (dec *Decider) hold(now time.Time, v Verdict) {
+	if len(dec.verdicts) >= maxVerdicts {
+		for fp, held := range dec.verdicts {
 			if !now.Before(held.until) {
-				delete(j.verdicts, fp)
+				delete(dec.verdicts, fp)
 			}
 		}
 	}
-	if _, known := j.verdicts[v.Fingerprint]; known || len(j.verdicts) < maxVerdicts {
-		j.verdicts[v.Fingerprint] = heldVerdict{service: v.Service, until: now.Add(min(v.For, DefaultDuration)), toldAt: now}
+	if _, known := dec.verdicts[v.Fingerprint]; known || len(dec.verdicts) < maxVerdicts {
+		dec.verdicts[v.Fingerprint] = heldVerdict{service: v.Service, until: now.Add(min(v.For, DefaultDuration)), toldAt: now}
 	}
 }
 
-// sortedDockets returns the dockets in the order of their services.
-func (j *Judge) sortedDockets() []*docket {
-	all := make([]*docket, 0, len(j.dockets))
-	for _, d := range j.dockets {
+// sortedServices returns the services in the order of their services.
+func (dec *Decider) sortedServices() []*serviceEvidence {
+	all := make([]*serviceEvidence, 0, len(dec.services))
+	for _, d := range dec.services {
 		all = append(all, d)
 	}
-	slices.SortFunc(all, func(x, y *docket) int { return cmp.Compare(x.service, y.service) })
+	slices.SortFunc(all, func(x, y *serviceEvidence) int { return cmp.Compare(x.service, y.service) })
 	return all
 }
--- a/decide/quarantine/judge_test.go
+++ b/decide/quarantine/simfleet_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"time"
 
 	"mimosaarch.example/core/ids"
 )
@@ -42,7 +41,7 @@
 // simNode is a node of the simulated fleet.
 type simNode struct {
 	Peer
-	judge *Judge
+	decider *Decider
 	// reviewAt is when the next review is due, in ms, 0 for none.
 	reviewAt int
 	// frozenUntil is the time until which the node stands still, in ms.
@@ -99,7 +98,7 @@
 func newSimFleet(t *testing.T, n int, seed uint64) *simFleet {
 	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int)}
 	for i := range n {
-		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, judge: NewJudge()})
+		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, decider: NewDecider()})
 	}
 	peers := make([]Peer, n)
 	for i, node := range f.nodes {
@@ -156,10 +155,10 @@
 	if n.frozenUntil > f.now {
 		return
 	}
-	for _, r := range n.judge.TakeReports(at(f.now)) {
+	for _, r := range n.decider.TakeReports(at(f.now)) {
 		for _, k := range f.keepers {
 			if k != i {
-				f.send(i, k, len(r.Events), func(to *simNode) { to.judge.AddReport(at(f.now), r) })
+				f.send(i, k, len(r.Events), func(to *simNode) { to.decider.AddReport(at(f.now), r) })
 			}
 		}
 		f.touch(n)
@@ -168,7 +167,7 @@
 		return
 	}
 	n.reviewAt = 0
-	actions := n.judge.Review(at(f.now), func(ids.Service) Role { return f.role(i) })
+	actions := n.decider.Review(at(f.now), func(ids.Service) Role { return f.role(i) })
 	if !actions.Next.IsZero() {
 		n.reviewAt = int(actions.Next.Sub(t0).Milliseconds()) + fleetStep
 	}
@@ -177,10 +176,10 @@
 			continue
 		}
 		for _, a := range actions.Announcements {
-			f.send(i, to, len(a.Events), func(to *simNode) { to.judge.AddReport(at(f.now), a) })
+			f.send(i, to, len(a.Events), func(to *simNode) { to.decider.AddReport(at(f.now), a) })
 		}
 		for _, v := range actions.Verdicts {
-			f.send(i, to, len(v.Evidence), func(to *simNode) { to.judge.AddVerdict(at(f.now), v) })
+			f.send(i, to, len(v.Evidence), func(to *simNode) { to.decider.AddVerdict(at(f.now), v) })
 		}
 	}
 }
@@ -188,17 +187,17 @@
 // restart starts a node anew, which then asks another one for what it knows.
 func (f *simFleet) restart(i int) {
 	n := f.nodes[i]
-	n.judge, n.reviewAt = NewJudge(), 0
+	n.decider, n.reviewAt = NewDecider(), 0
 	for to := range f.nodes {
 		if to == i || !f.reaches(i, to) || f.nodes[to].frozenUntil > f.now {
 			continue
 		}
-		reports, verdicts := f.nodes[to].judge.Knowledge(at(f.now))
+		reports, verdicts := f.nodes[to].decider.Knowledge(at(f.now))
 		for _, r := range reports {
-			n.judge.AddReport(at(f.now), r)
+			n.decider.AddReport(at(f.now), r)
 		}
 		for _, v := range verdicts {
-			n.judge.AddVerdict(at(f.now), v)
+			n.decider.AddVerdict(at(f.now), v)
 		}
 		return
 	}
@@ -216,12 +215,12 @@
 		return
 	}
 	r := f.role(node)
-	refused, _, verdict := n.judge.Convict(at(f.now), simService, fp, r)
+	refused, _, verdict := n.decider.Check(at(f.now), simService, fp, r)
 	if verdict != nil {
 		f.touch(n)
 		for to := range f.nodes {
 			if to != node {
-				f.send(node, to, len(verdict.Evidence), func(to *simNode) { to.judge.AddVerdict(at(f.now), *verdict) })
+				f.send(node, to, len(verdict.Evidence), func(to *simNode) { to.decider.AddVerdict(at(f.now), *verdict) })
 			}
 		}
 	}
@@ -231,7 +230,7 @@
 		}
 		return
 	}
-	if until := n.judge.HoldUntil(at(f.now), simService, fp, r, draw); !until.IsZero() {
+	if until := n.decider.HoldUntil(at(f.now), simService, fp, r, draw); !until.IsZero() {
 		f.after(int(until.Sub(at(f.now)).Milliseconds())+1, func() { f.startOrHold(node, fp, runs, crashes, draw) })
 		return
 	}
@@ -273,7 +272,7 @@
 		}
 		f.after(delay, func() {
 			n := f.nodes[i]
-			n.judge.RecordDeath(at(f.now), at(began), simService, id, "", runs)
+			n.decider.RecordDeath(at(f.now), at(began), simService, id, "", runs)
 			f.touch(n)
 		})
 	}
@@ -300,7 +299,7 @@
 		e.runs = slices.DeleteFunc(e.runs, func(r simRun) bool {
 			served := f.now-r.began >= servedTime
 			if served {
-				f.nodes[r.node].judge.RecordSuccess(at(f.now), simService, r.fp)
+				f.nodes[r.node].decider.RecordSuccess(at(f.now), simService, r.fp)
 				f.touch(f.nodes[r.node])
 			}
 			return served
@@ -364,212 +363,3 @@
 		f.t.Errorf("%s, %d nodes: %d requests that crash nothing were refused", what, len(f.nodes), n)
 	}
 }
-
-// fleetSizes are the numbers of nodes of simulated fleets.
-var fleetSizes = []int{1, 9, 85, 295}
-
-// Guards against a request that crashes engines without end because its repeats arrive at
-// many nodes, beside others that are lost with it.
-func TestRequestThatCrashesEnginesThroughManyNodes(t *testing.T) {
-	for _, n := range fleetSizes {
-		crashes, messages, largest := 0, 0, 0
-		const seeds = 6
-		for seed := range uint64(seeds) {
-			f := newSimFleet(t, n, seed)
-			f.play(2, 300)
-			f.play(12, 300, "poison")
-			f.check("repeated", 6, "poison")
-			crashes += len(f.crashes["poison"])
-			messages += f.messages
-			largest = max(largest, f.largest)
-		}
-		t.Logf("%d nodes: %.1f engines crashed, %d messages, the largest of %d events", n, float64(crashes)/seeds, messages/seeds, largest)
-	}
-}
-
-func TestVerdictsAreBounded(t *testing.T) {
-	j := NewJudge()
-	isRefused := func(ms int, fp Fingerprint) bool {
-		refused, _, _ := j.Convict(at(ms), simService, fp, Role{Alone: true, Keeper: true})
-		return refused
-	}
-	for i := range 2 * maxVerdicts {
-		j.AddVerdict(at(0), Verdict{Fingerprint: Fingerprint(fmt.Sprint(i)), For: time.Minute})
-	}
-	if len(j.verdicts) != maxVerdicts {
-		t.Errorf("%d verdicts are kept", len(j.verdicts))
-	}
-	if isRefused(120_000, "0") {
-		t.Error("a verdict applies after it has expired")
-	}
-	j.AddVerdict(at(120_000), Verdict{Fingerprint: "late", For: time.Minute})
-	if !isRefused(120_000, "late") || len(j.verdicts) != 1 {
-		t.Errorf("%d verdicts are kept after the old ones expired", len(j.verdicts))
-	}
-}
-
-// Guards against suspects that are never announced because there are too many at once.
-func TestAllSuspectsAreAnnouncedInBoundedReports(t *testing.T) {
-	const suspects = 3 * maxAnnounced
-	j := NewJudge()
-	for u := range 3 {
-		var runs []Run
-		for i := range suspects {
-			if u < 2 || i == suspects-1 {
-				runs = append(runs, Run{Fingerprint: Fingerprint(fmt.Sprintf("s%03d", i)), Began: at(1000*u - 100)})
-			}
-		}
-		j.RecordDeath(at(1000*u), at(1000*u), simService, ids.Upstream(fmt.Sprint(u)), "", runs)
-	}
-	told := make(map[Fingerprint]bool)
-	role := func(ids.Service) Role { return Role{Keeper: true} }
-	for ms := 2000; ms < 4000; ms += 10 {
-		for i, report := range j.Review(at(ms), role).Announcements {
-			if len(told) == 0 && i == 0 && report.Events[0].Fingerprint != "s191" {
-				t.Errorf("the first one announced is %s, want the one blamed for three upstreams", report.Events[0].Fingerprint)
-			}
-			if len(report.Events) > DefaultMaxEvents {
-				t.Errorf("announcement of %d events", len(report.Events))
-			}
-			for _, e := range report.Events {
-				told[e.Fingerprint] = true
-			}
-		}
-	}
-	if len(told) != suspects {
-		t.Errorf("%d of %d suspects announced", len(told), suspects)
-	}
-}
-
-// failEngines ends the engines from one index to another, pause ms apart.
-func (f *simFleet) failEngines(from, to, pause int) {
-	for i := from; i < to; i++ {
-		f.after(fleetStep+(i-from)*pause, func() { f.crash(f.engines[i]) })
-	}
-}
-
-// Guards against a request that is not recognized because it crashes engines after its first
-// event, comes seldom, or comes many times at once.
-func TestRequestThatCrashesEnginesInOtherWays(t *testing.T) {
-	ways := []struct {
-		what                             string
-		seconds, interval, delay, copies int
-		mostCrashes                      int
-	}{
-		{"after its first event", 14, 300, eventlessTime + 20, 1, 12},
-		{"after its first event, each 1.7 s", 20, 1700, eventlessTime + 20, 1, 8},
-		{"after its first event, each 30 s", 150, 30_000, eventlessTime + 20, 1, 8},
-		{"each 2 s", 20, 2000, usualCrashDelay, 1, 6},
-		{"each 30 s", 150, 30_000, usualCrashDelay, 1, 6},
-		{"twenty at once", 14, 1000, usualCrashDelay, 20, 8},
-	}
-	for _, w := range ways {
-		for _, n := range fleetSizes[:3] {
-			crashes := 0
-			const seeds = 2
-			for seed := range uint64(seeds) {
-				f := newSimFleet(t, n, 500+seed)
-				f.crashDelay = w.delay
-				f.play(2, 300)
-				f.play(w.seconds, w.interval, slices.Repeat([]Fingerprint{"poison"}, w.copies)...)
-				f.check(w.what, w.mostCrashes, "poison")
-				crashes += len(f.crashes["poison"])
-			}
-			t.Logf("%s, %d nodes: %.1f engines crashed", w.what, n, float64(crashes)/seeds)
-		}
-	}
-}
-
-// Guards against verdicts that depend on nodes that are killed, frozen, cut off or not heard.
-func TestRequestThatCrashesEnginesBesideFaultsOfNodes(t *testing.T) {
-	faults := map[string]func(f *simFleet){
-		"first two keepers frozen": func(f *simFleet) {
-			for _, k := range f.keepers[:2] {
-				f.nodes[k].frozenUntil = f.now + 4000
-			}
-		},
-		"a fifth of the messages lost": func(f *simFleet) { f.lossRate = 0.2 },
-		"a zone cut off":               func(f *simFleet) { f.cutZone = "z1" },
-		"nodes restart in turn": func(f *simFleet) {
-			for i := range f.nodes {
-				f.after(1+i*3000/len(f.nodes), func() { f.restart(i) })
-			}
-		},
-		"all nodes killed at once": func(f *simFleet) {
-			f.after(1500, func() {
-				for i := range f.nodes {
-					f.nodes[i].judge, f.nodes[i].reviewAt = NewJudge(), 0
-				}
-			})
-		},
-	}
-	for what, fault := range faults {
-		for _, n := range fleetSizes[1:] {
-			for seed := range uint64(2) {
-				f := newSimFleet(t, n, 100+seed)
-				f.play(2, 300)
-				fault(f)
-				f.play(12, 300, "poison")
-				f.check(what, 10, "poison")
-			}
-		}
-	}
-}
-
-// Guards against a request that crashes engines again because all nodes have been killed and
-// nobody knows of it.
-func TestRequestThatCrashesEnginesAfterAllNodesRestart(t *testing.T) {
-	for _, n := range fleetSizes[1:3] {
-		for seed := range uint64(2) {
-			f := newSimFleet(t, n, 100+seed)
-			f.play(2, 300)
-			f.after(8000, func() {
-				for i := range f.nodes {
-					f.nodes[i].judge, f.nodes[i].reviewAt = NewJudge(), 0
-				}
-			})
-			f.play(12, 300, "poison")
-			f.check("all nodes killed long after", 10, "poison")
-		}
-	}
-}
-
-// Guards against verdicts that other crashes hide: those of a rack, and of other requests
-// that crash engines.
-func TestRequestThatCrashesEnginesBesideOtherCrashes(t *testing.T) {
-	for _, n := range fleetSizes {
-		for seed := range uint64(2) {
-			f := newSimFleet(t, n, 200+seed)
-			f.play(2, 300)
-			f.failEngines(10, 20, 0)
-			f.play(12, 300, "poison")
-			f.check("beside a rack that fails", 10, "poison")
-
-			f = newSimFleet(t, n, 300+seed)
-			f.play(2, 300)
-			f.play(14, 400, "poison", "venom", "toxin")
-			f.check("three at once", 10, "poison", "venom", "toxin")
-		}
-	}
-}
-
-// Guards against the quarantine of requests that crash nothing while many engines fail, also
-// of one that many callers send.
-func TestInnocentRequestsOnFailingEngines(t *testing.T) {
-	for _, n := range fleetSizes[:3] {
-		for _, pause := range []int{0, 40, 150} {
-			for seed := range uint64(2) {
-				f := newSimFleet(t, n, 400+seed)
-				for round := range 3 {
-					for end := f.now + 3000; f.now < end; {
-						f.start(f.rng.IntN(n), "popular", 0, false)
-						f.step(0.35)
-					}
-					f.failEngines(11*round, 11*(round+1), pause)
-				}
-				f.play(4, 300)
-				f.check(fmt.Sprintf("engines fail %d ms apart", pause), 0)
-			}
-		}
-	}
-}
