Logs tell when a node takes callers, and when it knows which requests crash upstreams

Neither stood in the log, so it could not be seen whether a node that starts sends a request that crashes upstreams before or after it has asked its peers.

--- a/node/entry/crash_catchup.go
+++ b/node/entry/crash_catchup.go
@@ -51,14 +51,24 @@
 func (c *crashExchange) fetch(ctx context.Context) {
 	others := c.node.fleet.others()
 	slices.SortStableFunc(others, func(x, y roster.Member) int { return cmp.Compare(c.distance(x), c.distance(y)) })
-	answered := 0
+	start := boottime.Now()
+	asked, answered := 0, 0
+	var known relay.CrashKnowledge
+	defer func() {
+		c.node.log.Info().Str("event", "crash_knowledge").Int("peers", len(others)).Int("asked", asked).Int("answered", answered).
+			Int("reports", len(known.Reports)).Int("verdicts", len(known.Verdicts)).
+			Dur("took_ms", boottime.Now().Sub(start)).Dur("up_ms", c.node.uptime()).Send()
+	}()
 	for _, m := range others[:min(len(others), maxKnowledgeAttempts)] {
-		known, err := relay.FetchCrashKnowledge(ctx, m.PeerAddress)
+		asked++
+		got, err := relay.FetchCrashKnowledge(ctx, m.PeerAddress)
 		if err != nil {
 			c.node.log.Debug().Str("event", "peer_silent").Err(err).Send()
 			continue
 		}
-		c.apply(known)
+		c.apply(got)
+		known.Reports = append(known.Reports, got.Reports...)
+		known.Verdicts = append(known.Verdicts, got.Verdicts...)
 		if answered++; answered == knowledgePeers {
 			return
 		}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -117,6 +117,8 @@
 	// initialized is closed once the first configuration and directory have
 	// arrived.
 	initialized chan struct{}
+	// startedAt is the time at which Run started the node's duties.
+	startedAt time.Time
 
 	stopping atomic.Bool
 }
@@ -232,6 +234,9 @@
 	}
 }
 
+// uptime returns the time since Run started the node's duties.
+func (n *Node) uptime() time.Duration { return boottime.Now().Sub(n.startedAt) }
+
 // awaitInitialState closes initialized once a configuration and a directory
 // have arrived, unless ctx ends first.
 func (n *Node) awaitInitialState(ctx context.Context) {
@@ -239,6 +244,7 @@
 		changed := n.updates.next()
 		if n.configs.table.Load() != nil && n.upstreams.view.Load().Revision > 0 {
 			close(n.initialized)
+			n.log.Info().Str("event", "ready").Dur("up_ms", n.uptime()).Send()
 			return
 		}
 		select {
@@ -355,6 +361,7 @@
 
 // start starts the servers and the background tasks, one goroutine each.
 func (n *Node) start(ctx context.Context, l *listeners) {
+	n.startedAt = boottime.Now()
 	n.serveReady(l.ready)
 	if l.metrics != nil {
 		n.serveMetrics(l.metrics)
