A node that starts takes callers only once it knows which requests crash upstreams

What callers saw: each node that started let a request that all others refused as quarantined through once or more, and it crashed an upstream each time, with all that ran there.

Cause: a node was ready, and took requests, as soon as it had a configuration and a directory. It asked its peers for evidence and verdicts only once it was in the list of nodes itself, which takes 0.8 s. Besides, all nodes asked the same two peers of a zone, in the order of their names, where entries of nodes that have ended come first; a peer that had just started counted as an answer; and a node that was not yet in its peers' lists missed what they announced, and did not ask again.

A node asks as soon as it has the list, without waiting to be in it, or its seed peers if the list does not come. It is ready once it has caught up or nobody is left to ask, and at the latest 0.8 s after its configuration and directory have come. Requests that come before wait as they did for the configuration; then they are refused as not_ready, also if a configuration is there: nothing is sent. Peers say in their answers whether they have caught up and whether they list the asking node, which asks again until they do.

Why it holds: what the fleet knows is with each node that is up to date, and no send comes before two of them were asked. What comes later reaches the node by announcements, or by asking again.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -94,12 +94,16 @@
 func (x *exchange) serve(ctx context.Context) {
 	x.server.active.Add(1)
 	defer x.server.active.Add(-1)
-	x.awaitReady(ctx)
+	ready := x.awaitReady(ctx)
 	table := x.server.opts.Table()
 	if refusal := x.admit(table); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
+	if !ready {
+		x.refuse(&refusal{fasthttp.StatusServiceUnavailable, outcome.NotReady, "the node is starting", notReadyRetryAfter})
+		return
+	}
 	if x.quarantined() {
 		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineRetryAfter)
 		return
@@ -119,26 +123,27 @@
 	x.servePlain(reqCtx)
 }
 
-// readyTimeout bounds the wait of a request for the node's first configuration and
-// directory. While a whole fleet starts, hundreds of nodes read the store's lists at once
+// readyTimeout bounds the wait of a request until the node can serve. While a whole fleet starts, hundreds of nodes read the store's lists at once
 // and share its link. Requests that wait are served, so their callers need no retry.
 const readyTimeout = 900 * time.Millisecond
 
-// awaitReady waits for the first configuration and directory, until readyTimeout or the
-// end of ctx.
-func (x *exchange) awaitReady(ctx context.Context) {
+// awaitReady waits until the node can serve, until readyTimeout or the end of ctx. It
+// reports whether the node can.
+func (x *exchange) awaitReady(ctx context.Context) bool {
 	select {
 	case <-x.server.opts.Ready:
-		return
+		return true
 	default:
 	}
 	timer := time.NewTimer(readyTimeout)
 	defer timer.Stop()
 	select {
 	case <-x.server.opts.Ready:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // TimeoutError reports that the deadline of a request has passed.
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -90,8 +90,9 @@
 	Headers Headers
 	// Zone is the node's own zone.
 	Zone ids.Zone
-	// Ready is closed once the first configuration and directory are loaded. Earlier
-	// requests wait for it for a short time.
+	// Ready is closed once the node can serve: the first configuration and directory are
+	// loaded, and it knows which requests crash upstreams. Earlier requests wait for it for a
+	// short time.
 	Ready <-chan struct{}
 	// Table returns the current configuration, nil before the first.
 	Table func() *routing.Table
--- a/adapter/forward/plain_test.go
+++ b/adapter/forward/plain_test.go
@@ -309,3 +309,16 @@
 		t.Errorf("status %d, Retry-After %q, want 503 with Retry-After", resp.StatusCode(), resp.Header.Peek("Retry-After"))
 	}
 }
+
+// Guards against a node that knows its upstreams, but not yet which requests crash them, and
+// sends such a request.
+func TestNothingIsSentBeforeTheNodeIsReady(t *testing.T) {
+	r := newStartingTestServer(t, newFakeUpstream(t, "u1", "plain", okReply("x")))
+	resp, _ := r.ask(t, "GET", "/safe/x", "r1", "")
+	if resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("status %d, Retry-After %q, want 503 with Retry-After", resp.StatusCode(), resp.Header.Peek("Retry-After"))
+	}
+	if resp, _ := r.ask(t, "GET", "/none/", "r2", ""); resp.StatusCode() != 404 {
+		t.Errorf("status %d without a route, want 404", resp.StatusCode())
+	}
+}
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -143,10 +143,21 @@
 	u.Hops = max(u.Hops, hops)
 }
 
+// CrashKnowledgeRequest names the node that asks for CrashKnowledge.
+type CrashKnowledgeRequest struct {
+	VM          ids.VM `json:"vm"`
+	PeerAddress string `json:"peer"`
+}
+
 // CrashKnowledge is what a node knows of requests that crash upstreams.
 type CrashKnowledge struct {
 	Reports  []quarantine.Report  `json:"reports,omitempty"`
 	Verdicts []quarantine.Verdict `json:"verdicts,omitempty"`
+	// Starting is true if the node has not yet learned what its own peers know.
+	Starting bool `json:"starting,omitempty"`
+	// Unlisted is true if the node's list of nodes lacks the one that asks, which then
+	// receives no messages that go to all nodes.
+	Unlisted bool `json:"unlisted,omitempty"`
 }
 
 // Source provides the node's state to peers. Its methods may be called from any
@@ -160,7 +171,7 @@
 	// ApplyCrashReport applies a peer's evidence about requests that crash upstreams.
 	ApplyCrashReport(r quarantine.Report)
 	// CrashKnowledge returns the evidence and the verdicts that a node without any needs.
-	CrashKnowledge() CrashKnowledge
+	CrashKnowledge(req CrashKnowledgeRequest) CrashKnowledge
 	// ApplyLimit applies a limit that an upstream has named to a peer.
 	ApplyLimit(n backpressure.LimitNotice)
 	// ApplyLeaving applies a peer's notice that an upstream has said that it is leaving.
@@ -207,8 +218,8 @@
 		source.ApplyCrashReport(r)
 		return nil, nil
 	}),
-	methodCrashKnowledge: handle(func(_ context.Context, source Source, _ struct{}) (any, error) {
-		return source.CrashKnowledge(), nil
+	methodCrashKnowledge: handle(func(_ context.Context, source Source, req CrashKnowledgeRequest) (any, error) {
+		return source.CrashKnowledge(req), nil
 	}),
 	methodLimit: handle(func(_ context.Context, source Source, n backpressure.LimitNotice) (any, error) {
 		source.ApplyLimit(n)
@@ -289,9 +300,9 @@
 
 // FetchCrashKnowledge returns what the peer at an address knows of requests that crash
 // upstreams. The error is a *CallError.
-func FetchCrashKnowledge(ctx context.Context, peer string) (CrashKnowledge, error) {
+func FetchCrashKnowledge(ctx context.Context, peer string, req CrashKnowledgeRequest) (CrashKnowledge, error) {
 	var k CrashKnowledge
-	if err := call(ctx, peer, callTimeout, methodCrashKnowledge, struct{}{}, &k); err != nil {
+	if err := call(ctx, peer, callTimeout, methodCrashKnowledge, req, &k); err != nil {
 		return CrashKnowledge{}, &CallError{peer, err}
 	}
 	return k, nil
@@ -372,7 +383,7 @@
 func (emptySource) ApplyCrashReport(quarantine.Report) {}
 
 // CrashKnowledge implements Source.
-func (emptySource) CrashKnowledge() CrashKnowledge { return CrashKnowledge{} }
+func (emptySource) CrashKnowledge(CrashKnowledgeRequest) CrashKnowledge { return CrashKnowledge{} }
 
 // ApplyLimit implements Source.
 func (emptySource) ApplyLimit(backpressure.LimitNotice) {}
--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -37,6 +37,9 @@
 	wake chan struct{}
 	// stale has an element while the node may have missed announcements.
 	stale chan struct{}
+	// caughtUp is closed once the node has asked its peers for what they know, or has found
+	// that there is nobody to ask.
+	caughtUp chan struct{}
 
 	reports       *outbox[quarantine.Report]
 	announcements *outbox[quarantine.Report]
@@ -52,7 +55,7 @@
 // newCrashExchange returns the exchange of a node.
 func newCrashExchange(n *Node) *crashExchange {
 	return &crashExchange{
-		node: n, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), keepers: make(map[ids.Service][]roster.Member),
+		node: n, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), caughtUp: make(chan struct{}), keepers: make(map[ids.Service][]roster.Member),
 		reports:       newOutbox[quarantine.Report](maxQueuedReports, n.metrics, "crash_reports.dropped"),
 		announcements: newOutbox[quarantine.Report](maxQueuedReports, n.metrics, "crash_reports.dropped"),
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -115,7 +115,7 @@
 	permits    *permits
 	storeCalls *callCounter
 	// initialized is closed once the first configuration and directory have
-	// arrived.
+	// arrived and the node has caught up with its peers, or has waited for that.
 	initialized chan struct{}
 	// startedAt is the time at which Run started the node's duties.
 	startedAt time.Time
@@ -224,7 +224,7 @@
 }
 
 // Ready reports whether the node accepts callers: it has a configuration and a
-// directory and is not stopping.
+// directory, knows which requests crash upstreams, and is not stopping.
 func (n *Node) Ready() bool {
 	select {
 	case <-n.initialized:
@@ -237,20 +237,30 @@
 // uptime returns the time since Run started the node's duties.
 func (n *Node) uptime() time.Duration { return boottime.Now().Sub(n.startedAt) }
 
-// awaitInitialState closes initialized once a configuration and a directory
-// have arrived, unless ctx ends first.
+// awaitInitialState closes initialized once the node can serve, unless ctx ends
+// first.
 func (n *Node) awaitInitialState(ctx context.Context) {
+	if !n.awaitDocuments(ctx) {
+		return
+	}
+	documentsAfter := n.uptime()
+	caughtUp := n.crashes.awaitCaughtUp(ctx)
+	close(n.initialized)
+	n.log.Info().Str("event", "ready").Bool("caught_up", caughtUp).Dur("documents_ms", documentsAfter).Dur("up_ms", n.uptime()).Send()
+}
+
+// awaitDocuments waits until a configuration and a directory have arrived. It
+// returns false if ctx ends first.
+func (n *Node) awaitDocuments(ctx context.Context) bool {
 	for {
 		changed := n.updates.next()
 		if n.configs.table.Load() != nil && n.upstreams.view.Load().Revision > 0 {
-			close(n.initialized)
-			n.log.Info().Str("event", "ready").Dur("up_ms", n.uptime()).Send()
-			return
+			return true
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -24,6 +24,8 @@
 	onChanged func(nodes int)
 	// readyCh is closed once the roster has determined this node's role.
 	readyCh chan struct{}
+	// listedCh is closed once a list of nodes has arrived.
+	listedCh chan struct{}
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -40,7 +42,7 @@
 
 // newFleet returns a view that contains no nodes.
 func newFleet(s Settings, now func() time.Time, onChanged func(nodes int)) *fleet {
-	return &fleet{now: now, onChanged: onChanged, readyCh: make(chan struct{}), unresponsiveCh: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
+	return &fleet{now: now, onChanged: onChanged, readyCh: make(chan struct{}), listedCh: make(chan struct{}), unresponsiveCh: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
 }
 
 // setMembers replaces the list of nodes by the list as of a revision of the
@@ -64,6 +66,26 @@
 	}
 	f.listVersion = version
 	f.markReady()
+	f.markListed()
+}
+
+// markListed closes listedCh. The caller must hold mu.
+func (f *fleet) markListed() {
+	select {
+	case <-f.listedCh:
+	default:
+		close(f.listedCh)
+	}
+}
+
+// listed returns a channel that is closed once a list of nodes has arrived.
+func (f *fleet) listed() <-chan struct{} { return f.listedCh }
+
+// lists reports whether the list of nodes has a node with this peer address.
+func (f *fleet) lists(name ids.VM, peerAddress string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.members, func(m roster.Member) bool { return m.Name == name && m.PeerAddress == peerAddress })
 }
 
 // digest returns a hash of a sorted list of nodes. Equal lists have equal
