decide/quarantine: fleets whose first keeper is killed, and whose lists of nodes differ

Two cases that no test stood for: the first keeper is killed between the first and the third crash and does not come back; every second node takes others for keepers for a second, none of them the same. No product code is changed.

--- a/decide/quarantine/decider_test.go
+++ b/decide/quarantine/decider_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -132,6 +133,15 @@
 				f.nodes[k].frozenUntil = f.now + 4000
 			}
 		},
+		"first keeper killed after the first crash": func(f *simFleet) {
+			f.after(400, func() {
+				k := f.nodes[f.keepers[0]]
+				k.decider, k.reviewAt, k.frozenUntil = NewDecider(), 0, math.MaxInt
+			})
+		},
+		"lists of nodes differ for a second": func(f *simFleet) {
+			f.otherKeepers, f.differUntil = f.keepersWithout(f.keepers), f.now+1000
+		},
 		"a fifth of the messages lost": func(f *simFleet) { f.lossRate = 0.2 },
 		"a zone cut off":               func(f *simFleet) { f.cutZone = "z1" },
 		"nodes restart in turn": func(f *simFleet) {
--- a/decide/quarantine/simfleet_test.go
+++ b/decide/quarantine/simfleet_test.go
@@ -74,11 +74,13 @@
 	rng   *rand.Rand
 	now   int
 	nodes []*simNode
-	// keepers holds the indexes of the nodes that keep the evidence.
-	keepers []int
-	engines []*simEngine
-	nextID  int
-	serial  int
+	// keepers holds the indexes of the nodes that keep the evidence. Until differUntil, every
+	// second node has a list of nodes that lacks some, and takes otherKeepers for them.
+	keepers, otherKeepers []int
+	differUntil           int
+	engines               []*simEngine
+	nextID                int
+	serial                int
 	// later holds what happens at later times.
 	later map[int][]func()
 	// crashDelay is the least time until a run crashes its engine, in ms.
@@ -100,13 +102,7 @@
 	for i := range n {
 		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, decider: NewDecider()})
 	}
-	peers := make([]Peer, n)
-	for i, node := range f.nodes {
-		peers[i] = node.Peer
-	}
-	for _, vm := range Keepers(simService, peers) {
-		f.keepers = append(f.keepers, slices.IndexFunc(peers, func(p Peer) bool { return p.VM == vm }))
-	}
+	f.keepers = f.keepersWithout(nil)
 	for range fleetEngines {
 		f.nextID++
 		f.engines = append(f.engines, &simEngine{id: f.nextID})
@@ -114,6 +110,29 @@
 	return f
 }
 
+// keepersWithout returns the keepers in a list that lacks some nodes.
+func (f *simFleet) keepersWithout(missing []int) []int {
+	var peers []Peer
+	for i, node := range f.nodes {
+		if !slices.Contains(missing, i) {
+			peers = append(peers, node.Peer)
+		}
+	}
+	var keepers []int
+	for _, vm := range Keepers(simService, peers) {
+		keepers = append(keepers, slices.IndexFunc(f.nodes, func(n *simNode) bool { return n.VM == vm }))
+	}
+	return keepers
+}
+
+// keepersOf returns the keepers by the list that a node has.
+func (f *simFleet) keepersOf(i int) []int {
+	if i%2 == 1 && f.now < f.differUntil {
+		return f.otherKeepers
+	}
+	return f.keepers
+}
+
 // after calls do some ms later.
 func (f *simFleet) after(ms int, do func()) {
 	at := (f.now + ms + fleetStep - 1) / fleetStep * fleetStep
@@ -122,7 +141,7 @@
 
 // role returns the role of a node.
 func (f *simFleet) role(i int) Role {
-	rank := slices.Index(f.keepers, i)
+	rank := slices.Index(f.keepersOf(i), i)
 	return Role{Alone: len(f.nodes) == 1, Keeper: rank >= 0, Rank: max(rank, 0)}
 }
 
@@ -156,7 +175,7 @@
 		return
 	}
 	for _, r := range n.decider.TakeReports(at(f.now)) {
-		for _, k := range f.keepers {
+		for _, k := range f.keepersOf(i) {
 			if k != i {
 				f.send(i, k, len(r.Events), func(to *simNode) { to.decider.AddReport(at(f.now), r) })
 			}
