node/entry: names for the first list of nodes; no log line for a search without peers

No behaviour is meant to change but for the log: a node without any peer wrote a line crash_knowledge each 5 s.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -123,8 +123,9 @@
 	x.servePlain(reqCtx)
 }
 
-// readyTimeout bounds the wait of a request until the node can serve. While a whole fleet starts, hundreds of nodes read the store's lists at once
-// and share its link. Requests that wait are served, so their callers need no retry.
+// readyTimeout bounds the wait of a request until the node can serve. While a whole fleet
+// starts, hundreds of nodes read the store's lists at once and share its link. Requests that
+// wait are served, so their callers need no retry.
 const readyTimeout = 900 * time.Millisecond
 
 // awaitReady waits until the node can serve, until readyTimeout or the end of ctx. It
--- a/node/entry/crash_catchup.go
+++ b/node/entry/crash_catchup.go
@@ -108,6 +108,9 @@
 	s := catchup.New(c.node.settings.Seed^uint64(start.UnixNano()), c.isStarting())
 	found := c.runSearch(ctx, s)
 	counts := s.Counts()
+	if counts.Asked == 0 && !c.isStarting() {
+		return found
+	}
 	c.node.log.Info().Str("event", "crash_knowledge").Int("asked", counts.Asked).Int("current", counts.Current).Int("starting", counts.Starting).
 		Int("unlisted", found.unlisted).Int("reports", found.reports).Int("verdicts", found.verdicts).
 		Dur("took_ms", boottime.Now().Sub(start)).Dur("up_ms", c.node.uptime()).Send()
@@ -118,11 +121,11 @@
 func (c *crashExchange) runSearch(ctx context.Context, s *catchup.Search) searchResult {
 	var found searchResult
 	answers := make(chan peerAnswer, catchup.MaxCalls)
-	listed, seedsDue := c.node.fleet.listed(), time.After(seedPeerDelay)
+	firstList, seedsDue := c.node.fleet.firstList(), time.After(seedPeerDelay)
 	for ctx.Err() == nil {
 		select {
-		case <-listed:
-			listed, seedsDue = nil, nil
+		case <-firstList:
+			firstList, seedsDue = nil, nil
 			s.Add(c.listedPeers()...)
 			s.Complete()
 		default:
@@ -132,7 +135,7 @@
 			return found
 		}
 		select {
-		case <-listed:
+		case <-firstList:
 		case <-seedsDue:
 			s.Add(c.seedPeers()...)
 		case a := <-answers:
@@ -223,5 +226,5 @@
 // CrashKnowledge implements relay.Source.
 func (n *Node) CrashKnowledge(req relay.CrashKnowledgeRequest) relay.CrashKnowledge {
 	reports, verdicts := n.server.CrashKnowledge()
-	return relay.CrashKnowledge{Reports: reports, Verdicts: verdicts, Starting: n.crashes.isStarting(), Unlisted: !n.fleet.lists(req.VM, req.PeerAddress)}
+	return relay.CrashKnowledge{Reports: reports, Verdicts: verdicts, Starting: n.crashes.isStarting(), Unlisted: !n.fleet.contains(req.VM, req.PeerAddress)}
 }
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -24,8 +24,8 @@
 	onChanged func(nodes int)
 	// readyCh is closed once the roster has determined this node's role.
 	readyCh chan struct{}
-	// listedCh is closed once a list of nodes has arrived.
-	listedCh chan struct{}
+	// firstListCh is closed once a list of nodes has arrived.
+	firstListCh chan struct{}
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -42,7 +42,7 @@
 
 // newFleet returns a view that contains no nodes.
 func newFleet(s Settings, now func() time.Time, onChanged func(nodes int)) *fleet {
-	return &fleet{now: now, onChanged: onChanged, readyCh: make(chan struct{}), listedCh: make(chan struct{}), unresponsiveCh: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
+	return &fleet{now: now, onChanged: onChanged, readyCh: make(chan struct{}), firstListCh: make(chan struct{}), unresponsiveCh: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
 }
 
 // setMembers replaces the list of nodes by the list as of a revision of the
@@ -66,23 +66,23 @@
 	}
 	f.listVersion = version
 	f.markReady()
-	f.markListed()
+	f.markFirstList()
 }
 
-// markListed closes listedCh. The caller must hold mu.
-func (f *fleet) markListed() {
+// markFirstList closes firstListCh. The caller must hold mu.
+func (f *fleet) markFirstList() {
 	select {
-	case <-f.listedCh:
+	case <-f.firstListCh:
 	default:
-		close(f.listedCh)
+		close(f.firstListCh)
 	}
 }
 
-// listed returns a channel that is closed once a list of nodes has arrived.
-func (f *fleet) listed() <-chan struct{} { return f.listedCh }
+// firstList returns a channel that is closed once a list of nodes has arrived.
+func (f *fleet) firstList() <-chan struct{} { return f.firstListCh }
 
-// lists reports whether the list of nodes has a node with this peer address.
-func (f *fleet) lists(name ids.VM, peerAddress string) bool {
+// contains reports whether the list of nodes has a node with this peer address.
+func (f *fleet) contains(name ids.VM, peerAddress string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.members, func(m roster.Member) bool { return m.Name == name && m.PeerAddress == peerAddress })
