--- a/decide/catchup/catchup.go
+++ b/decide/catchup/catchup.go
@@ -48,10 +48,11 @@
 	near, far []string
 	// complete is true once all peers were added.
 	complete bool
-	calls    int
-	open     int
-	current  int
-	starting int
+	// calls is the number of calls that were made, open of those that have not ended.
+	calls, open int
+	// current is the number of peers that answered and are up to date, starting of those that
+	// answered and have just started.
+	current, starting int
 }
 
 // New returns a search without peers. atStart is true for the first search of a node that
