Review case 2: requests go on to an engine that was removed after a drill of the store

A script with three nodes and stand-ins of the store, engines and clients. After the store has come back from a copy, the directory compares revisions of different eras and drops the removal of an engine. Unsafe requests go on to it until it exits, and those at work there are lost.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the case. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could
+# not run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/mimosa-entry ] || { echo "target/mimosa-entry is missing: run the build command of deploy/system.toml"; exit 2; }
+[ -x review/target/standin ] || review/build.sh || exit 2
+timeout --kill-after=2 110 review/target/standin lost-removal review/2/record.txt
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
