--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,10 +14,10 @@
 
 // result is one client attempt and what the client saw.
 type result struct {
-	sentAt, endedAt         time.Time
-	id, node, key, path     string
-	status                  int
-	seal, reason, body, err string
+	sentAt, endedAt     time.Time
+	id, node, key, path string
+	status              int
+	seal, body, err     string
 }
 
 // results collects the attempts of all clients.
--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -176,7 +176,7 @@
 }
 
 // loggedEvents are the events of a node's log that the record shows.
-var loggedEvents = []string{`"started"`, `"ready"`, `"configuration"`, `"store_lost"`, `"store_back"`, `"history_lost"`, `"upstream_`, `"lease_`}
+var loggedEvents = []string{`"started"`, `"failed"`, `"ready"`, `"configuration"`, `"store_lost"`, `"store_back"`, `"history_lost"`, `"upstream_`, `"lease_`}
 
 // copyLog adds the node's log lines about its view of the store to the record.
 func (f *fleet) copyLog(n *node) {
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,9 +11,9 @@
 
 // arrival is one request as an engine saw it.
 type arrival struct {
-	at                        time.Time
-	engine, request, tenant   string
-	service, path, attemptEnd string
+	at                      time.Time
+	engine, request, tenant string
+	service, path           string
 }
 
 // engine is a stand-in for one engine of a plain service.
@@ -50,8 +49,7 @@
 }
 
 func startEngine(id, service, zone string, work time.Duration, log *arrivals) *engine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
+	listener := listenOnFreePort()
 	e := &engine{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: 6, work: work,
 		born: time.Now().UnixMilli(), log: log, state: "ready",
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -24,19 +26,32 @@
 // entryCommand is the command of the role "entry" in deploy/system.toml.
 const entryCommand = "target/mimosa-entry"
 
-// freePorts returns ports of 127.0.0.1 on which nothing listens, in ascending order of
-// the last two.
+// Ports of listeners lie below the range from which the system takes the ports of outgoing
+// connections, so that none of those has one while its listener is closed for a moment.
+const (
+	firstPort = 15000
+	portCount = 16000
+)
+
+// listenOnFreePort listens on a random free port of 127.0.0.1.
+func listenOnFreePort() net.Listener {
+	for range portCount {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
+			return l
+		}
+	}
+	panic("no free port")
+}
+
+// freePorts returns different ports of 127.0.0.1 on which nothing listens.
 func freePorts(n int) []int {
 	var ports []int
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		must(err)
+		l := listenOnFreePort()
 		defer func() { _ = l.Close() }()
 		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	if ports[n-2] > ports[n-1] {
-		ports[n-2], ports[n-1] = ports[n-1], ports[n-2]
-	}
 	return ports
 }
 
@@ -101,22 +116,26 @@
 platform.ttlMinMs=1000
 `
 
+// portsPerNode is the number of ports in a node's settings: three addresses to listen on, and
+// the first and the last internal port.
+const portsPerNode = 5
+
 // startNodes starts one node in each zone. root is the repository, dir a temporary
 // folder.
 func startNodes(root, dir, storeAddress string, zones []string) []*node {
 	var nodes []*node
 	var seeds []string
-	var ports [][]int
-	for _, zone := range zones {
-		p := freePorts(5)
-		ports = append(ports, p)
+	ports := slices.Collect(slices.Chunk(freePorts(portsPerNode*len(zones)), portsPerNode))
+	for i, zone := range zones {
+		p := ports[i]
 		at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
 		n := &node{name: "front-" + zone + "-1", zone: zone, front: at(0), ready: at(1), control: at(2)}
 		nodes, seeds = append(nodes, n), append(seeds, n.control)
 	}
 	for i, n := range nodes {
 		n.file = filepath.Join(dir, n.name+".conf")
-		text := fmt.Sprintf(settingsText, n.name, n.zone, n.front, n.ready, n.control, ports[i][3], ports[i][4], strings.Join(seeds, ","), storeAddress)
+		text := fmt.Sprintf(settingsText, n.name, n.zone, n.front, n.ready, n.control,
+			min(ports[i][3], ports[i][4]), max(ports[i][3], ports[i][4]), strings.Join(seeds, ","), storeAddress)
 		must(os.WriteFile(n.file, []byte(text), 0o600))
 		n.start(root, dir)
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -77,8 +77,7 @@
 		era:    1,
 		wake:   make(chan struct{}),
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
+	listener := listenOnFreePort()
 	s.address = listener.Addr().String()
 	s.listen(listener)
 	return s
