Review: the stand-ins lie beside the cases, not in folders that look like cases

Case 1 adds three engines instead of six, a quarter of all, so that the dose stays within that of the small sites.

--- a/review/standin/lost_config.go
+++ b/review/lost_config.go
@@ -15,7 +15,7 @@
 	// awayFor is how long the store is away.
 	awayFor = time.Second
 	// addedEngines is the number of engines that are added when the store is back.
-	addedEngines = 6
+	addedEngines = 3
 	// observeFor is how long requests are judged.
 	observeFor = 10 * time.Second
 )
