Logs tell which answers of the store are ignored as older

Whether the list never came, came without the removal, or was thrown away could not be told.

A line answer_ignored names the kind, the revision of the answer and the known one: for a list or a removal of upstreams, and for the first of several answers in a row about the lease.

--- a/adapter/leader/leader.go
+++ b/adapter/leader/leader.go
@@ -52,6 +52,8 @@
 
 	mu    sync.Mutex
 	lease *lease.Lease
+	// ignoring is true while answers are ignored because a later version is known.
+	ignoring bool
 }
 
 // New returns an Elector. It makes no calls before Run.
@@ -89,9 +91,24 @@
 	answer := e.opts.Store.Call(callCtx, command)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.logIgnored(answer)
 	e.lease.Answered(e.opts.Now(), answer)
 }
 
+// logIgnored logs the first of several answers in a row that the lease ignores because
+// it knows a later version. The lock must be held.
+func (e *Elector) logIgnored(answer lease.Answer) {
+	if answer.Kind != lease.Found {
+		return
+	}
+	known := e.lease.Version()
+	ignored := answer.Version < known
+	if ignored && !e.ignoring {
+		e.opts.Log.Warn().Str("event", "answer_ignored").Str("kind", "lease").Int64("revision", answer.Version).Int64("known", known).Send()
+	}
+	e.ignoring = ignored
+}
+
 // setCandidate makes this node a candidate or resigns. The lock must be held.
 func (e *Elector) setCandidate(candidate bool) {
 	if candidate {
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -138,6 +138,14 @@
 // Revision returns the newest revision applied.
 func (d *Directory) Revision() int64 { return d.revision }
 
+// EntryRevision returns the revision of an active entry, or 0 if there is none.
+func (d *Directory) EntryRevision(id ids.Upstream) int64 {
+	if u := d.byID[id]; u != nil {
+		return u.Revision
+	}
+	return 0
+}
+
 // Replace applies the complete list of entries at a revision. A list older than the
 // directory is ignored.
 func (d *Directory) Replace(now time.Time, list []Upstream, revision int64) []Change {
--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -242,6 +242,9 @@
 // seedStream is the second half of the random source's seed.
 const seedStream = 0x6c65617365
 
+// Version returns the version of the object as far as this process knows it, or 0.
+func (l *Lease) Version() int64 { return l.version }
+
 // State returns whether the lease is held at now. Callers must read the clock
 // and call State right before each action that depends on the lease.
 func (l *Lease) State(now time.Time) Status {
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -260,10 +260,20 @@
 			u.onMalformed(bad)
 			all = append(all, d.Invalidate(ids.Upstream(bad.Name), bad.Revision)...)
 		}
+		if list.Revision < d.Revision() {
+			u.logIgnored("list", list.Revision, d).Send()
+		}
 		return append(all, d.Replace(now, list.Items, list.Revision)...)
 	})
 }
 
+// logIgnored starts a log line about an answer of the store that is ignored because the
+// directory d has a higher revision.
+func (u *upstreams) logIgnored(what string, revision int64, d *directory.Directory) *zerolog.Event {
+	return u.log.Warn().Str("event", "answer_ignored").Str("kind", upstreamCollection).Str("answer", what).
+		Int64("revision", revision).Int64("known", d.Revision())
+}
+
 // Changed implements listwatch.Sink.
 func (u *upstreams) Changed(changes listwatch.Changes[directory.Upstream]) {
 	u.update(fromStore, func(d *directory.Directory, now time.Time) []directory.Change {
@@ -277,6 +287,9 @@
 				u.onMalformed(e.Removed)
 				all = append(all, d.Invalidate(id, e.Removed.Revision)...)
 			default:
+				if known := d.EntryRevision(id); known > e.Removed.Revision {
+					u.logIgnored("removal", e.Removed.Revision, d).Str("upstream", e.Removed.Name).Int64("entry_revision", known).Send()
+				}
 				all = append(all, d.Remove(now, id, e.Removed.Revision)...)
 			}
 		}
