--- a/adapter/forward/backpressure_test.go
+++ b/adapter/forward/backpressure_test.go
@@ -13,6 +13,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -199,7 +200,7 @@
 		other.Zone = "far"
 		r, first := stalledChain(t, kept, other)
 		r.mu.Lock()
-		r.dir.Put(directory.Upstream{ID: instance("b"), Service: "model", Address: r.dir.View().Get(instance("b")).Address, Zone: "z", Slots: 4, Card: "card", Layers: layered.Range{From: 8, To: 10}, Revision: 2})
+		r.dir.Put(time.Time{}, directory.Upstream{ID: instance("b"), Service: "model", Address: r.dir.View().Get(instance("b")).Address, Zone: "z", Slots: 4, Card: "card", Layers: layered.Range{From: 8, To: 10}, Revision: revision.Of(2)})
 		r.mu.Unlock()
 		c := r.dial(t)
 		c.send("POST", "/stream/x", "r1", "p")
--- a/adapter/forward/crashes_test.go
+++ b/adapter/forward/crashes_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -323,8 +324,8 @@
 
 func TestEnginesThatStayInARerouteAreNotLost(t *testing.T) {
 	r := newTestServer(t)
-	engine := func(id string, revision int64) chain.Stage {
-		return chain.Stage{Engine: &directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Revision: revision}}
+	engine := func(id string, number int64) chain.Stage {
+		return chain.Stage{Engine: &directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Revision: revision.Of(number)}}
 	}
 	w := &stallWatch{s: &stream{x: &exchange{server: r.Server}}}
 	// The entry of the first engine changes between the two chains.
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -21,6 +21,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
@@ -61,7 +62,7 @@
 		t.Fatal(err)
 	}
 	f := &fakeUpstream{listener: l, gone: make(chan struct{}, 16)}
-	f.Upstream = directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: ids.Service(service), Address: l.Addr().String(), Zone: "z", Slots: 4, Revision: 1}
+	f.Upstream = directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: ids.Service(service), Address: l.Addr().String(), Zone: "z", Slots: 4, Revision: revision.Of(1)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -343,7 +344,7 @@
 	r := &testServer{metrics: &fakeMetrics{n: make(map[string]int64)}, engines: &fakeEngines{dead: make(map[ids.Instance]bool), refused: make(map[ids.Instance]bool)}, dir: directory.New(), ready: make(chan struct{}), permits: &fakePermits{}}
 	r.table.Store(table)
 	for _, f := range fakes {
-		r.dir.Put(f.Upstream)
+		r.dir.Put(time.Time{}, f.Upstream)
 	}
 	r.Server = New(Options{
 		Headers: testHeaders, Zone: "z", Engines: r.engines, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Permits: r.permits, Ready: r.ready,
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -138,7 +138,7 @@
 func (x *exchange) sendPlain(ctx context.Context, u *directory.Upstream, first bool) (*upconn.Response, []byte, *failure) {
 	start := x.server.opts.Now()
 	x.log("sent").Str("upstream", u.ID.String()).Str("address", u.Address).Str("route", x.route.Name).
-		Int64("directory", x.server.opts.View().Revision).Send()
+		Stringer("directory", x.server.opts.View().Revision).Send()
 	priority := func(out []byte) []byte {
 		return appendHeader(out, x.server.opts.Headers.Priority, strconv.Itoa(priorityLevel(x.route.PriorityOf(x.account))))
 	}
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -210,7 +210,7 @@
 		err := x.server.opts.Engines.Reroute(rerouteCtx, x.id, other)
 		cancel()
 		x.log("rerouted").Str("chain", other.String()).Str("was", old.String()).Int64("after_event", w.s.seq.last).
-			Int64("directory", x.server.opts.View().Revision).AnErr("error", err).Send()
+			Stringer("directory", x.server.opts.View().Revision).AnErr("error", err).Send()
 		if err == nil {
 			x.count("stream.rerouted")
 			w.reroutes++
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -175,7 +175,7 @@
 	}
 	first := c[0].Engine
 	x.log("chain").Str("chain", c.String()).Str("upstream", first.ID.String()).Str("route", x.route.Name).
-		Int64("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
+		Stringer("directory", x.server.opts.View().Revision).Int64("after_event", s.seq.last).Send()
 	w := &stallWatch{s: s, ctx: ctx, chain: c, started: s.x.responseStarted}
 	defer s.releaseChain(w)
 	a, failed := x.begin(ctx, c, x.composeHead(first, s.headers(c)), w.wait)
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -14,6 +14,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 )
@@ -33,7 +34,7 @@
 	return fakeEngine(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
 		(*r).mu.Lock()
 		for _, f := range others {
-			(*r).dir.Put(f.Upstream)
+			(*r).dir.Put(time.Time{}, f.Upstream)
 		}
 		(*r).mu.Unlock()
 		(*r).engines.mu.Lock()
@@ -385,7 +386,7 @@
 	prober := newProber(o, p)
 	d := directory.New()
 	for _, id := range []ids.Instance{instance("slow"), instance("usual")} {
-		d.Put(directory.Upstream{ID: id, Service: "model", Address: string(id.Upstream), Revision: 1})
+		d.Put(time.Time{}, directory.Upstream{ID: id, Service: "model", Address: string(id.Upstream), Revision: revision.Of(1)})
 	}
 	view := d.View()
 	p.setSlowdown(view.Get(instance("slow")), 12)
@@ -446,7 +447,7 @@
 	time.AfterFunc(1800*time.Millisecond, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.dir.Put(next.Upstream)
+		r.dir.Put(time.Time{}, next.Upstream)
 	})
 	resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
 	if !complete {
--- a/adapter/listwatch/listwatch.go
+++ b/adapter/listwatch/listwatch.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -18,14 +17,15 @@
 
 	"mimosaarch.example/core/backoff"
 	"mimosaarch.example/core/every"
+	"mimosaarch.example/core/revision"
 )
 
 // RevisionGoneError reports that the store no longer has the changes since a revision.
-type RevisionGoneError struct{ Since int64 }
+type RevisionGoneError struct{ Since revision.Revision }
 
 // Error implements error.
 func (e *RevisionGoneError) Error() string {
-	return fmt.Sprintf("the store no longer has the changes since revision %d", e.Since)
+	return "the store no longer has the changes since revision " + e.Since.String()
 }
 
 // List holds all objects of a collection as of Revision.
@@ -33,14 +33,14 @@
 	Items []T
 	// Malformed holds the objects that exist but cannot be decoded.
 	Malformed []Removal
-	Revision  int64
+	Revision  revision.Revision
 }
 
 // Removal reports that the named object was removed at Revision, or that it cannot be
 // decoded since then.
 type Removal struct {
 	Name     string
-	Revision int64
+	Revision revision.Revision
 	// Malformed is the reason why an existing object cannot be decoded, or nil if the
 	// object was removed.
 	Malformed error
@@ -56,7 +56,7 @@
 // Changes holds the changes up to Revision, in order.
 type Changes[T any] struct {
 	Events   []Event[T]
-	Revision int64
+	Revision revision.Revision
 }
 
 // Source reads one collection of a store.
@@ -66,8 +66,9 @@
 	// watch from that revision returns every later change.
 	List(ctx context.Context, stale bool) (List[T], error)
 	// Watch waits up to wait for changes after the revision since. It returns a
-	// *RevisionGoneError if the collection must be listed again.
-	Watch(ctx context.Context, since int64, wait time.Duration) (Changes[T], error)
+	// *RevisionGoneError if the collection must be listed again: the store has dropped
+	// its history, or was restored from an older copy.
+	Watch(ctx context.Context, since revision.Revision, wait time.Duration) (Changes[T], error)
 }
 
 // Sink receives the state of the collection. All methods are called from one goroutine.
@@ -157,12 +158,12 @@
 
 // follow watches the collection from a revision until ctx ends or the store no longer
 // has the changes since that revision.
-func (f *Follower[T]) follow(ctx context.Context, revision int64) {
+func (f *Follower[T]) follow(ctx context.Context, since revision.Revision) {
 	for ctx.Err() == nil {
-		changes, err := f.source.Watch(ctx, revision, f.opts.WatchWait)
+		changes, err := f.source.Watch(ctx, since, f.opts.WatchWait)
 		var gone *RevisionGoneError
 		if errors.As(err, &gone) {
-			f.opts.Log.Info().Str("event", "history_lost").Str("kind", f.opts.Name).Int64("revision", revision).Send()
+			f.opts.Log.Info().Str("event", "history_lost").Str("kind", f.opts.Name).Stringer("revision", since).Send()
 			return
 		}
 		if err != nil {
@@ -170,13 +171,13 @@
 			continue
 		}
 		f.succeeded()
-		if len(changes.Events) > 0 || changes.Revision > revision {
+		if len(changes.Events) > 0 || changes.Revision.After(since) {
 			f.sink.Changed(changes)
 		}
 		if len(changes.Events) > 0 {
 			every.Sleep(ctx, f.opts.BatchDelay)
 		}
-		revision = max(revision, changes.Revision)
+		since = revision.Latest(since, changes.Revision)
 	}
 }
 
--- a/adapter/listwatch/listwatch_test.go
+++ b/adapter/listwatch/listwatch_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+
+	"mimosaarch.example/core/revision"
 )
 
 // errUnavailable is the error of a store that does not answer.
@@ -47,8 +49,8 @@
 	panic("the next step is not the answer to a list")
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, since int64, wait time.Duration) (Changes[string], error) {
-	switch step := s.next(ctx, fmt.Sprintf("watch %d %v", since, wait)).(type) {
+func (s *scriptedSource) Watch(ctx context.Context, since revision.Revision, wait time.Duration) (Changes[string], error) {
+	switch step := s.next(ctx, fmt.Sprintf("watch %s %v", since, wait)).(type) {
 	case Changes[string]:
 		return step, nil
 	case error:
@@ -92,9 +94,9 @@
 
 func TestListThenWatch(t *testing.T) {
 	calls, got := run(t,
-		List[string]{Items: []string{"a"}, Revision: 5},
-		Changes[string]{Events: []Event[string]{put("b"), {Removed: Removal{Name: "a", Revision: 7}}}, Revision: 7},
-		Changes[string]{Revision: 9},
+		List[string]{Items: []string{"a"}, Revision: revision.Of(5)},
+		Changes[string]{Events: []Event[string]{put("b"), {Removed: Removal{Name: "a", Revision: revision.Of(7)}}}, Revision: revision.Of(7)},
+		Changes[string]{Revision: revision.Of(9)},
 	)
 	if diff := cmp.Diff([]string{"listed [a]", "put b", "removed a"}, got); diff != "" {
 		t.Error(diff)
@@ -106,9 +108,9 @@
 
 func TestRevisionGoneMeansANewList(t *testing.T) {
 	calls, got := run(t,
-		List[string]{Items: []string{"a"}, Revision: 5},
-		&RevisionGoneError{Since: 5},
-		List[string]{Items: []string{"b"}, Revision: 50},
+		List[string]{Items: []string{"a"}, Revision: revision.Of(5)},
+		&RevisionGoneError{Since: revision.Of(5)},
+		List[string]{Items: []string{"b"}, Revision: revision.Of(50)},
 	)
 	if diff := cmp.Diff([]string{"listed [a]", "listed [b]"}, got); diff != "" {
 		t.Error(diff)
@@ -123,9 +125,9 @@
 func TestOutageIsReportedAndEndsWithTheChangesSince(t *testing.T) {
 	calls, got := run(t,
 		errUnavailable, errUnavailable,
-		List[string]{Revision: 5},
+		List[string]{Revision: revision.Of(5)},
 		errUnavailable, errUnavailable,
-		Changes[string]{Events: []Event[string]{put("b")}, Revision: 8},
+		Changes[string]{Events: []Event[string]{put("b")}, Revision: revision.Of(8)},
 	)
 	if diff := cmp.Diff([]string{"lost", "lost", "returned", "listed []", "lost", "lost", "returned", "put b"}, got); diff != "" {
 		t.Error(diff)
@@ -140,11 +142,11 @@
 // a list that is not stale.
 func TestOutageLongerThanTheHistoryEndsWithAList(t *testing.T) {
 	calls, got := run(t,
-		List[string]{Items: []string{"a"}, Revision: 5},
+		List[string]{Items: []string{"a"}, Revision: revision.Of(5)},
 		errUnavailable,
-		&RevisionGoneError{Since: 5},
+		&RevisionGoneError{Since: revision.Of(5)},
 		errUnavailable,
-		List[string]{Items: []string{"b"}, Revision: 50},
+		List[string]{Items: []string{"b"}, Revision: revision.Of(50)},
 	)
 	if diff := cmp.Diff([]string{"listed [a]", "lost", "lost", "returned", "listed [b]"}, got); diff != "" {
 		t.Error(diff)
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -294,7 +294,7 @@
 		p.opts.Count("orders."+string(result), 1)
 		p.opts.Log.Info().Str("event", "order").Str("upstream", u.ID.String()).Str("address", u.Address).
 			Str("layers", layers.String()).Str("held", u.Layers.String()).
-			Int64("entry_revision", u.Revision).Str("result", string(result)).AnErr("error", err).Send()
+			Stringer("entry_revision", u.Revision).Str("result", string(result)).AnErr("error", err).Send()
 		wait := unfitBackoff
 		if result == Begun || result == Unknown {
 			share := float64(layers.Len()) / float64(max(m.Layers, 1))
--- a/adapter/placer/placer_test.go
+++ b/adapter/placer/placer_test.go
@@ -14,6 +14,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/placement"
@@ -54,8 +55,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rev++
-	f.dir.Put(directory.Upstream{
-		ID: ids.Instance{Upstream: ids.Upstream(id), StartedMs: startedMs}, Service: "s", Address: id, Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+	f.dir.Put(time.Time{}, directory.Upstream{
+		ID: ids.Instance{Upstream: ids.Upstream(id), StartedMs: startedMs}, Service: "s", Address: id, Zone: "z", Card: "card", Layers: layered.Range{From: from, To: to}, Revision: revision.Of(f.rev),
 	})
 }
 
--- a/adapter/placer/shortage_test.go
+++ b/adapter/placer/shortage_test.go
@@ -7,6 +7,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -77,9 +78,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rev++
-	f.dir.Put(directory.Upstream{
+	f.dir.Put(time.Time{}, directory.Upstream{
 		ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: "s", Address: id, Zone: ids.Zone(zone), Card: "card",
-		Layers: layered.Range{From: from, To: to}, Revision: f.rev,
+		Layers: layered.Range{From: from, To: to}, Revision: revision.Of(f.rev),
 	})
 }
 
@@ -89,8 +90,8 @@
 	defer f.mu.Unlock()
 	f.rev++
 	u := *f.dir.View().Get(ids.Instance{Upstream: ids.Upstream(id)})
-	u.Leaving, u.Revision = true, f.rev
-	f.dir.Put(u)
+	u.Leaving, u.Revision = true, revision.Of(f.rev)
+	f.dir.Put(time.Time{}, u)
 }
 
 // remove removes an engine's entry.
@@ -98,7 +99,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rev++
-	f.dir.Remove(time.Now(), ids.Upstream(id), f.rev)
+	f.dir.Remove(time.Now(), ids.Upstream(id), revision.Of(f.rev))
 }
 
 // setSilence sets how long an engine has left requests unanswered.
--- a/adapter/placer/simulation_test.go
+++ b/adapter/placer/simulation_test.go
@@ -12,6 +12,7 @@
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/condition"
 	"mimosaarch.example/decide/directory"
@@ -151,8 +152,8 @@
 // publish writes an engine's directory entry.
 func (s *simulation) publish(e *simEngine) {
 	s.rev++
-	e.up.Revision = s.rev
-	s.dir.Put(e.up)
+	e.up.Revision = revision.Of(s.rev)
+	s.dir.Put(time.Time{}, e.up)
 }
 
 // Probe implements Engines.
@@ -230,7 +231,7 @@
 		s.publish(e)
 	} else {
 		s.rev++
-		s.dir.Remove(time.Now(), id.Upstream, s.rev)
+		s.dir.Remove(time.Now(), id.Upstream, revision.Of(s.rev))
 	}
 	s.mu.Unlock()
 	time.Sleep(shutdownDelay)
@@ -238,7 +239,7 @@
 	defer s.mu.Unlock()
 	if announced {
 		s.rev++
-		s.dir.Remove(time.Now(), id.Upstream, s.rev)
+		s.dir.Remove(time.Now(), id.Upstream, revision.Of(s.rev))
 	}
 	e.ended = true
 	for r := range e.streams {
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -2,7 +2,8 @@
 // nodes: from the few nodes that watch the platform's store to all others, and to nodes
 // that the store refuses while it serves others.
 //
-// Both documents have versions that only increase, so an outdated peer does no harm.
+// Both documents have versions that only increase, and the store's revisions are ordered
+// by its epoch first, so an outdated peer does no harm.
 // Calls are JSON-RPC 2.0 over TCP.
 package relay
 
@@ -18,6 +19,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -58,8 +60,10 @@
 type UpdateRequest struct {
 	// ConfigVersion is the version of the caller's configuration, or 0 for none.
 	ConfigVersion int64 `json:"config_version"`
+	// Epoch is the latest epoch of the store that the caller knows.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Revision is the revision of the caller's directory.
-	Revision int64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 	// Base is the state of the peer's directory that the caller last took over, or zero
 	// for none.
 	Base Base `json:"base,omitzero"`
@@ -77,7 +81,7 @@
 // MemberListVersion identifies a list of the fleet's nodes.
 type MemberListVersion struct {
 	// Revision is the revision of the store at which the list was read.
-	Revision int64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 	// Digest is a hash of the list's content.
 	Digest uint64 `json:"digest"`
 }
@@ -106,25 +110,30 @@
 	// message if the caller accepts it.
 	Config *routing.Config `json:"config,omitempty"`
 	Packed Packed          `json:"packed,omitempty"`
+	// ConfigEpoch is the store's epoch in which Config was read.
+	ConfigEpoch int64 `json:"config_epoch,omitempty"`
+	// Epoch is the lowest epoch of the store of all parts that the caller wants. It is
+	// lower than the caller's if the node does not know yet that a later one has begun.
+	Epoch int64 `json:"epoch,omitempty"`
 	// ConfigRevision is the store's revision up to which the node knows all changes of
 	// the configuration.
-	ConfigRevision int64 `json:"config_revision,omitempty"`
+	ConfigRevision revision.Revision `json:"config_revision,omitzero"`
 	// Upstreams holds the upstreams that changed since the caller's revision, as of
-	// Revision. Revision is 0 if the caller's directory is as new. If the peer knows the
-	// caller's Base, Delta is set, Upstreams holds the changes since that state, and
+	// Revision. Revision is zero if the caller's directory is as new. If the peer knows the
+	// caller's Base in the same epoch, Delta is set, Upstreams holds the changes since that state, and
 	// Gone names the removed upstreams. Otherwise Present names all upstreams that
 	// exist.
 	Upstreams []directory.Upstream `json:"upstreams,omitempty"`
 	Delta     bool                 `json:"delta,omitempty"`
 	Gone      []ids.Upstream       `json:"gone,omitempty"`
 	Present   []ids.Upstream       `json:"present,omitempty"`
-	Revision  int64                `json:"revision,omitempty"`
+	Revision  revision.Revision    `json:"revision,omitzero"`
 	// Base is the state that the caller has after it applied the update.
 	Base Base `json:"base,omitzero"`
 	// Members is the list of the fleet's nodes as of MembersRevision. It is nil if the
 	// caller's list is the same or newer.
-	Members         []roster.Member `json:"members,omitempty"`
-	MembersRevision int64           `json:"members_revision,omitempty"`
+	Members         []roster.Member   `json:"members,omitempty"`
+	MembersRevision revision.Revision `json:"members_revision,omitzero"`
 	// AgeMs is the time in milliseconds since the store last answered the node, or the
 	// node from which this state came. Hops is the number of nodes between this one and
 	// the store.
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -62,8 +63,8 @@
 	if req.AcceptsPacked {
 		u.Packed = s.packed
 	}
-	if req.Revision < 30 {
-		u.Upstreams, u.Revision = s.list, 30
+	if req.Revision.Before(revision.Of(30)) {
+		u.Upstreams, u.Revision = s.list, revision.Of(30)
 	}
 	return u
 }
@@ -95,18 +96,18 @@
 			Services: []routing.Service{{Name: "s", Model: &layered.Model{Layers: 8, Cards: map[string]layered.Card{"c": {MemoryMB: 5}}}}},
 			Accounts: []routing.Account{{Name: "a", Keys: []string{"k"}, Priority: &rank}},
 		},
-		list: []directory.Upstream{{ID: ids.Instance{Upstream: "u"}, Service: "s", Address: "1.2.3.4:5", Layers: layered.Range{From: 1, To: 3}, Revision: 7, Leaving: true}},
+		list: []directory.Upstream{{ID: ids.Instance{Upstream: "u"}, Service: "s", Address: "1.2.3.4:5", Layers: layered.Range{From: 1, To: 3}, Revision: revision.Of(7), Leaving: true}},
 	}
 	address := serve(t, s)
-	update, err := Fetch(t.Context(), address, UpdateRequest{ConfigVersion: 11, Revision: 29})
+	update, err := Fetch(t.Context(), address, UpdateRequest{ConfigVersion: 11, Revision: revision.Of(29)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(Update{Config: &s.config, Upstreams: s.list, Revision: 30}, update); diff != "" {
+	if diff := cmp.Diff(Update{Config: &s.config, Upstreams: s.list, Revision: revision.Of(30)}, update); diff != "" {
 		t.Error(diff)
 	}
-	update, err = Fetch(t.Context(), address, UpdateRequest{ConfigVersion: 12, Revision: 30})
-	if err != nil || update.Config != nil || update.Revision != 0 {
+	update, err = Fetch(t.Context(), address, UpdateRequest{ConfigVersion: 12, Revision: revision.Of(30)})
+	if err != nil || update.Config != nil || !update.Revision.IsZero() {
 		t.Errorf("to a caller that is up to date: %+v, %v", update, err)
 	}
 }
--- a/decide/chain/chain_test.go
+++ b/decide/chain/chain_test.go
@@ -9,6 +9,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/condition"
 	"mimosaarch.example/decide/directory"
 )
@@ -32,7 +33,7 @@
 func engine(id, zone, card string, from, to int) directory.Upstream {
 	return directory.Upstream{
 		ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: "s", Address: id, Zone: ids.Zone(zone), Card: card,
-		Layers: layered.Range{From: from, To: to}, Revision: 1,
+		Layers: layered.Range{From: from, To: to}, Revision: revision.Of(1),
 	}
 }
 
@@ -40,7 +41,7 @@
 func view(engines ...directory.Upstream) *directory.View {
 	d := directory.New()
 	for _, e := range engines {
-		d.Put(e)
+		d.Put(time.Time{}, e)
 	}
 	return d.View()
 }
--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -4,6 +4,9 @@
 // loses contact with, so after an outage of the registry a missing entry is removed
 // only after a grace period.
 //
+// A registry may also be restored from an older copy, which begins a new epoch of its
+// revisions. See epoch.go for what a Directory then does.
+//
 // A Directory is used by one goroutine and reads no clock. Its Views are immutable and
 // safe for concurrent use.
 package directory
@@ -14,6 +17,7 @@
 
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/revision"
 )
 
 // Upstream is the registry entry of one instance of an upstream: one process of a
@@ -36,7 +40,7 @@
 	// Busy is true while an engine carries out an order.
 	Busy bool
 	// Revision is the registry's revision of the entry.
-	Revision int64
+	Revision revision.Revision
 }
 
 // RestartedError reports that the process under a name is not the expected one, because
@@ -77,7 +81,7 @@
 
 // Directory holds the current entries. Create it with New.
 type Directory struct {
-	revision int64
+	revision revision.Revision
 	byID     map[ids.Upstream]*Upstream
 	// byAddress holds the upstreams registered with each address, the current one last.
 	// An address passes to another upstream only after its process has ended, but the
@@ -100,6 +104,13 @@
 	// saidLeaving holds the instances that have said themselves that they leave, whatever
 	// the registry says. The value is true once another source has said so too.
 	saidLeaving map[ids.Instance]bool
+	// epochSince is when the registry's current epoch was first seen, or zero if no other
+	// epoch came before it.
+	epochSince time.Time
+	// deferred holds the entries of a registry restored from a copy that are older than
+	// what is known. departed holds the entries that were removed lately.
+	deferred map[ids.Upstream]deferredEntry
+	departed map[ids.Upstream]departure
 }
 
 // maxRecentChanges bounds recentChanges, of which at least half are kept. It covers a
@@ -114,6 +125,8 @@
 		missingUntil: make(map[ids.Upstream]time.Time),
 		unconfigured: make(map[ids.Upstream]*Upstream),
 		saidLeaving:  make(map[ids.Instance]bool),
+		deferred:     make(map[ids.Upstream]deferredEntry),
+		departed:     make(map[ids.Upstream]departure),
 	}
 }
 
@@ -136,34 +149,45 @@
 func (d *Directory) Mark() uint64 { return d.mark }
 
 // Revision returns the newest revision applied.
-func (d *Directory) Revision() int64 { return d.revision }
+func (d *Directory) Revision() revision.Revision { return d.revision }
 
-// EntryRevision returns the revision of an active entry, or 0 if there is none.
-func (d *Directory) EntryRevision(id ids.Upstream) int64 {
+// EntryRevision returns the revision of an active entry, or zero if there is none.
+func (d *Directory) EntryRevision(id ids.Upstream) revision.Revision {
 	if u := d.byID[id]; u != nil {
 		return u.Revision
 	}
-	return 0
+	return revision.Revision{}
 }
 
 // Replace applies the complete list of entries at a revision. A list older than the
 // directory is ignored.
-func (d *Directory) Replace(now time.Time, list []Upstream, revision int64) []Change {
+func (d *Directory) Replace(now time.Time, list []Upstream, at revision.Revision) []Change {
 	present := make([]ids.Upstream, len(list))
 	for i := range list {
 		present[i] = list[i].ID.Upstream
 	}
-	return d.Merge(now, list, present, revision)
+	return d.Merge(now, list, present, at)
 }
 
 // Merge applies the entries that changed since the directory's revision, and removes
 // all that are not in present, the names of all entries at the given revision. An older
 // revision is ignored.
-func (d *Directory) Merge(now time.Time, changed []Upstream, present []ids.Upstream, revision int64) []Change {
-	changes, newer := d.applyChanged(changed, revision)
-	if !newer {
+func (d *Directory) Merge(now time.Time, changed []Upstream, present []ids.Upstream, at revision.Revision) []Change {
+	if at.Before(d.revision) {
 		return nil
 	}
+	d.advance(now, at)
+	var changes []Change
+	for i := range changed {
+		if !d.deferOlder(now, &changed[i]) {
+			changes = d.put(changes, &changed[i])
+		}
+	}
+	return d.retain(changes, now, present)
+}
+
+// retain removes all entries that are not in present.
+func (d *Directory) retain(changes []Change, now time.Time, present []ids.Upstream) []Change {
 	listed := make(map[ids.Upstream]bool, len(present))
 	for _, id := range present {
 		listed[id] = true
@@ -178,17 +202,27 @@
 			d.removeUnconfigured(u)
 		}
 	}
+	for id := range d.deferred {
+		if !listed[id] {
+			delete(d.deferred, id)
+		}
+	}
 	return changes
 }
 
 // Update applies the entries that changed and the names of those that were removed, as
-// of a revision. An older revision is ignored.
-func (d *Directory) Update(now time.Time, changed []Upstream, gone []ids.Upstream, revision int64) []Change {
-	changes, newer := d.applyChanged(changed, revision)
-	if !newer {
+// of a revision. A revision that is older or of another epoch is ignored.
+func (d *Directory) Update(now time.Time, changed []Upstream, gone []ids.Upstream, at revision.Revision) []Change {
+	if at.Before(d.revision) || at.Epoch != d.revision.Epoch {
 		return nil
 	}
+	d.revision = at
+	var changes []Change
+	for i := range changed {
+		changes = d.put(changes, &changed[i])
+	}
 	for _, id := range gone {
+		delete(d.deferred, id)
 		d.removeUnconfigured(d.unconfigured[id])
 		if u := d.byID[id]; u != nil {
 			changes = d.remove(changes, now, u)
@@ -197,34 +231,27 @@
 	return changes
 }
 
-// applyChanged advances to a revision and applies changed entries. It returns false for
-// an older revision.
-func (d *Directory) applyChanged(changed []Upstream, revision int64) ([]Change, bool) {
-	if revision < d.revision {
-		return nil, false
-	}
-	d.revision = revision
-	var changes []Change
-	for i := range changed {
-		changes = d.put(changes, &changed[i])
+// Put applies one entry that was added or changed. A change of an earlier epoch is
+// ignored.
+func (d *Directory) Put(now time.Time, u Upstream) []Change {
+	if !d.advance(now, u.Revision) {
+		return nil
 	}
-	return changes, true
-}
-
-// Put applies one entry that was added or changed.
-func (d *Directory) Put(u Upstream) []Change {
-	d.revision = max(d.revision, u.Revision)
 	return d.put(nil, &u)
 }
 
-// Remove applies the removal of an entry at a revision.
-func (d *Directory) Remove(now time.Time, id ids.Upstream, revision int64) []Change {
-	d.revision = max(d.revision, revision)
-	if u := d.unconfigured[id]; u != nil && u.Revision <= revision {
+// Remove applies the removal of an entry at a revision. A removal in an earlier epoch is
+// ignored.
+func (d *Directory) Remove(now time.Time, id ids.Upstream, at revision.Revision) []Change {
+	if !d.advance(now, at) {
+		return nil
+	}
+	delete(d.deferred, id)
+	if u := d.unconfigured[id]; u != nil && !u.Revision.After(at) {
 		d.removeUnconfigured(u)
 	}
 	u := d.byID[id]
-	if u == nil || u.Revision > revision {
+	if u == nil || u.Revision.After(at) {
 		return nil
 	}
 	return d.remove(nil, now, u)
@@ -232,15 +259,23 @@
 
 // Invalidate applies an entry that was overwritten with invalid content at a revision.
 // Its upstream is removed at once: unlike a missing entry, an invalid one is no effect
-// of an outage.
-func (d *Directory) Invalidate(id ids.Upstream, revision int64) []Change {
-	d.revision = max(d.revision, revision)
+// of an outage. An entry of an earlier epoch is ignored.
+func (d *Directory) Invalidate(now time.Time, id ids.Upstream, at revision.Revision) []Change {
+	if !d.advance(now, at) {
+		return nil
+	}
+	return d.invalidate(nil, id, at)
+}
+
+// invalidate removes the entry of an upstream unless it is later than a revision.
+func (d *Directory) invalidate(changes []Change, id ids.Upstream, at revision.Revision) []Change {
+	delete(d.deferred, id)
 	d.removeUnconfigured(d.unconfigured[id])
 	u := d.byID[id]
-	if u == nil || u.Revision > revision {
-		return nil
+	if u == nil || u.Revision.After(at) {
+		return changes
 	}
-	return d.drop(nil, u)
+	return d.drop(changes, u)
 }
 
 // Restarted applies an upstream's own report that its process started later than the
@@ -305,15 +340,16 @@
 	return append(changes, Change{LeavingStarted, &leaving})
 }
 
-// Expire removes the missing entries whose grace period has ended.
+// Expire removes the missing entries whose grace period has ended, and applies the
+// deferred entries whose time has come.
 func (d *Directory) Expire(now time.Time) []Change {
 	var changes []Change
 	for id, until := range d.missingUntil {
 		if !now.Before(until) {
-			changes = d.drop(changes, d.byID[id])
+			changes = d.depart(changes, now, d.byID[id])
 		}
 	}
-	return changes
+	return d.applyDeferred(changes, now)
 }
 
 // put adds or changes an entry. An upstream that is leaving stays so until it restarts.
@@ -321,14 +357,14 @@
 // instance is ignored.
 func (d *Directory) put(changes []Change, u *Upstream) []Change {
 	id := u.ID.Upstream
-	if d.services != nil && !d.services[u.Service] {
-		changes = append(changes, d.Invalidate(id, u.Revision)...)
+	if !d.isConfigured(u) {
+		changes = d.invalidate(changes, id, u.Revision)
 		d.addUnconfigured(u)
 		return changes
 	}
 	d.removeUnconfigured(d.unconfigured[id])
 	old := d.byID[id]
-	if old != nil && old.Revision >= u.Revision && !u.ID.NewerThan(old.ID) {
+	if old != nil && !u.Revision.After(old.Revision) && !u.ID.NewerThan(old.ID) {
 		if u.Leaving {
 			changes = append(changes, d.ToldLeaving(u.ID)...)
 		}
@@ -341,6 +377,7 @@
 		return changes
 	}
 	delete(d.missingUntil, id)
+	delete(d.deferred, id)
 	restarted := old != nil && u.ID.NewerThan(old.ID) && old.ID.StartedMs != 0
 	if old != nil && (restarted || old.Address != u.Address) {
 		changes = d.drop(changes, old)
@@ -361,7 +398,11 @@
 		return changes
 	}
 	d.recordChange(u.ID, true)
-	if u.Leaving && !old.Leaving {
+	switch {
+	case u.Revision.Epoch != old.Revision.Epoch && sameContent(u, old):
+		// Only recorded, for peers that lack the entry in their list of the epoch.
+		return changes
+	case u.Leaving && !old.Leaving:
 		return append(changes, Change{LeavingStarted, u})
 	}
 	return append(changes, Change{Changed, u})
@@ -374,7 +415,7 @@
 	others := d.byAddress[u.Address]
 	if len(others) > 0 {
 		current := d.byID[others[len(others)-1]]
-		if current.Revision >= u.Revision || slices.Contains(d.recentChanges, changeRecord{u.ID, true}) {
+		if !u.Revision.After(current.Revision) || slices.Contains(d.recentChanges, changeRecord{u.ID, true}) {
 			d.byAddress[u.Address] = slices.Insert(others, 0, u.ID.Upstream)
 			return changes
 		}
@@ -401,7 +442,7 @@
 		}
 		return changes
 	}
-	return d.drop(changes, u)
+	return d.depart(changes, now, u)
 }
 
 // drop removes an entry. If another entry with its address is left, that becomes active
--- a/decide/directory/directory_test.go
+++ b/decide/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 )
 
 var start = time.Unix(1000, 0)
@@ -15,8 +16,11 @@
 // at returns the time ms milliseconds after start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-func upstream(id string, revision int64) Upstream {
-	return Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: "s", Address: id + ":1", Revision: revision}
+// rev returns a revision without an epoch.
+func rev(number int64) revision.Revision { return revision.Of(number) }
+
+func upstream(id string, number int64) Upstream {
+	return Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: "s", Address: id + ":1", Revision: rev(number)}
 }
 
 // viewNames returns the names of the upstreams in the view, with "!" after those that are
@@ -44,17 +48,17 @@
 
 func TestReplaceReportsOnlyDifferences(t *testing.T) {
 	d := New()
-	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2)}, 5)
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2)}, rev(5))
 	b := upstream("b", 7)
 	b.Leaving = true
-	changes := d.Replace(start, []Upstream{b, upstream("c", 8)}, 9)
+	changes := d.Replace(start, []Upstream{b, upstream("c", 8)}, rev(9))
 	if diff := cmp.Diff([]string{"left b", "seen c", "gone a"}, changeTexts(changes)); diff != "" {
 		t.Error(diff)
 	}
 	if diff := cmp.Diff([]string{"b!", "c"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
-	if d.Replace(start, nil, 8) != nil || len(viewNames(d)) != 2 {
+	if d.Replace(start, nil, rev(8)) != nil || len(viewNames(d)) != 2 {
 		t.Error("an older list took effect")
 	}
 }
@@ -63,8 +67,8 @@
 	d := New()
 	u := upstream("a", 1)
 	u.Leaving = true
-	d.Put(u)
-	d.Put(upstream("a", 2))
+	d.Put(start, u)
+	d.Put(start, upstream("a", 2))
 	if diff := cmp.Diff([]string{"a!"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
@@ -72,34 +76,34 @@
 
 func TestOlderEntriesAndRemovalsAreIgnored(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 5))
-	if d.Put(upstream("a", 4)) != nil {
+	d.Put(start, upstream("a", 5))
+	if d.Put(start, upstream("a", 4)) != nil {
 		t.Error("an older entry took effect")
 	}
-	if d.Remove(start, "a", 4) != nil || len(viewNames(d)) != 1 {
+	if d.Remove(start, "a", rev(4)) != nil || len(viewNames(d)) != 1 {
 		t.Error("a removal older than the entry took effect")
 	}
-	if got := changeTexts(d.Remove(start, "a", 6)); !cmp.Equal(got, []string{"gone a"}) {
+	if got := changeTexts(d.Remove(start, "a", rev(6))); !cmp.Equal(got, []string{"gone a"}) {
 		t.Errorf("removal: %v", got)
 	}
 }
 
 func TestEntriesMissingAfterAnOutageStayForTheGracePeriod(t *testing.T) {
 	d := New()
-	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, 5)
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, rev(5))
 	d.RegistryRecovered(at(10_000), time.Minute)
-	d.Replace(at(10_010), []Upstream{upstream("a", 1)}, 6)
+	d.Replace(at(10_010), []Upstream{upstream("a", 1)}, rev(6))
 	if diff := cmp.Diff([]string{"a", "b", "c"}, viewNames(d)); diff != "" {
 		t.Error("just after the outage:", diff)
 	}
-	d.Put(upstream("b", 7))
+	d.Put(start, upstream("b", 7))
 	if changes := d.Expire(at(11_400)); changes != nil {
 		t.Errorf("expired early: %v", changeTexts(changes))
 	}
 	if got := changeTexts(d.Expire(at(11_520))); !cmp.Equal(got, []string{"gone c"}) {
 		t.Errorf("after the grace period: %v, want c gone, as b was entered again", got)
 	}
-	if got := changeTexts(d.Remove(at(12_000), "b", 9)); !cmp.Equal(got, []string{"gone b"}) {
+	if got := changeTexts(d.Remove(at(12_000), "b", rev(9))); !cmp.Equal(got, []string{"gone b"}) {
 		t.Errorf("removal long after the outage: %v", got)
 	}
 }
@@ -108,18 +112,18 @@
 	d := New()
 	u := upstream("a", 1)
 	u.Leaving = true
-	d.Replace(start, []Upstream{u}, 5)
+	d.Replace(start, []Upstream{u}, rev(5))
 	d.RegistryRecovered(at(1000), time.Minute)
-	if got := changeTexts(d.Replace(at(1000), nil, 6)); !cmp.Equal(got, []string{"gone a"}) {
+	if got := changeTexts(d.Replace(at(1000), nil, rev(6))); !cmp.Equal(got, []string{"gone a"}) {
 		t.Errorf("changes %v", got)
 	}
 }
 
 func TestViewsDoNotChange(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 1))
+	d.Put(start, upstream("a", 1))
 	before := d.View()
-	d.Remove(start, "a", 2)
+	d.Remove(start, "a", rev(2))
 	if before.Get(instanceOf("a")) == nil || len(before.All()) != 1 {
 		t.Error("a view changed after it was taken")
 	}
@@ -148,14 +152,14 @@
 
 func TestViewReportsChangesSinceAMark(t *testing.T) {
 	d := New()
-	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, 5)
+	d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), upstream("c", 3)}, rev(5))
 	mark := d.View().Mark
 	if diff := cmp.Diff([]string{}, changesSince(t, d, mark)); diff != "" {
 		t.Error(diff)
 	}
-	d.Put(upstream("a", 6))
-	d.Remove(start, "b", 7)
-	d.Put(upstream("a", 8))
+	d.Put(start, upstream("a", 6))
+	d.Remove(start, "b", rev(7))
+	d.Put(start, upstream("a", 8))
 	if diff := cmp.Diff([]string{"+a", "-b"}, changesSince(t, d, mark)); diff != "" {
 		t.Error(diff)
 	}
@@ -194,9 +198,9 @@
 	for i := range 4 * maxRecentChanges {
 		id := string(rune('a' + i%7))
 		if i%3 == 2 {
-			from.Remove(start, ids.Upstream(id), int64(i+1))
+			from.Remove(start, ids.Upstream(id), rev(int64(i+1)))
 		} else {
-			from.Put(upstream(id, int64(i+1)))
+			from.Put(start, upstream(id, int64(i+1)))
 		}
 		if i%5 != 0 {
 			continue
@@ -210,59 +214,59 @@
 
 func TestOlderUpdateIsIgnored(t *testing.T) {
 	d := New()
-	d.Replace(start, []Upstream{upstream("a", 1)}, 5)
-	if d.Update(start, nil, []ids.Upstream{"a"}, 4) != nil || len(viewNames(d)) != 1 {
+	d.Replace(start, []Upstream{upstream("a", 1)}, rev(5))
+	if d.Update(start, nil, []ids.Upstream{"a"}, rev(4)) != nil || len(viewNames(d)) != 1 {
 		t.Error("an older update took effect")
 	}
-	if got := changeTexts(d.Update(start, []Upstream{upstream("b", 6)}, []ids.Upstream{"a", "x"}, 6)); !cmp.Equal(got, []string{"seen b", "gone a"}) {
+	if got := changeTexts(d.Update(start, []Upstream{upstream("b", 6)}, []ids.Upstream{"a", "x"}, rev(6))); !cmp.Equal(got, []string{"seen b", "gone a"}) {
 		t.Errorf("changes %v", got)
 	}
 }
 
 func TestNewUpstreamAtAnAddressReplacesTheOneBefore(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 1))
-	d.Put(upstream("b", 2))
+	d.Put(start, upstream("a", 1))
+	d.Put(start, upstream("b", 2))
 	next := upstream("a2", 5)
 	next.Address = "a:1"
-	if diff := cmp.Diff([]string{"gone a", "seen a2"}, changeTexts(d.Put(next))); diff != "" {
+	if diff := cmp.Diff([]string{"gone a", "seen a2"}, changeTexts(d.Put(start, next))); diff != "" {
 		t.Error(diff)
 	}
 	// The ended upstream's entry is still in the registry.
-	if changes := d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), next}, 6); changes != nil {
+	if changes := d.Replace(start, []Upstream{upstream("a", 1), upstream("b", 2), next}, rev(6)); changes != nil {
 		t.Errorf("a list restored the ended upstream: %v", changeTexts(changes))
 	}
 	// A late heartbeat changes the entry, or enters it again after its removal.
-	if changes := d.Put(upstream("a", 7)); changes != nil {
+	if changes := d.Put(start, upstream("a", 7)); changes != nil {
 		t.Errorf("a late heartbeat restored it: %v", changeTexts(changes))
 	}
 	if diff := cmp.Diff([]string{"a2", "b"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
-	if got := changeTexts(d.Remove(start, "a", 8)); got != nil {
+	if got := changeTexts(d.Remove(start, "a", rev(8))); got != nil {
 		t.Errorf("removal of the ended upstream: %v", got)
 	}
-	if changes := d.Put(upstream("a", 9)); changes != nil {
+	if changes := d.Put(start, upstream("a", 9)); changes != nil {
 		t.Errorf("a heartbeat after its removal restored it: %v", changeTexts(changes))
 	}
-	d.Remove(start, "a", 10)
-	d.Remove(start, "a2", 11)
+	d.Remove(start, "a", rev(10))
+	d.Remove(start, "a2", rev(11))
 	again := upstream("a3", 12)
 	again.Address = "a:1"
-	if got := changeTexts(d.Put(again)); !cmp.Equal(got, []string{"seen a3"}) {
+	if got := changeTexts(d.Put(start, again)); !cmp.Equal(got, []string{"seen a3"}) {
 		t.Errorf("new upstream at a free address: %v", got)
 	}
 }
 
 func TestChangedAddressFreesTheOld(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 1))
+	d.Put(start, upstream("a", 1))
 	moved := upstream("a", 2)
 	moved.Address = "x:1"
-	d.Put(moved)
+	d.Put(start, moved)
 	other := upstream("b", 3)
 	other.Address = "a:1"
-	if diff := cmp.Diff([]string{"seen b"}, changeTexts(d.Put(other))); diff != "" {
+	if diff := cmp.Diff([]string{"seen b"}, changeTexts(d.Put(start, other))); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -274,12 +278,12 @@
 	real := upstream("real", 3)
 	real.Address = "x:1"
 	// In a first list, only the revision shows which entry is newer.
-	d.Replace(start, []Upstream{late, real}, 6)
+	d.Replace(start, []Upstream{late, real}, rev(6))
 	if diff := cmp.Diff([]string{"late"}, viewNames(d)); diff != "" {
 		t.Fatal(diff)
 	}
 	mark := d.View().Mark
-	if diff := cmp.Diff([]string{"gone late", "seen real"}, changeTexts(d.Remove(start, "late", 7))); diff != "" {
+	if diff := cmp.Diff([]string{"gone late", "seen real"}, changeTexts(d.Remove(start, "late", rev(7)))); diff != "" {
 		t.Error(diff)
 	}
 	if diff := cmp.Diff([]string{"real"}, viewNames(d)); diff != "" {
@@ -295,13 +299,13 @@
 	mark := uint64(0)
 	for i := range 3000 {
 		id := fmt.Sprint("u", i*7%23)
-		revision := int64(i + 1)
+		number := int64(i + 1)
 		if i%4 == 3 {
-			from.Remove(start, ids.Upstream(id), revision)
+			from.Remove(start, ids.Upstream(id), rev(number))
 		} else {
-			u := upstream(id, revision)
+			u := upstream(id, number)
 			u.Address = fmt.Sprint("at", i*7%23%5)
-			from.Put(u)
+			from.Put(start, u)
 		}
 		mark = syncFollower(t, from, to, mark)
 	}
@@ -317,9 +321,9 @@
 		left   int
 	}{{minExpiryOutage - time.Millisecond, 0}, {minExpiryOutage, 1}} {
 		d := New()
-		d.Put(Upstream{ID: ids.Instance{Upstream: "u"}, Address: "a", Revision: 1})
+		d.Put(start, Upstream{ID: ids.Instance{Upstream: "u"}, Address: "a", Revision: rev(1)})
 		d.RegistryRecovered(at(1000), one.outage)
-		d.Remove(at(1100), "u", 2)
+		d.Remove(at(1100), "u", rev(2))
 		if left := len(d.View().All()); left != one.left {
 			t.Errorf("after an outage of %v: %d entries left, want %d", one.outage, left, one.left)
 		}
@@ -330,8 +334,8 @@
 // of a later entry, or because its entry was missing for a while.
 func TestWordOfLeavingIsNotTakenBack(t *testing.T) {
 	d := New()
-	entry := Upstream{ID: ids.Instance{Upstream: "a", StartedMs: 1}, Service: "s", Address: "x:1", Revision: 5}
-	d.Put(entry)
+	entry := Upstream{ID: ids.Instance{Upstream: "a", StartedMs: 1}, Service: "s", Address: "x:1", Revision: rev(5)}
+	d.Put(start, entry)
 	changes := d.SaidLeaving(entry.ID)
 	if len(changes) != 1 || changes[0].Kind != LeavingStarted || !d.View().Get(entry.ID).Leaving {
 		t.Fatalf("changes %+v", changes)
@@ -340,20 +344,20 @@
 		t.Errorf("changes when it says so again: %+v", again)
 	}
 	later := entry
-	later.Revision = 6
-	d.Put(later)
+	later.Revision = rev(6)
+	d.Put(start, later)
 	if !d.View().Get(entry.ID).Leaving {
 		t.Error("a later entry takes it back")
 	}
-	d.Remove(time.Unix(1, 0), "a", 7)
-	later.Revision = 8
-	d.Put(later)
+	d.Remove(time.Unix(1, 0), "a", rev(7))
+	later.Revision = rev(8)
+	d.Put(start, later)
 	if !d.View().Get(entry.ID).Leaving {
 		t.Error("an entry that was missing for a while takes it back")
 	}
 	restarted := later
-	restarted.ID.StartedMs, restarted.Revision = 2, 9
-	d.Put(restarted)
+	restarted.ID.StartedMs, restarted.Revision = 2, rev(9)
+	d.Put(start, restarted)
 	if d.View().Get(restarted.ID).Leaving {
 		t.Error("it holds for another start of the process")
 	}
@@ -362,16 +366,16 @@
 // A peer passes on an upstream's word that it leaves, which is no new revision of its entry.
 func TestWordOfLeavingReachesPeers(t *testing.T) {
 	d, peer := New(), New()
-	entry := Upstream{ID: ids.Instance{Upstream: "a"}, Service: "s", Address: "x:1", Revision: 5}
-	d.Put(entry)
-	peer.Put(entry)
+	entry := Upstream{ID: ids.Instance{Upstream: "a"}, Service: "s", Address: "x:1", Revision: rev(5)}
+	d.Put(start, entry)
+	peer.Put(start, entry)
 	mark := d.Mark()
 	d.SaidLeaving(entry.ID)
 	changed, _, known := d.View().Since(mark)
 	if !known || len(changed) != 1 {
 		t.Fatalf("changes %v, known %v", changed, known)
 	}
-	if changes := peer.Update(time.Unix(1, 0), []Upstream{*changed[0]}, nil, 5); len(changes) != 1 || changes[0].Kind != LeavingStarted {
+	if changes := peer.Update(time.Unix(1, 0), []Upstream{*changed[0]}, nil, rev(5)); len(changes) != 1 || changes[0].Kind != LeavingStarted {
 		t.Errorf("changes %+v", changes)
 	}
 	if !peer.View().Get(entry.ID).Leaving {
--- /dev/null
+++ b/decide/directory/epoch.go
@@ -0,0 +1,151 @@
+package directory
+
+import (
+	"time"
+
+	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
+)
+
+// A registry that was restored from an older copy lacks its latest changes, and gives
+// their revisions to other changes. The restoration begins a new epoch. In the first
+// list of an epoch:
+//
+//   - An entry that the list lacks stays active for RemovalGrace, as after an outage:
+//     its upstream writes it again.
+//   - An entry that is older than the known one is deferred, because the upstream may not
+//     have written it again yet. The known one stays active for RemovalGrace.
+//   - An entry of an upstream that was removed in an earlier epoch is deferred for
+//     returnHold. An upstream that is gone sends no heartbeats, so its entry is removed
+//     again before.
+//
+// A change of an entry in the new epoch was written by its upstream, so it is applied
+// at once. An upstream that was leaving stays so.
+
+// returnHold is how long after the beginning of an epoch the entry of an upstream that
+// had been removed before is deferred. It is longer than the registry waits for the
+// heartbeats of an upstream that is gone.
+const returnHold = 15 * time.Second
+
+// Limits of the removed entries that are remembered. A copy is some seconds old.
+const (
+	departureMemory = time.Minute
+	maxDepartures   = 6000
+)
+
+// deferredEntry is an entry that is applied at a later time, unless the registry
+// changes or removes it before.
+type deferredEntry struct {
+	upstream Upstream
+	until    time.Time
+}
+
+// departure is the removal of an entry.
+type departure struct {
+	instance ids.Instance
+	// at is the directory's revision after the removal.
+	at   revision.Revision
+	time time.Time
+}
+
+// advance moves the directory to a revision if that is later. A later epoch begins with
+// it. It returns false for a revision of an earlier epoch.
+func (d *Directory) advance(now time.Time, at revision.Revision) bool {
+	if at.Epoch < d.revision.Epoch {
+		return false
+	}
+	if at.Epoch > d.revision.Epoch && !d.revision.IsZero() {
+		d.beginEpoch(now)
+	}
+	d.revision = revision.Latest(d.revision, at)
+	return true
+}
+
+// beginEpoch starts the grace period of a new epoch.
+func (d *Directory) beginEpoch(now time.Time) {
+	d.epochSince = now
+	d.graceUntil = now.Add(RemovalGrace)
+	clear(d.deferred)
+	d.forgetDepartures(now)
+}
+
+// Deferred returns the number of entries that wait because they are older than what is
+// known.
+func (d *Directory) Deferred() int { return len(d.deferred) }
+
+// Missing returns the number of active entries that the registry lacks.
+func (d *Directory) Missing() int { return len(d.missingUntil) }
+
+// deferOlder defers a listed entry if the copy from which the registry was restored may
+// have brought it back. It reports whether it did.
+func (d *Directory) deferOlder(now time.Time, u *Upstream) bool {
+	if d.epochSince.IsZero() || u.Leaving || !d.isConfigured(u) {
+		return false
+	}
+	if waiting, ok := d.deferred[u.ID.Upstream]; ok && waiting.upstream.Revision == u.Revision {
+		return true
+	}
+	until, older := d.olderThanKnown(u)
+	if !older || !now.Before(until) {
+		return false
+	}
+	delete(d.missingUntil, u.ID.Upstream)
+	d.deferred[u.ID.Upstream] = deferredEntry{*u, until}
+	return true
+}
+
+// olderThanKnown reports whether an entry is older than what is known about its instance
+// from an earlier epoch, and until when the known state holds.
+func (d *Directory) olderThanKnown(u *Upstream) (until time.Time, older bool) {
+	if old := d.byID[u.ID.Upstream]; old != nil {
+		same := old.ID == u.ID || u.ID.StartedMs == 0
+		return d.epochSince.Add(RemovalGrace), same && isOlder(u.Revision, old.Revision) && !sameContent(u, old)
+	}
+	left, ok := d.departed[u.ID.Upstream]
+	return d.epochSince.Add(returnHold), ok && left.instance == u.ID && isOlder(u.Revision, left.at)
+}
+
+// isOlder reports whether a revision of a later epoch than known may be that of a
+// change before known, which the copy has kept.
+func isOlder(listed, known revision.Revision) bool {
+	return listed.Epoch > known.Epoch && listed.Number < known.Number
+}
+
+// sameContent reports whether two entries differ in nothing but their revision.
+func sameContent(a, b *Upstream) bool {
+	other := *b
+	other.Revision = a.Revision
+	return *a == other
+}
+
+// applyDeferred applies the deferred entries whose time has come.
+func (d *Directory) applyDeferred(changes []Change, now time.Time) []Change {
+	for id, waiting := range d.deferred {
+		if now.Before(waiting.until) {
+			continue
+		}
+		delete(d.deferred, id)
+		changes = d.put(changes, &waiting.upstream)
+	}
+	return changes
+}
+
+// depart removes an entry that the registry has removed, and remembers that.
+func (d *Directory) depart(changes []Change, now time.Time, u *Upstream) []Change {
+	if len(d.departed) >= maxDepartures {
+		d.forgetDepartures(now)
+	}
+	if len(d.departed) < maxDepartures {
+		d.departed[u.ID.Upstream] = departure{u.ID, d.revision, now}
+	}
+	return d.drop(changes, u)
+}
+
+// forgetDepartures forgets removals that no copy can undo any more.
+func (d *Directory) forgetDepartures(now time.Time) {
+	for id, left := range d.departed {
+		if now.Sub(left.time) > departureMemory {
+			delete(d.departed, id)
+		}
+	}
+}
--- a/decide/directory/restart_test.go
+++ b/decide/directory/restart_test.go
@@ -27,9 +27,9 @@
 	d := New()
 	leaving := holding(startedAt("a", 100, 1), 9)
 	leaving.Leaving = true
-	d.Put(leaving)
+	d.Put(start, leaving)
 	before := d.View().ByService("s")[0]
-	changes := d.Put(startedAt("a", 200, 2))
+	changes := d.Put(start, startedAt("a", 200, 2))
 	if diff := cmp.Diff([]string{"gone a", "seen a"}, changeTexts(changes)); diff != "" {
 		t.Error(diff)
 	}
@@ -44,8 +44,8 @@
 
 func TestEntryOfAnEarlierInstanceIsIgnored(t *testing.T) {
 	d := New()
-	d.Put(startedAt("a", 200, 2))
-	if changes := d.Put(holding(startedAt("a", 100, 3), 9)); len(changes) > 0 || !d.View().ByService("s")[0].Layers.Empty() {
+	d.Put(start, startedAt("a", 200, 2))
+	if changes := d.Put(start, holding(startedAt("a", 100, 3), 9)); len(changes) > 0 || !d.View().ByService("s")[0].Layers.Empty() {
 		t.Errorf("an entry of an earlier instance took effect: %v", changeTexts(changes))
 	}
 }
@@ -54,18 +54,18 @@
 	d := New()
 	a, b := startedAt("a", 100, 1), startedAt("b", 150, 2)
 	b.Address = a.Address
-	d.Put(a)
-	d.Put(b)
-	d.Remove(start, "a", 3)
+	d.Put(start, a)
+	d.Put(start, b)
+	d.Remove(start, "a", rev(3))
 	late := a
-	late.Revision = 4
-	d.Put(late)
+	late.Revision = rev(4)
+	d.Put(start, late)
 	if diff := cmp.Diff([]string{"b"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
 	again := a
-	again.ID.StartedMs, again.Revision = 300, 5
-	d.Put(again)
+	again.ID.StartedMs, again.Revision = 300, rev(5)
+	d.Put(start, again)
 	if diff := cmp.Diff([]string{"a"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
@@ -73,7 +73,7 @@
 
 func TestReportedRestartIsAppliedBeforeItsEntry(t *testing.T) {
 	d := New()
-	d.Put(holding(startedAt("a", 100, 1), 9))
+	d.Put(start, holding(startedAt("a", 100, 1), 9))
 	mark := d.Mark()
 	if changes := d.Restarted(ids.Instance{Upstream: "a", StartedMs: 100}); len(changes) > 0 {
 		t.Errorf("report of the known instance: %v", changeTexts(changes))
@@ -92,7 +92,7 @@
 		t.Errorf("changes since the mark: %+v", changed)
 	}
 	// This is an entry of the earlier instance that arrives late.
-	d.Put(holding(startedAt("a", 100, 2), 9))
+	d.Put(start, holding(startedAt("a", 100, 2), 9))
 	if u := d.View().ByService("s")[0]; u.ID.StartedMs != 300 {
 		t.Errorf("upstream %+v, want the later instance without layers", u)
 	}
@@ -102,30 +102,30 @@
 	d := New()
 	leaving := upstream("a", 1)
 	leaving.Leaving = true
-	d.Put(leaving)
-	if changes := d.Put(upstream("a", 2)); len(changes) != 1 || !changes[0].Upstream.Leaving {
+	d.Put(start, leaving)
+	if changes := d.Put(start, upstream("a", 2)); len(changes) != 1 || !changes[0].Upstream.Leaving {
 		t.Errorf("the upstream is no longer leaving: %v", changeTexts(changes))
 	}
-	d.Put(startedAt("b", 100, 3))
-	d.Put(upstream("b", 4))
-	if u := d.View().Get(ids.Instance{Upstream: "b", StartedMs: 100}); u == nil || u.Revision != 4 {
+	d.Put(start, startedAt("b", 100, 3))
+	d.Put(start, upstream("b", 4))
+	if u := d.View().Get(ids.Instance{Upstream: "b", StartedMs: 100}); u == nil || u.Revision != rev(4) {
 		t.Errorf("an entry without a start time was not applied to the known instance: %+v", u)
 	}
 }
 
 func TestInvalidEntryRemovesItsUpstreamAtOnce(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 1))
-	d.Put(upstream("b", 2))
+	d.Put(start, upstream("a", 1))
+	d.Put(start, upstream("b", 2))
 	d.RegistryRecovered(start, time.Minute)
-	if diff := cmp.Diff([]string{"gone a"}, changeTexts(d.Invalidate("a", 3))); diff != "" {
+	if diff := cmp.Diff([]string{"gone a"}, changeTexts(d.Invalidate(start, "a", rev(3)))); diff != "" {
 		t.Error(diff)
 	}
 	if diff := cmp.Diff([]string{"b"}, viewNames(d)); diff != "" {
 		t.Error(diff)
 	}
-	d.Put(upstream("a", 4))
-	if changes := d.Invalidate("a", 3); len(changes) > 0 {
+	d.Put(start, upstream("a", 4))
+	if changes := d.Invalidate(start, "a", rev(3)); len(changes) > 0 {
 		t.Errorf("an invalid entry that is older took effect: %v", changeTexts(changes))
 	}
 	if diff := cmp.Diff([]string{"a", "b"}, viewNames(d)); diff != "" {
@@ -135,18 +135,18 @@
 
 func TestEntryOfAnUnconfiguredServiceTakesNoAddress(t *testing.T) {
 	d := New()
-	d.Put(upstream("a", 1))
+	d.Put(start, upstream("a", 1))
 	odd := upstream("odd", 2)
 	odd.Service, odd.Address = "elsewhere", "a:1"
 	early := New()
-	early.Put(upstream("a", 1))
-	early.Put(odd)
+	early.Put(start, upstream("a", 1))
+	early.Put(start, odd)
 	changes := early.SetServices([]ids.Service{"s"})
 	if diff := cmp.Diff([]string{"gone odd", "seen a"}, changeTexts(changes)); diff != "" {
 		t.Error(diff)
 	}
 	d.SetServices([]ids.Service{"s"})
-	if changes := d.Put(odd); len(changes) > 0 {
+	if changes := d.Put(start, odd); len(changes) > 0 {
 		t.Errorf("unexpected changes: %v", changeTexts(changes))
 	}
 	if diff := cmp.Diff([]string{"a"}, viewNames(d)); diff != "" {
@@ -169,8 +169,8 @@
 	d.SetServices([]ids.Service{"s"})
 	odd := upstream("odd", 2)
 	odd.Service = "elsewhere"
-	d.Put(odd)
-	d.Remove(start, "odd", 3)
+	d.Put(start, odd)
+	d.Remove(start, "odd", rev(3))
 	if changes := d.SetServices([]ids.Service{"s", "elsewhere"}); len(changes) > 0 {
 		t.Errorf("unexpected changes: %v", changeTexts(changes))
 	}
--- a/decide/directory/unconfigured.go
+++ b/decide/directory/unconfigured.go
@@ -30,6 +30,11 @@
 	return changes
 }
 
+// isConfigured reports whether the service of an entry is configured, or none is known.
+func (d *Directory) isConfigured(u *Upstream) bool {
+	return d.services == nil || d.services[u.Service]
+}
+
 // sortedByID returns the upstreams of a map, sorted by ID.
 func sortedByID(byID map[ids.Upstream]*Upstream) []*Upstream {
 	return slices.SortedFunc(maps.Values(byID), func(a, b *Upstream) int { return a.ID.Compare(b.ID) })
--- a/decide/directory/view.go
+++ b/decide/directory/view.go
@@ -5,12 +5,13 @@
 	"slices"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 )
 
 // View is an immutable snapshot of a Directory. A nil View is empty.
 type View struct {
 	// Revision is the registry's revision of the snapshot.
-	Revision int64
+	Revision revision.Revision
 	// Mark is the number of changes that the Directory had made.
 	Mark     uint64
 	services map[ids.Service][]*Upstream
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -12,6 +12,7 @@
 	"mimosaarch.example/adapter/listwatch"
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
@@ -81,7 +82,7 @@
 		members[i].PeerAddress = l.Addr().String()
 		go func() { _ = relay.Serve(t.Context(), l, r) }()
 	}
-	n.fleet.setMembers(members, 1)
+	n.fleet.setMembers(members, revision.Of(1))
 	return n, r
 }
 
@@ -110,9 +111,9 @@
 // told if the store has said so.
 func TestLeavingsReachAllOtherNodesUnlessTheStoreTellsThem(t *testing.T) {
 	n, r := newBroadcastFleet(t)
-	entry := func(id ids.Upstream, revision int64, leaving bool) listwatch.Changes[directory.Upstream] {
-		u := directory.Upstream{ID: ids.Instance{Upstream: id}, Service: "s", Address: string(id) + ":1", Leaving: leaving, Revision: revision}
-		return listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &u}}, Revision: revision}
+	entry := func(id ids.Upstream, number int64, leaving bool) listwatch.Changes[directory.Upstream] {
+		u := directory.Upstream{ID: ids.Instance{Upstream: id}, Service: "s", Address: string(id) + ":1", Leaving: leaving, Revision: revision.Of(number)}
+		return listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &u}}, Revision: revision.Of(number)}
 	}
 	n.upstreams.Changed(entry("told", 1, false))
 	n.upstreams.Changed(entry("untold", 2, false))
--- a/node/entry/crash_catchup_test.go
+++ b/node/entry/crash_catchup_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/quarantine"
 )
 
@@ -58,7 +59,7 @@
 	for i := range members {
 		members[i].PeerAddress = frozenAddress(t)
 	}
-	n.fleet.setMembers(members, 1)
+	n.fleet.setMembers(members, revision.Of(1))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go n.crashes.catchUp(ctx)
@@ -77,7 +78,7 @@
 // Guards against the only node of a fleet that waits for peers.
 func TestNodeWithoutPeersDoesNotWait(t *testing.T) {
 	n := New(Settings{VM: "a-00", Zone: "a"}, Ports{}, zerolog.Nop())
-	n.fleet.setMembers(nil, 1)
+	n.fleet.setMembers(nil, revision.Of(1))
 	ctx, cancel := context.WithTimeout(t.Context(), maxCatchUpWait/2)
 	defer cancel()
 	n.crashes.search(ctx)
--- a/node/entry/crashes_test.go
+++ b/node/entry/crashes_test.go
@@ -12,6 +12,7 @@
 
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/roster"
 )
@@ -40,7 +41,7 @@
 		recorders[m.Name] = r
 		go func() { _ = relay.Serve(t.Context(), l, r) }()
 	}
-	n.fleet.setMembers(members, 1)
+	n.fleet.setMembers(members, revision.Of(1))
 	return n, recorders
 }
 
@@ -112,7 +113,7 @@
 		t.Errorf("without any keeper: %+v", role)
 	}
 	reached, _ := newCrashNode(t)
-	n.fleet.setMembers(slices.Clone(membersOf(reached)), 2)
+	n.fleet.setMembers(slices.Clone(membersOf(reached)), revision.Of(2))
 	n.crashes.sendReport(t.Context(), quarantine.Report{Service: service})
 	if role := n.crashes.role(service); role.Keeper {
 		t.Errorf("with keepers again: %+v", role)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -114,6 +114,8 @@
 	leavings   *outbox[saidLeaving]
 	permits    *permits
 	storeCalls *callCounter
+	// epoch is the latest epoch of the store that the node knows.
+	epoch atomic.Int64
 	// initialized is closed once the first configuration and directory have
 	// arrived and the node has caught up with its peers, or has waited for that.
 	initialized chan struct{}
@@ -172,6 +174,7 @@
 	n.configs.onMalformed = func(bad listwatch.Removal) { n.reportMalformed("configuration", bad) }
 	n.upstreams.onMalformed = func(bad listwatch.Removal) { n.reportMalformed("upstream", bad) }
 	n.upstreams.onRemoved = n.server.UpstreamRemoved
+	n.upstreams.onEpoch = n.logEpoch
 	n.upstreams.onStoreRecovered = func() {
 		n.server.StoreReconnected()
 		n.crashes.missed()
@@ -219,7 +222,7 @@
 		reason = fault.Reason()
 	}
 	n.metrics.Add("malformed."+kind+"."+reason, 1)
-	n.log.Error().Str("event", "object_malformed").Str("kind", kind).Str("name", bad.Name).Int64("revision", bad.Revision).
+	n.log.Error().Str("event", "object_malformed").Str("kind", kind).Str("name", bad.Name).Stringer("revision", bad.Revision).
 		Str("reason", reason).AnErr("error", bad.Malformed).Send()
 }
 
@@ -254,7 +257,7 @@
 func (n *Node) awaitDocuments(ctx context.Context) bool {
 	for {
 		changed := n.updates.next()
-		if n.configs.table.Load() != nil && n.upstreams.view.Load().Revision > 0 {
+		if n.configs.table.Load() != nil && !n.upstreams.view.Load().Revision.IsZero() {
 			return true
 		}
 		select {
@@ -274,7 +277,7 @@
 	for {
 		changed := n.updates.next()
 		update := n.currentUpdate(req)
-		if update.Config != nil || update.Packed != nil || update.Revision > 0 || update.Members != nil || update.Disconnected || req.WaitMs <= 0 {
+		if hasNews(&update) || update.Disconnected || update.Epoch < req.Epoch || req.WaitMs <= 0 {
 			return update
 		}
 		select {
@@ -287,21 +290,31 @@
 	}
 }
 
+// hasNews reports whether an update contains anything that its caller lacks.
+func hasNews(update *relay.Update) bool {
+	return update.Config != nil || update.Packed != nil || !update.Revision.IsZero() || update.Members != nil
+}
+
 // currentUpdate returns what is newer than the peer's state, without waiting.
 func (n *Node) currentUpdate(req relay.UpdateRequest) relay.Update {
-	update := relay.Update{ConfigRevision: n.configs.revision.Load()}
+	configRevision := n.configs.revision()
+	update := relay.Update{ConfigRevision: configRevision, Epoch: configRevision.Epoch}
 	n.fleet.addMembers(&update, req.Members)
 	now := boottime.Now()
 	if req.Want != relay.WantUpstreams {
 		update.RecordAge(n.configs.age(now))
 		update.Disconnected = n.configs.disconnected.Load()
-		if newest := n.configs.newest.Load(); newest != nil && newest.config.Version > req.ConfigVersion {
+		if newest := n.configs.newest.Load(); newest != nil && newest.isNewerThan(req.ConfigVersion) {
 			newest.addTo(&update, req.AcceptsPacked)
 		}
 	}
 	if req.Want == relay.WantConfig {
 		return update
 	}
+	epoch := n.upstreams.view.Load().Revision.Epoch
+	if req.Want == relay.WantUpstreams || epoch < update.Epoch {
+		update.Epoch = epoch
+	}
 	update.RecordAge(n.upstreams.age(now))
 	update.Disconnected = update.Disconnected || n.upstreams.disconnected.Load()
 	n.upstreams.addTo(&update, req)
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -10,6 +10,7 @@
 
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/roster"
 )
@@ -47,15 +48,15 @@
 
 // setMembers replaces the list of nodes by the list as of a revision of the
 // store. It ignores a list that is older than the current one.
-func (f *fleet) setMembers(members []roster.Member, revision int64) {
+func (f *fleet) setMembers(members []roster.Member, at revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision < f.listVersion.Revision {
+	if at.Before(f.listVersion.Revision) {
 		return
 	}
 	members = slices.Clone(members)
 	slices.SortFunc(members, func(a, b roster.Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	version := relay.MemberListVersion{Revision: revision, Digest: digest(members)}
+	version := relay.MemberListVersion{Revision: at, Digest: digest(members)}
 	if version.Digest != f.listVersion.Digest {
 		f.members, f.names = members, nil
 		for _, m := range members {
@@ -204,7 +205,7 @@
 func (f *fleet) addMembers(update *relay.Update, peer relay.MemberListVersion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listVersion.Digest != peer.Digest && f.listVersion.Revision > peer.Revision {
+	if f.listVersion.Digest != peer.Digest && f.listVersion.Revision.After(peer.Revision) {
 		update.Members, update.MembersRevision = f.members, f.listVersion.Revision
 	}
 }
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -137,7 +137,7 @@
 		return
 	}
 	req := m.node.upstreams.updateRequest(name)
-	req.ConfigVersion, req.Want = m.node.configs.version(), ""
+	req.ConfigVersion, req.Want, req.Epoch = m.node.configs.version(), "", m.node.epoch.Load()
 	req.Members = m.node.fleet.memberListVersion()
 	askedAt := boottime.Now()
 	update, err := relay.Fetch(ctx, peer, req)
@@ -149,9 +149,10 @@
 		m.node.fleet.setMembers(update.Members, update.MembersRevision)
 	}
 	if update.Config != nil {
-		m.node.configs.apply(update.Config, fromPeer(name, &update, askedAt))
+		m.node.configs.apply(update.Config, update.ConfigEpoch, fromPeer(name, &update, askedAt))
 	}
-	if update.Revision > req.Revision {
+	m.node.ObserveEpoch(update.Epoch)
+	if update.Revision.After(req.Revision) {
 		m.node.upstreams.merge(name, update, askedAt)
 	}
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -30,7 +30,8 @@
 		age, _ := n.configs.age(boottime.Now())
 		return age.Milliseconds()
 	})
-	n.metrics.Gauge("directory.revision", func() int64 { return n.upstreams.view.Load().Revision })
+	n.metrics.Gauge("directory.revision", func() int64 { return n.upstreams.view.Load().Revision.Number })
+	n.metrics.Gauge("store.epoch", n.epoch.Load)
 	n.metrics.Gauge("directory.upstreams", func() int64 { return int64(n.upstreams.view.Load().Len()) })
 	n.metrics.Gauge("directory.age_ms", func() int64 {
 		age, _ := n.upstreams.age(boottime.Now())
--- a/node/entry/shared_source.go
+++ b/node/entry/shared_source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,21 +13,24 @@
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/roster"
 	"mimosaarch.example/decide/routing"
 )
 
 // StalePeerError is returned when no peer has a recent answer of the store. Age
-// is the time since the store last answered the peer that was asked last.
+// is the time since the store last answered the peer that was asked last, and Epoch the
+// epoch of the store that this peer knows.
 type StalePeerError struct {
-	Peer ids.VM
-	Age  time.Duration
+	Peer  ids.VM
+	Age   time.Duration
+	Epoch int64
 }
 
 // Error implements error.
 func (e *StalePeerError) Error() string {
-	return "peer " + string(e.Peer) + " had no answer of the store for " + e.Age.String()
+	return "peer " + string(e.Peer) + " had no answer of the store for " + e.Age.String() + ", and knows epoch " + strconv.FormatInt(e.Epoch, 10)
 }
 
 // StoreUnresponsiveError is returned when the store has stopped answering this
@@ -49,7 +53,11 @@
 	// apply applies a peer's update and returns the revision up to which
 	// changes are included. askedAt is the time at which the peer was asked.
 	request func(peer ids.VM) relay.UpdateRequest
-	apply   func(peer ids.VM, update relay.Update, askedAt time.Time) int64
+	apply   func(peer ids.VM, update relay.Update, askedAt time.Time) revision.Revision
+	// epoch returns the latest epoch of the store that is known. observeEpoch records the
+	// epoch that a peer knows.
+	epoch        func() int64
+	observeEpoch func(int64)
 	// contact records answers of the store and of peers. probeNow requests a
 	// probe when a watch starts although the store has not answered recently.
 	// observe records the durations of calls to the store.
@@ -77,7 +85,7 @@
 // Watch implements listwatch.Source. It asks peers until one has a recent
 // answer of the store, or watches the store itself. It returns the last peer's
 // error if the search for a peer takes too long.
-func (s *sharedSource[T]) Watch(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
+func (s *sharedSource[T]) Watch(ctx context.Context, since revision.Revision, wait time.Duration) (listwatch.Changes[T], error) {
 	s.fleet.awaitReady(ctx)
 	start := boottime.Now()
 	for {
@@ -88,7 +96,7 @@
 		askedAt := boottime.Now()
 		update, err := s.fetchFresh(ctx, peer, askedAt)
 		if err == nil {
-			return listwatch.Changes[T]{Revision: max(since, s.apply(peer.Name, update, askedAt))}, nil
+			return listwatch.Changes[T]{Revision: revision.Latest(since, s.apply(peer.Name, update, askedAt))}, nil
 		}
 		if ctx.Err() != nil || s.fleet.searchExhausted(s.selector, start) {
 			return listwatch.Changes[T]{}, err
@@ -99,7 +107,7 @@
 // watchStore watches the store. Meanwhile it asks the other watchers, because
 // this node's own connection may have stalled. It returns a
 // *StoreUnresponsiveError once the store has stopped answering this node.
-func (s *sharedSource[T]) watchStore(ctx context.Context, since int64, wait time.Duration) (listwatch.Changes[T], error) {
+func (s *sharedSource[T]) watchStore(ctx context.Context, since revision.Revision, wait time.Duration) (listwatch.Changes[T], error) {
 	unresponsive := s.fleet.unresponsiveSignal()
 	if s.fleet.isStoreUnresponsive() {
 		return listwatch.Changes[T]{}, &StoreUnresponsiveError{}
@@ -162,6 +170,7 @@
 	req := s.request(peer.Name)
 	req.WaitMs = roster.PeerPollWait.Milliseconds()
 	req.Members = s.fleet.memberListVersion()
+	req.Epoch = s.epoch()
 	update, err := relay.Fetch(ctx, peer.PeerAddress, req)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -172,11 +181,12 @@
 	if update.Members != nil {
 		s.fleet.setMembers(update.Members, update.MembersRevision)
 	}
+	s.observeEpoch(update.Epoch)
 	return update, nil
 }
 
 // fetchFresh requests an update from a peer, accepts it only if the peer has a
-// recent answer of the store, and records the result in the roster. askedAt is
+// recent answer of the store in the latest epoch that is known, and records the result in the roster. askedAt is
 // the current time. The error is a *relay.CallError or a *StalePeerError.
 func (s *sharedSource[T]) fetchFresh(ctx context.Context, peer roster.Member, askedAt time.Time) (relay.Update, error) {
 	update, err := s.fetch(ctx, peer, askedAt)
@@ -185,10 +195,11 @@
 		return relay.Update{}, err
 	}
 	age := time.Duration(update.AgeMs) * time.Millisecond
-	if update.Disconnected || !roster.Fresh(age, update.Hops) {
-		s.logFailedFetch("peer_behind", peer.Name, askedAt).Dur("age_ms", age).Int("hops", update.Hops).Bool("lost", update.Disconnected).Send()
+	if update.Disconnected || update.Epoch < s.epoch() || !roster.Fresh(age, update.Hops) {
+		s.logFailedFetch("peer_behind", peer.Name, askedAt).Dur("age_ms", age).Int("hops", update.Hops).Bool("lost", update.Disconnected).
+			Int64("epoch", update.Epoch).Int64("known", s.epoch()).Send()
 		s.fleet.recordPeerStale(s.selector, peer.Name)
-		return relay.Update{}, &StalePeerError{Peer: peer.Name, Age: age}
+		return relay.Update{}, &StalePeerError{Peer: peer.Name, Age: age, Epoch: update.Epoch}
 	}
 	s.fleet.recordPeerFresh(s.selector, peer.Name)
 	s.contact.peerAnswered(age, update.Hops+1)
@@ -215,9 +226,11 @@
 		request: func(ids.VM) relay.UpdateRequest {
 			return relay.UpdateRequest{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
 		},
-		apply: func(peer ids.VM, update relay.Update, askedAt time.Time) int64 {
+		epoch:        n.epoch.Load,
+		observeEpoch: n.ObserveEpoch,
+		apply: func(peer ids.VM, update relay.Update, askedAt time.Time) revision.Revision {
 			if update.Config != nil {
-				n.configs.apply(update.Config, fromPeer(peer, &update, askedAt))
+				n.configs.apply(update.Config, update.ConfigEpoch, fromPeer(peer, &update, askedAt))
 			}
 			return update.ConfigRevision
 		},
@@ -236,8 +249,11 @@
 		observe:  n.metrics.ObserveDuration,
 		log:      n.log,
 		request:  n.upstreams.updateRequest,
-		apply: func(peer ids.VM, update relay.Update, askedAt time.Time) int64 {
-			if update.Revision > 0 {
+
+		epoch:        n.epoch.Load,
+		observeEpoch: n.ObserveEpoch,
+		apply: func(peer ids.VM, update relay.Update, askedAt time.Time) revision.Revision {
+			if !update.Revision.IsZero() {
 				n.upstreams.merge(peer, update, askedAt)
 			}
 			return update.Revision
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -13,6 +13,7 @@
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/roster"
@@ -68,7 +69,7 @@
 	return listwatch.List[routing.Config]{}, errRefused
 }
 
-func (s *refusingStore) Watch(context.Context, int64, time.Duration) (listwatch.Changes[routing.Config], error) {
+func (s *refusingStore) Watch(context.Context, revision.Revision, time.Duration) (listwatch.Changes[routing.Config], error) {
 	s.watches++
 	return listwatch.Changes[routing.Config]{}, errRefused
 }
@@ -80,25 +81,27 @@
 	members := zoneMembers("a", 4)
 	members[0].PeerAddress, members[1].PeerAddress, members[2].PeerAddress = first, second, second
 	f := newFleet(Settings{VM: members[3].Name, Zone: "a"}, boottime.Now, func(int) {})
-	f.setMembers(members, 1)
+	f.setMembers(members, revision.Of(1))
 	store := &refusingStore{}
 	return &sharedSource[routing.Config]{
 		store: store, fleet: f, selector: f.newSelector(), contact: &storeContact{}, probeNow: func() {},
-		observe: func(string, time.Duration) {},
-		request: func(ids.VM) relay.UpdateRequest { return relay.UpdateRequest{Want: relay.WantConfig} },
-		apply:   func(_ ids.VM, update relay.Update, _ time.Time) int64 { return update.ConfigRevision },
+		observe:      func(string, time.Duration) {},
+		request:      func(ids.VM) relay.UpdateRequest { return relay.UpdateRequest{Want: relay.WantConfig} },
+		apply:        func(_ ids.VM, update relay.Update, _ time.Time) revision.Revision { return update.ConfigRevision },
+		epoch:        func() int64 { return 0 },
+		observeEpoch: func(int64) {},
 	}, store
 }
 
 // TestStalePeerIsReplacedByAnother checks that the update comes from another
 // peer if the store has stopped answering the first one.
 func TestStalePeerIsReplacedByAnother(t *testing.T) {
-	_, behind := startPeer(t, relay.Update{ConfigRevision: 5, AgeMs: 60_000})
-	_, good := startPeer(t, relay.Update{ConfigRevision: 7, AgeMs: 100})
+	_, behind := startPeer(t, relay.Update{ConfigRevision: revision.Of(5), AgeMs: 60_000})
+	_, good := startPeer(t, relay.Update{ConfigRevision: revision.Of(7), AgeMs: 100})
 	s, store := newFollower(behind, good)
 	for range 4 {
-		changes, err := s.Watch(t.Context(), 5, time.Second)
-		if err != nil || changes.Revision != 7 {
+		changes, err := s.Watch(t.Context(), revision.Of(5), time.Second)
+		if err != nil || changes.Revision != revision.Of(7) {
 			t.Fatalf("%+v, %v", changes, err)
 		}
 	}
@@ -113,12 +116,12 @@
 // TestPeerThatLostTheStoreIsSkipped checks that a peer whose calls the store
 // rejects is skipped even if its last answer of the store is recent.
 func TestPeerThatLostTheStoreIsSkipped(t *testing.T) {
-	_, lost := startPeer(t, relay.Update{ConfigRevision: 5, AgeMs: 10, Disconnected: true})
-	_, good := startPeer(t, relay.Update{ConfigRevision: 7, AgeMs: 100})
+	_, lost := startPeer(t, relay.Update{ConfigRevision: revision.Of(5), AgeMs: 10, Disconnected: true})
+	_, good := startPeer(t, relay.Update{ConfigRevision: revision.Of(7), AgeMs: 100})
 	s, _ := newFollower(lost, good)
 	for range 4 {
-		changes, err := s.Watch(t.Context(), 5, time.Second)
-		if err != nil || changes.Revision != 7 {
+		changes, err := s.Watch(t.Context(), revision.Of(5), time.Second)
+		if err != nil || changes.Revision != revision.Of(7) {
 			t.Fatalf("%+v, %v", changes, err)
 		}
 	}
@@ -143,7 +146,7 @@
 	// An update with too many hops may have been passed around in a circle.
 	_, other := startPeer(t, relay.Update{AgeMs: 100, Hops: roster.MaxHops + 1})
 	s, store := newFollower(one, other)
-	_, err := s.Watch(t.Context(), 5, time.Second)
+	_, err := s.Watch(t.Context(), revision.Of(5), time.Second)
 	var behind *StalePeerError
 	if !errors.As(err, &behind) {
 		t.Errorf("error %v", err)
@@ -155,7 +158,7 @@
 
 func TestWatchFallsBackToTheStoreWhenPeersAreUnreachable(t *testing.T) {
 	s, store := newFollower("127.0.0.1:1", "127.0.0.1:1")
-	if _, err := s.Watch(t.Context(), 5, time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
+	if _, err := s.Watch(t.Context(), revision.Of(5), time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
 		t.Errorf("error %v after %d calls", err, store.watches)
 	}
 }
@@ -170,7 +173,7 @@
 	}
 	defer func() { _ = l.Close() }()
 	s, store := newFollower(l.Addr().String(), l.Addr().String())
-	if _, err := s.Watch(t.Context(), 5, time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
+	if _, err := s.Watch(t.Context(), revision.Of(5), time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
 		t.Errorf("error %v after %d calls", err, store.watches)
 	}
 }
@@ -179,15 +182,15 @@
 // of nodes receives the current one from a peer.
 func TestListOfNodesComesFromPeers(t *testing.T) {
 	all := append(zoneMembers("a", 4), zoneMembers("b", 2)...)
-	peer, address := startPeer(t, relay.Update{ConfigRevision: 7, Members: all, MembersRevision: 9})
+	peer, address := startPeer(t, relay.Update{ConfigRevision: revision.Of(7), Members: all, MembersRevision: revision.Of(9)})
 	s, _ := newFollower(address, address)
-	if _, err := s.Watch(t.Context(), 5, time.Second); err != nil {
+	if _, err := s.Watch(t.Context(), revision.Of(5), time.Second); err != nil {
 		t.Fatal(err)
 	}
-	if got := s.fleet.memberListVersion(); got.Revision != 9 || len(s.fleet.others()) != len(all)-1 {
+	if got := s.fleet.memberListVersion(); got.Revision != revision.Of(9) || len(s.fleet.others()) != len(all)-1 {
 		t.Errorf("list version %+v with %d others", got, len(s.fleet.others()))
 	}
-	if have := <-peer.requests; have.Members.Revision != 1 || have.Members.Digest == 0 {
+	if have := <-peer.requests; have.Members.Revision != revision.Of(1) || have.Members.Digest == 0 {
 		t.Errorf("request with list version %+v", have.Members)
 	}
 }
@@ -195,33 +198,33 @@
 func TestOlderListOfNodesIsIgnored(t *testing.T) {
 	notified := 0
 	f := newFleet(Settings{VM: "a-00", Zone: "a"}, boottime.Now, func(nodes int) { notified = nodes })
-	f.setMembers(zoneMembers("a", 4), 9)
-	f.setMembers(zoneMembers("a", 2), 8)
+	f.setMembers(zoneMembers("a", 4), revision.Of(9))
+	f.setMembers(zoneMembers("a", 2), revision.Of(8))
 	if notified != 4 {
 		t.Errorf("%d nodes after an older list, want 4", notified)
 	}
 	var update relay.Update
-	f.addMembers(&update, relay.MemberListVersion{Revision: 3, Digest: f.memberListVersion().Digest})
+	f.addMembers(&update, relay.MemberListVersion{Revision: revision.Of(3), Digest: f.memberListVersion().Digest})
 	if update.Members != nil {
 		t.Error("the list is sent to a peer that has it")
 	}
-	f.addMembers(&update, relay.MemberListVersion{Revision: 10, Digest: 1})
+	f.addMembers(&update, relay.MemberListVersion{Revision: revision.Of(10), Digest: 1})
 	if update.Members != nil {
 		t.Error("the list is sent to a peer with a newer one")
 	}
-	f.addMembers(&update, relay.MemberListVersion{Revision: 3, Digest: 1})
-	if len(update.Members) != 4 || update.MembersRevision != 9 {
+	f.addMembers(&update, relay.MemberListVersion{Revision: revision.Of(3), Digest: 1})
+	if len(update.Members) != 4 || update.MembersRevision != revision.Of(9) {
 		t.Errorf("update %+v", update)
 	}
 }
 
 func TestNodeWaitsForTheListOfNodes(t *testing.T) {
 	f := newFleet(Settings{VM: "a-03", Zone: "a"}, boottime.Now, func(int) {})
-	f.setMembers(zoneMembers("a", 1), 1)
+	f.setMembers(zoneMembers("a", 1), revision.Of(1))
 	if f.isReady() || f.isLeaseCandidate() || f.isWatcher() {
 		t.Error("a node acts on a list that does not contain it")
 	}
-	f.setMembers(zoneMembers("a", 4), 2)
+	f.setMembers(zoneMembers("a", 4), revision.Of(2))
 	f.awaitReady(t.Context())
 	if source, _ := f.nextSource(f.newSelector()); source != roster.Peer {
 		t.Errorf("source %v", source)
@@ -234,7 +237,7 @@
 	called chan struct{}
 }
 
-func (s *hangingStore) Watch(ctx context.Context, _ int64, _ time.Duration) (listwatch.Changes[routing.Config], error) {
+func (s *hangingStore) Watch(ctx context.Context, _ revision.Revision, _ time.Duration) (listwatch.Changes[routing.Config], error) {
 	s.called <- struct{}{}
 	<-ctx.Done()
 	return listwatch.Changes[routing.Config]{}, ctx.Err()
@@ -249,7 +252,7 @@
 		members[i].PeerAddress = others
 	}
 	s.store, s.fleet = store, newFleet(Settings{VM: members[0].Name, Zone: "a"}, boottime.Now, func(int) {})
-	s.fleet.setMembers(members, 1)
+	s.fleet.setMembers(members, revision.Of(1))
 	s.selector = s.fleet.newSelector()
 	return s
 }
@@ -263,7 +266,7 @@
 	s := newWatcher(store, others)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := s.watchStore(t.Context(), 5, time.Minute)
+		_, err := s.watchStore(t.Context(), revision.Of(5), time.Minute)
 		ended <- err
 	}()
 	<-store.called
@@ -272,21 +275,21 @@
 	if err := <-ended; !errors.As(err, &silent) {
 		t.Errorf("error %v", err)
 	}
-	if _, err := s.watchStore(t.Context(), 5, time.Minute); !errors.As(err, &silent) || len(store.called) != 0 {
+	if _, err := s.watchStore(t.Context(), revision.Of(5), time.Minute); !errors.As(err, &silent) || len(store.called) != 0 {
 		t.Errorf("error %v after %d more calls", err, len(store.called))
 	}
 	s.fleet.setStoreUnresponsive(false)
-	go func() { _, _ = s.watchStore(t.Context(), 5, time.Minute) }()
+	go func() { _, _ = s.watchStore(t.Context(), revision.Of(5), time.Minute) }()
 	<-store.called
 }
 
 // TestWatcherAppliesUpdatesOfOtherWatchers covers a watch whose own connection
 // has stalled: updates of another watcher must be applied during the watch.
 func TestWatcherAppliesUpdatesOfOtherWatchers(t *testing.T) {
-	_, others := startPeer(t, relay.Update{ConfigRevision: 7, AgeMs: 5})
+	_, others := startPeer(t, relay.Update{ConfigRevision: revision.Of(7), AgeMs: 5})
 	s := newWatcher(&hangingStore{called: make(chan struct{}, 1)}, others)
-	applied := make(chan int64, 100)
-	s.apply = func(_ ids.VM, update relay.Update, _ time.Time) int64 {
+	applied := make(chan revision.Revision, 100)
+	s.apply = func(_ ids.VM, update relay.Update, _ time.Time) revision.Revision {
 		applied <- update.ConfigRevision
 		return update.ConfigRevision
 	}
@@ -294,10 +297,10 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_, _ = s.watchStore(ctx, 5, time.Minute)
+		_, _ = s.watchStore(ctx, revision.Of(5), time.Minute)
 	}()
-	if revision := <-applied; revision != 7 {
-		t.Errorf("revision %d", revision)
+	if at := <-applied; at != revision.Of(7) {
+		t.Errorf("revision %s", at)
 	}
 	// A peer that answers at once must not be asked again at once.
 	time.Sleep(2 * roster.PeerPollWait)
@@ -313,7 +316,7 @@
 func TestFallbackToTheStoreIsFast(t *testing.T) {
 	s, store := newFollower("127.0.0.1:1", "127.0.0.1:1")
 	start := time.Now()
-	if _, err := s.Watch(t.Context(), 5, time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
+	if _, err := s.Watch(t.Context(), revision.Of(5), time.Second); !errors.Is(err, errRefused) || store.watches != 1 {
 		t.Errorf("error %v after %d calls", err, store.watches)
 	}
 	if took := time.Since(start); took > roster.PeerPollWait+roster.PeerReadTimeout {
@@ -332,7 +335,7 @@
 	s.probeNow = p.probeNow
 	go p.run(t.Context())
 	start := time.Now()
-	go func() { _, _ = s.watchStore(t.Context(), 5, time.Minute) }()
+	go func() { _, _ = s.watchStore(t.Context(), revision.Of(5), time.Minute) }()
 	store.ends <- nil
 	if took := time.Since(start); took > roster.ProbeInterval/2 {
 		t.Errorf("probed after %v", took)
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -14,6 +14,7 @@
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
 )
@@ -105,8 +106,9 @@
 	storeContact
 	log     zerolog.Logger
 	updates *notifier
-	// revision is the store's revision up to which changes are included.
-	revision atomic.Int64
+	// included is the store's revision up to which changes are included, nil before the
+	// first list.
+	included atomic.Pointer[revision.Revision]
 	table    atomic.Pointer[routing.Table]
 	// onActivated is called with the services of each configuration that
 	// becomes active.
@@ -127,9 +129,21 @@
 		c.onMalformed(bad)
 	}
 	for i := range list.Items {
-		c.apply(&list.Items[i], fromStore)
+		c.apply(&list.Items[i], list.Revision.Epoch, fromStore)
 	}
-	c.revision.Store(list.Revision)
+	c.include(list.Revision)
+}
+
+// include records the store's revision up to which changes are included.
+func (c *configs) include(at revision.Revision) { c.included.Store(&at) }
+
+// revision returns the store's revision up to which changes are included, or zero before
+// the first list.
+func (c *configs) revision() revision.Revision {
+	if included := c.included.Load(); included != nil {
+		return *included
+	}
+	return revision.Revision{}
 }
 
 // Changed implements listwatch.Sink.
@@ -137,12 +151,12 @@
 	for _, e := range changes.Events {
 		switch {
 		case e.Put != nil:
-			c.apply(e.Put, fromStore)
+			c.apply(e.Put, changes.Revision.Epoch, fromStore)
 		case e.Removed.Malformed != nil:
 			c.onMalformed(e.Removed)
 		}
 	}
-	c.revision.Store(changes.Revision)
+	c.include(changes.Revision)
 }
 
 // Failed implements listwatch.Sink. It wakes waiting peers so that they can ask
@@ -156,11 +170,15 @@
 // Recovered implements listwatch.Sink.
 func (c *configs) Recovered() { c.disconnected.Store(false) }
 
-// apply activates a configuration if it is valid and newer than the active one.
-func (c *configs) apply(config *routing.Config, from origin) {
+// apply activates a configuration that was read in an epoch of the store, if it is valid
+// and newer than the active one. The version decides. A store that was restored from an
+// older copy may have lost the active version; it stays active until a higher one is
+// accepted.
+func (c *configs) apply(config *routing.Config, epoch int64, from origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now := c.table.Load(); now != nil && now.Version() >= config.Version {
+	if active := c.newest.Load(); active != nil && !active.isReplacedBy(config) {
+		c.keep(active, config, epoch, from)
 		return
 	}
 	table, err := routing.Build(*config)
@@ -168,24 +186,43 @@
 		from.addTo(c.log.Error().Str("event", "configuration_refused")).Int64("version", config.Version).Err(err).Send()
 		return
 	}
-	c.newest.Store(&packableConfig{config: config, packed: sync.OnceValue(func() relay.Packed { return c.pack(config) })})
+	c.newest.Store(&packableConfig{config: config, epoch: epoch, packed: sync.OnceValue(func() relay.Packed { return c.pack(config) })})
 	c.table.Store(table)
 	c.onActivated(table.ServiceNames())
 	c.updates.notify()
-	from.addTo(c.log.Info().Str("event", "configuration")).Int64("version", config.Version).
+	from.addTo(c.log.Info().Str("event", "configuration")).Int64("version", config.Version).Int64("epoch", epoch).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
 }
 
+// keep keeps the active configuration in place of an older or equal one.
+func (c *configs) keep(active *packableConfig, other *routing.Config, epoch int64, from origin) {
+	if epoch > active.epoch && other.Version < active.config.Version {
+		from.addTo(c.log.Warn().Str("event", "configuration_older")).Int64("version", other.Version).Int64("epoch", epoch).
+			Int64("active", active.config.Version).Send()
+	}
+}
+
 // packableConfig is a configuration and its packed form for peers, which is
 // created on first use.
 type packableConfig struct {
 	config *routing.Config
+	// epoch is the store's epoch in which the content was read.
+	epoch  int64
 	packed func() relay.Packed
 }
 
+// isReplacedBy reports whether another configuration is newer.
+func (p *packableConfig) isReplacedBy(other *routing.Config) bool {
+	return other.Version > p.config.Version
+}
+
+// isNewerThan reports whether the configuration is newer than that of a version.
+func (p *packableConfig) isNewerThan(version int64) bool { return p.config.Version > version }
+
 // addTo adds the configuration to an update for a peer, packed if the peer
 // accepts that.
 func (p *packableConfig) addTo(update *relay.Update, acceptsPacked bool) {
+	update.ConfigEpoch = p.epoch
 	if acceptsPacked {
 		update.Packed = p.packed()
 	}
@@ -228,7 +265,9 @@
 	onStoreRecovered func()
 	// onMalformed is called for each entry that cannot be decoded.
 	onMalformed func(listwatch.Removal)
-	view        atomic.Pointer[directory.View]
+	// onEpoch is called when the directory enters a later epoch of the store.
+	onEpoch func(epochChange)
+	view    atomic.Pointer[directory.View]
 	// disconnected is set while the directory cannot be followed.
 	disconnected atomic.Bool
 
@@ -255,23 +294,23 @@
 // Listed implements listwatch.Sink.
 func (u *upstreams) Listed(list listwatch.List[directory.Upstream]) {
 	u.update(fromStore, func(d *directory.Directory, now time.Time) []directory.Change {
-		var all []directory.Change
+		if list.Revision.Before(d.Revision()) {
+			u.logIgnored("list", list.Revision, d).Send()
+		}
+		all := d.Replace(now, list.Items, list.Revision)
 		for _, bad := range list.Malformed {
 			u.onMalformed(bad)
-			all = append(all, d.Invalidate(ids.Upstream(bad.Name), bad.Revision)...)
-		}
-		if list.Revision < d.Revision() {
-			u.logIgnored("list", list.Revision, d).Send()
+			all = append(all, d.Invalidate(now, ids.Upstream(bad.Name), bad.Revision)...)
 		}
-		return append(all, d.Replace(now, list.Items, list.Revision)...)
+		return all
 	})
 }
 
 // logIgnored starts a log line about an answer of the store that is ignored because the
 // directory d has a higher revision.
-func (u *upstreams) logIgnored(what string, revision int64, d *directory.Directory) *zerolog.Event {
+func (u *upstreams) logIgnored(what string, at revision.Revision, d *directory.Directory) *zerolog.Event {
 	return u.log.Warn().Str("event", "answer_ignored").Str("kind", upstreamCollection).Str("answer", what).
-		Int64("revision", revision).Int64("known", d.Revision())
+		Stringer("revision", at).Stringer("known", d.Revision())
 }
 
 // Changed implements listwatch.Sink.
@@ -282,13 +321,13 @@
 			id := ids.Upstream(e.Removed.Name)
 			switch {
 			case e.Put != nil:
-				all = append(all, d.Put(*e.Put)...)
+				all = append(all, d.Put(now, *e.Put)...)
 			case e.Removed.Malformed != nil:
 				u.onMalformed(e.Removed)
-				all = append(all, d.Invalidate(id, e.Removed.Revision)...)
+				all = append(all, d.Invalidate(now, id, e.Removed.Revision)...)
 			default:
-				if known := d.EntryRevision(id); known > e.Removed.Revision {
-					u.logIgnored("removal", e.Removed.Revision, d).Str("upstream", e.Removed.Name).Int64("entry_revision", known).Send()
+				if known := d.EntryRevision(id); known.After(e.Removed.Revision) {
+					u.logIgnored("removal", e.Removed.Revision, d).Str("upstream", e.Removed.Name).Stringer("entry_revision", known).Send()
 				}
 				all = append(all, d.Remove(now, id, e.Removed.Revision)...)
 			}
@@ -305,7 +344,12 @@
 // asked.
 func (u *upstreams) merge(peer ids.VM, update relay.Update, askedAt time.Time) {
 	u.update(fromPeer(peer, &update, askedAt), func(d *directory.Directory, now time.Time) []directory.Change {
-		if update.Revision < d.Revision() {
+		if update.Revision.Before(d.Revision()) {
+			return nil
+		}
+		if update.Delta && update.Revision.Epoch != d.Revision().Epoch {
+			// The changes are those to a state of another epoch. The next update is whole.
+			delete(u.bases, peer)
 			return nil
 		}
 		if u.disconnected.Load() && !u.heardFromPeer {
@@ -337,14 +381,15 @@
 func (u *upstreams) addTo(update *relay.Update, req relay.UpdateRequest) {
 	view := u.view.Load()
 	var changed []*directory.Upstream
-	known := req.Base.Process == u.process
+	sameEpoch := req.Revision.Epoch == view.Revision.Epoch
+	known := sameEpoch && req.Base.Process == u.process
 	if known {
 		changed, update.Gone, update.Delta = view.Since(req.Base.Mark)
 	}
 	// A peer without a known base may also lack changes that have no revision of
 	// their own, such as the end of a removal grace period.
 	nothing := known && len(changed)+len(update.Gone) == 0
-	if view.Revision < req.Revision || view.Revision == req.Revision && nothing {
+	if view.Revision.Before(req.Revision) || view.Revision == req.Revision && nothing {
 		return
 	}
 	update.Revision, update.Base = view.Revision, relay.Base{Process: u.process, Mark: view.Mark}
@@ -354,8 +399,9 @@
 	}
 	for _, up := range view.All() {
 		update.Present = append(update.Present, up.ID.Upstream)
-		// An upstream may have said itself that it is leaving, which is no new revision.
-		if up.Revision > req.Revision || up.Leaving {
+		// An upstream may have said itself that it is leaving, which is no new revision. Entries
+		// may have gone back between epochs.
+		if up.Revision.After(req.Revision) || up.Leaving || !sameEpoch {
 			update.Upstreams = append(update.Upstreams, *up)
 		}
 	}
@@ -454,10 +500,13 @@
 	}
 	u.view.Store(u.directory.View())
 	u.updates.notify()
+	if after := u.directory.Revision(); after.Epoch != before.Epoch && !before.IsZero() {
+		u.onEpoch(epochChange{before: before, after: after, missing: u.directory.Missing(), deferred: u.directory.Deferred(), from: from})
+	}
 	for _, c := range changes {
 		from.addTo(u.log.Info().Str("event", "upstream_"+string(c.Kind))).Str("upstream", c.Upstream.ID.String()).
 			Str("service", string(c.Upstream.Service)).Str("address", c.Upstream.Address).Str("zone", string(c.Upstream.Zone)).
-			Str("layers", c.Upstream.Layers.String()).Int64("revision", u.directory.Revision()).Send()
+			Str("layers", c.Upstream.Layers.String()).Stringer("revision", u.directory.Revision()).Send()
 		if c.Kind == directory.Removed {
 			u.onRemoved(c.Upstream)
 		}
--- a/node/entry/upstreams_test.go
+++ b/node/entry/upstreams_test.go
@@ -15,6 +15,7 @@
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 )
 
@@ -22,7 +23,7 @@
 func upstreamList(n int) []directory.Upstream {
 	var out []directory.Upstream
 	for i := range n {
-		out = append(out, directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(fmt.Sprintf("u-%04d", i))}, Service: "s", Address: fmt.Sprint("at ", i), Revision: int64(i + 1)})
+		out = append(out, directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(fmt.Sprintf("u-%04d", i))}, Service: "s", Address: fmt.Sprint("at ", i), Revision: revision.Of(int64(i + 1))})
 	}
 	return out
 }
@@ -34,7 +35,7 @@
 	u.onRemoved = func(*directory.Upstream) {}
 	u.onStoreRecovered = func() {}
 	if list != nil {
-		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: int64(len(list))})
+		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: revision.Of(int64(len(list)))})
 	}
 	return u
 }
@@ -45,17 +46,17 @@
 	var update relay.Update
 	peer := ids.VM(from.process)
 	from.addTo(&update, to.updateRequest(peer))
-	if update.Revision > 0 {
+	if !update.Revision.IsZero() {
 		to.merge(peer, update, boottime.Now())
 	}
 	return update
 }
 
 // removalOf returns the change that removes an upstream.
-func removalOf(name string, revision int64) listwatch.Changes[directory.Upstream] {
+func removalOf(name string, number int64) listwatch.Changes[directory.Upstream] {
 	return listwatch.Changes[directory.Upstream]{
-		Events:   []listwatch.Event[directory.Upstream]{{Removed: listwatch.Removal{Name: name, Revision: revision}}},
-		Revision: revision,
+		Events:   []listwatch.Event[directory.Upstream]{{Removed: listwatch.Removal{Name: name, Revision: revision.Of(number)}}},
+		Revision: revision.Of(number),
 	}
 }
 
@@ -72,7 +73,7 @@
 	if to.view.Load().Get(instance("u-0007")) != nil || len(to.view.Load().All()) != 2999 {
 		t.Error("the removal did not take effect")
 	}
-	if again := transferUpdate(to, from); again.Revision != 0 {
+	if again := transferUpdate(to, from); !again.Revision.IsZero() {
 		t.Errorf("update without a change is not empty: %+v", again)
 	}
 }
@@ -93,7 +94,7 @@
 func TestRemovalAfterTheGracePeriodReachesPeers(t *testing.T) {
 	from, to := listedUpstreams("p", upstreamList(3)), listedUpstreams("q", nil)
 	from.Recovered()
-	from.Listed(listwatch.List[directory.Upstream]{Items: upstreamList(2), Revision: 9})
+	from.Listed(listwatch.List[directory.Upstream]{Items: upstreamList(2), Revision: revision.Of(9)})
 	transferUpdate(to, from)
 	if to.view.Load().Get(instance("u-0002")) == nil {
 		t.Fatal("a missing upstream was removed before the end of the grace period")
@@ -121,8 +122,8 @@
 	if left := len(to.view.Load().All()); left != 3 {
 		t.Errorf("%d of 3 upstreams are left after the first peer's update", left)
 	}
-	back := directory.Upstream{ID: ids.Instance{Upstream: "u-0001"}, Service: "s", Address: "at 1", Revision: 10}
-	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: 10})
+	back := directory.Upstream{ID: ids.Instance{Upstream: "u-0001"}, Service: "s", Address: "at 1", Revision: revision.Of(10)}
+	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &back}}, Revision: revision.Of(10)})
 	transferUpdate(to, from)
 	to.update(origin{from: "expired"}, func(d *directory.Directory, now time.Time) []directory.Change {
 		return d.Expire(now.Add(2 * directory.RemovalGrace))
@@ -172,7 +173,7 @@
 func TestUpstreamLogLineNamesItsOrigin(t *testing.T) {
 	var log bytes.Buffer
 	to := newUpstreams("to", zerolog.New(&log), newNotifier())
-	update := relay.Update{Revision: 7, Upstreams: []directory.Upstream{{ID: ids.Instance{Upstream: "e"}, Revision: 7}}, Present: []ids.Upstream{"e"}, AgeMs: 1500, Hops: 1}
+	update := relay.Update{Revision: revision.Of(7), Upstreams: []directory.Upstream{{ID: ids.Instance{Upstream: "e"}, Revision: revision.Of(7)}}, Present: []ids.Upstream{"e"}, AgeMs: 1500, Hops: 1}
 	to.merge("vm-2", update, boottime.Now().Add(-time.Second))
 	var line struct {
 		Event, From, Peer string
