A new epoch of the store ends the term of the lease for orders

What operators and engines saw: after the store had come back from a copy, no node wrote the lease again until a node was restarted. The candidates called the store some nine times a second each all the while (524 ignored answers in 20 s, three nodes). On deployments whose engines check fencing tokens the last holder went on with the token of a term that the store had forgotten; on others no order could be sent, so that a lost engine was not replaced.

Cause: the lease ignores an object whose version is not above the known one. After the return every version was below it, so that the holder's condition never held. A new holder would have got a token below those that engines had seen.

Change: the lease compares versions with their epoch. The term of a holder ends as soon as it learns of a later epoch, from an answer about the lease, from any other response of the store or from a peer. Nobody acquires the lease until a whole duration has passed since they learned of the epoch, as the store may have forgotten a holder; a process whose own lease would still be valid may do so at once, since no other can have acquired it. The fencing token contains the epoch above the number, so it is above all that the store has forgotten. A condition about a version of an earlier epoch is not sent.

--- a/adapter/leader/leader.go
+++ b/adapter/leader/leader.go
@@ -102,9 +102,9 @@
 		return
 	}
 	known := e.lease.Version()
-	ignored := answer.Version < known
+	ignored := answer.Version.Before(known)
 	if ignored && !e.ignoring {
-		e.opts.Log.Warn().Str("event", "answer_ignored").Str("kind", "lease").Int64("revision", answer.Version).Int64("known", known).Send()
+		e.opts.Log.Warn().Str("event", "answer_ignored").Str("kind", "lease").Stringer("revision", answer.Version).Stringer("known", known).Send()
 	}
 	e.ignoring = ignored
 }
@@ -157,6 +157,14 @@
 	e.lease.StepDown()
 }
 
+// ObserveEpoch records that the store is in an epoch, which may be news from a peer. A
+// later epoch than the known one ends this node's term.
+func (e *Elector) ObserveEpoch(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease.ObserveEpoch(e.opts.Now(), epoch)
+}
+
 // Resign releases the lease with the next call.
 func (e *Elector) Resign() {
 	e.mu.Lock()
--- a/adapter/leader/leader_test.go
+++ b/adapter/leader/leader_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/lease"
 )
 
@@ -15,7 +16,7 @@
 
 // object implements Store in memory.
 type object struct {
-	version int64
+	version revision.Revision
 	record  lease.Record
 	// down makes calls fail. calls counts all calls.
 	down  atomic.Bool
@@ -29,10 +30,10 @@
 		return lease.Answer{Kind: lease.Failed}
 	}
 	if w, ok := c.(lease.Write); ok && w.IfMatch == o.version {
-		o.version++
+		o.version.Number++
 		o.record = w.Record
 	}
-	if o.version == 0 {
+	if o.version.IsZero() {
 		return lease.Answer{Kind: lease.Absent}
 	}
 	return lease.Answer{Kind: lease.Found, Version: o.version, Record: o.record}
--- a/adapter/orders/calls.go
+++ b/adapter/orders/calls.go
@@ -10,6 +10,7 @@
 	"mimosaarch.example/adapter/platform"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/platformapi"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/order"
 )
@@ -27,7 +28,7 @@
 	var err error
 	switch c := command.(type) {
 	case lease.Write:
-		object, err = l.opts.Platform.Put(callCtx, key, encodeRecord(c.Record), c.IfMatch)
+		object, err = l.opts.Platform.Put(callCtx, key, encodeRecord(c.Record), c.IfMatch.Number)
 	default:
 		object, err = l.opts.Platform.Get(callCtx, key)
 	}
@@ -63,11 +64,12 @@
 	if object.Version == 0 || object.Deleted {
 		return lease.Answer{Kind: lease.Absent}
 	}
+	version := revision.Of(object.Version)
 	var record lease.Record
 	if err := json.Unmarshal(object.Value, &record); err != nil {
-		return lease.Answer{Kind: lease.Unreadable, Version: object.Version}
+		return lease.Answer{Kind: lease.Unreadable, Version: version}
 	}
-	return lease.Answer{Kind: lease.Found, Version: object.Version, Record: record}
+	return lease.Answer{Kind: lease.Found, Version: version, Record: record}
 }
 
 // readPlans reads the plans in its own goroutine.
--- a/adapter/orders/orders_test.go
+++ b/adapter/orders/orders_test.go
@@ -15,6 +15,7 @@
 	"mimosaarch.example/core/engineapi"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/platformapi"
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/order"
 )
@@ -249,7 +250,7 @@
 		held.Tick(began)
 		held.Answered(began, lease.Answer{Kind: lease.Absent})
 		write := held.Tick(began).(lease.Write)
-		held.Answered(began, lease.Answer{Kind: lease.Found, Version: 3, Record: write.Record})
+		held.Answered(began, lease.Answer{Kind: lease.Found, Version: revision.Of(3), Record: write.Record})
 		c.lease = manualLease{held}
 	}
 	s := order.Send{Order: engineapi.Order{Fence: 3}, Timeout: time.Second, MinLeaseRemaining: lease.DefaultDuration / 3}
--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -15,9 +15,15 @@
 //     has a unique ID.
 //
 // A new term begins with each takeover, and also when a holder acquires its own
-// lease again after it expired. The object's version at the first write of a
-// term is the term's fencing token. Versions in the store only increase, so
-// later terms have higher tokens.
+// lease again after it expired. The fencing token of a term is that of the object's
+// version at the first write of the term. Versions only increase, so later terms have
+// higher tokens.
+//
+// A store that is restored from an older copy begins a new epoch of its versions. It
+// may have forgotten the lease, or name an earlier holder. A term therefore ends when
+// its holder learns of a new epoch, and nobody acquires the lease until a whole duration
+// has passed since they learned of it. Only a process whose lease would still be valid
+// may do so before: no other can have acquired it.
 //
 // The package is pure: it does no I/O and reads no clock. The same events and
 // seed lead to the same commands. A Lease is not safe for concurrent use.
@@ -28,6 +34,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"mimosaarch.example/core/revision"
 )
 
 // Options configure a Lease. Holder is required; other zero fields take their
@@ -125,9 +133,10 @@
 // Write requests a conditional update of the object.
 type Write struct {
 	Record Record
-	// IfMatch is the version that the object must have; 0 means that the object
-	// must not exist.
-	IfMatch int64
+	// IfMatch is the version that the object must have; the number 0 means that the
+	// object must not exist. The write must not be sent to a store that is known to be
+	// in another epoch, in which the same number stands for another version.
+	IfMatch revision.Revision
 }
 
 // String implements fmt.Stringer.
@@ -140,7 +149,7 @@
 
 // String implements fmt.Stringer.
 func (w Write) String() string {
-	return fmt.Sprintf("write holder %q term %d change %s if %d", w.Record.Holder, w.Record.Term, w.Record.Change, w.IfMatch)
+	return fmt.Sprintf("write holder %q term %d change %s if %s", w.Record.Holder, w.Record.Term, w.Record.Change, w.IfMatch)
 }
 
 func (Read) isCommand()  {}
@@ -149,8 +158,9 @@
 // Answer is the outcome of a Command.
 type Answer struct {
 	Kind AnswerKind
-	// Version and Record are the object's. They are set if Kind is Found.
-	Version int64
+	// Version and Record are the object's. They are set if Kind is Found. If Kind is
+	// Absent, Version contains only the epoch.
+	Version revision.Revision
 	Record  Record
 }
 
@@ -192,10 +202,20 @@
 	// candidate is false after Resign.
 	candidate bool
 
-	// known reports whether the object was read. version is 0 if it does not
-	// exist.
+	// epoch is the latest epoch of the store that is known, and epochSince when it
+	// became known. epochSince is zero if the store does not report epochs.
+	epoch      int64
+	epochSince time.Time
+	// heldUntil is when the last term of this process in an earlier epoch would have
+	// expired. No other process can have acquired the lease before.
+	heldUntil time.Time
+	// highestTerm is the highest term that was seen in earlier epochs.
+	highestTerm int64
+
+	// known reports whether the object was read in the epoch. The number of version is
+	// 0 if it does not exist.
 	known   bool
-	version int64
+	version revision.Revision
 	record  Record
 	// versionSeenAt is when the current version was first seen.
 	versionSeenAt time.Time
@@ -242,8 +262,8 @@
 // seedStream is the second half of the random source's seed.
 const seedStream = 0x6c65617365
 
-// Version returns the version of the object as far as this process knows it, or 0.
-func (l *Lease) Version() int64 { return l.version }
+// Version returns the version of the object as far as this process knows it, or zero.
+func (l *Lease) Version() revision.Revision { return l.version }
 
 // State returns whether the lease is held at now. Callers must read the clock
 // and call State right before each action that depends on the lease.
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"mimosaarch.example/core/revision"
 )
 
 func TestMain(m *testing.M) {
@@ -20,6 +22,9 @@
 	os.Exit(m.Run())
 }
 
+// rev returns a version without an epoch.
+func rev(number int64) revision.Revision { return revision.Of(number) }
+
 var start = time.Unix(1000, 0)
 
 const duration = 10 * time.Second
@@ -59,7 +64,7 @@
 
 // written returns the answer to a successful write.
 func written(c Command, version int64) Answer {
-	return Answer{Kind: Found, Version: version, Record: c.(Write).Record}
+	return Answer{Kind: Found, Version: rev(version), Record: c.(Write).Record}
 }
 
 func TestAcquireRenewLapse(t *testing.T) {
@@ -93,7 +98,7 @@
 
 func TestTakeoverWaitsAWholeDuration(t *testing.T) {
 	s := &script{l: newLease("b")}
-	held := Answer{Kind: Found, Version: 5, Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}}
+	held := Answer{Kind: Found, Version: rev(5), Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}}
 	s.tick(0)
 	s.answer(0, held)
 	for seconds := 1; seconds <= 10; seconds++ {
@@ -117,7 +122,7 @@
 	s.l.Tick(start)
 	for i := range 10 {
 		seconds := float64(i) * 6
-		s.answer(seconds, Answer{Kind: Found, Version: int64(5 + i), Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}})
+		s.answer(seconds, Answer{Kind: Found, Version: rev(int64(5 + i)), Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}})
 		if c := s.tick(seconds + 6); c != (Read{}) {
 			t.Fatalf("%v: %v", seconds, c)
 		}
@@ -203,7 +208,7 @@
 	s.l.StepDown()
 	s.state(2)
 	s.tick(2)
-	s.answer(2, Answer{Kind: Found, Version: 5, Record: Record{Holder: "a", Term: 1}})
+	s.answer(2, Answer{Kind: Found, Version: rev(5), Record: Record{Holder: "a", Term: 1}})
 	s.answer(3, written(s.tick(3), 6))
 	w := s.tick(8)
 	s.l.Resign()
@@ -221,7 +226,7 @@
 9: write holder "" term 2 change a-4 if 7`)
 	other := &script{l: newLease("b")}
 	other.tick(0)
-	other.answer(0, Answer{Kind: Found, Version: 8, Record: Record{Term: 2, DurationNs: int64(duration)}})
+	other.answer(0, Answer{Kind: Found, Version: rev(8), Record: Record{Term: 2, DurationNs: int64(duration)}})
 	other.tick(0)
 	other.want(t, "0: read\n0: write holder \"b\" term 3 change b-1 if 8")
 }
@@ -229,7 +234,7 @@
 func TestDeletedObjectIsNotFreeAtOnce(t *testing.T) {
 	s := &script{l: newLease("b")}
 	s.tick(0)
-	s.answer(0, Answer{Kind: Found, Version: 5, Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}})
+	s.answer(0, Answer{Kind: Found, Version: rev(5), Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}})
 	s.tick(5)
 	s.answer(5, Answer{Kind: Absent})
 	for seconds := 6.0; seconds < 16; seconds++ {
@@ -265,19 +270,32 @@
 
 // store holds the lease object.
 type store struct {
+	// epoch counts the restorations, and changes counts the changes of all objects.
+	epoch, changes int64
+	// version is the value of changes at the last write of the lease, 0 without one.
 	version int64
 	record  Record
 }
 
+// apply executes a command. A store compares only numbers, also with a condition about a
+// version of an earlier epoch.
 func (s *store) apply(c Command) Answer {
-	if w, ok := c.(Write); ok && w.IfMatch == s.version {
-		s.version++
+	if w, ok := c.(Write); ok && w.IfMatch.Number == s.version {
+		s.changes++
+		s.version = s.changes
 		s.record = w.Record
 	}
 	if s.version == 0 {
-		return Answer{Kind: Absent}
+		return Answer{Kind: Absent, Version: revision.Revision{Epoch: s.epoch}}
 	}
-	return Answer{Kind: Found, Version: s.version, Record: s.record}
+	return Answer{Kind: Found, Version: revision.Revision{Epoch: s.epoch, Number: s.version}, Record: s.record}
+}
+
+// restore replaces the content by that of a copy.
+func (s *store) restore(from store) {
+	epoch := s.epoch + 1
+	*s = from
+	s.epoch = epoch
 }
 
 // step runs the participant for one step of true time.
@@ -316,45 +334,62 @@
 	}
 }
 
+// newParticipants returns three processes with different clocks and links.
+func newParticipants(t *rapid.T) []*participant {
+	var all []*participant
+	for i := range 3 {
+		all = append(all, &participant{
+			lease:  New(Options{Holder: fmt.Sprint("h", i), Duration: duration, Seed: uint64(i)}),
+			offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "skew")) * time.Second,
+			slow:   rapid.SampledFrom([]int{0, 1, 9}).Draw(t, "slow"),
+		})
+	}
+	return all
+}
+
+// holderCheck checks that there is at most one holder at a time, and that fencing tokens never
+// go back.
+type holderCheck struct {
+	highest int64
+	// held is the number of steps with a holder.
+	held, takeovers int
+}
+
+func (h *holderCheck) step(t *rapid.T, all []*participant, step int) {
+	holders := 0
+	for _, c := range all {
+		// A paused process counts as well, because it could resume
+		// within this second.
+		st := c.lease.State(start.Add(time.Duration(step)*time.Second + c.offset))
+		if !st.Held {
+			continue
+		}
+		holders++
+		h.held++
+		if st.Fence < h.highest {
+			t.Fatalf("step %d: fence %d after %d", step, st.Fence, h.highest)
+		}
+		if st.Fence > h.highest {
+			h.takeovers++
+		}
+		h.highest = st.Fence
+	}
+	if holders > 1 {
+		t.Fatalf("step %d: %d holders", step, holders)
+	}
+}
+
 func TestAtMostOneHolder(t *testing.T) {
 	held, takeovers := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := &store{}
-		var all []*participant
-		for i := range 3 {
-			all = append(all, &participant{
-				lease:  New(Options{Holder: fmt.Sprint("h", i), Duration: duration, Seed: uint64(i)}),
-				offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "skew")) * time.Second,
-				slow:   rapid.SampledFrom([]int{0, 1, 9}).Draw(t, "slow"),
-			})
-		}
-		highest := int64(0)
+		s, all, check := &store{}, newParticipants(t), &holderCheck{}
 		for step := range 400 {
 			for _, c := range all {
 				c.step(t, s, step)
 			}
-			holders := 0
-			for _, c := range all {
-				// A paused process counts as well, because it could resume
-				// within this second.
-				st := c.lease.State(start.Add(time.Duration(step)*time.Second + c.offset))
-				if !st.Held {
-					continue
-				}
-				holders++
-				held++
-				if st.Fence < highest {
-					t.Fatalf("step %d: fence %d after %d", step, st.Fence, highest)
-				}
-				if st.Fence > highest {
-					takeovers++
-				}
-				highest = st.Fence
-			}
-			if holders > 1 {
-				t.Fatalf("step %d: %d holders", step, holders)
-			}
+			check.step(t, all, step)
 		}
+		held, takeovers = held+check.held, takeovers+check.takeovers
 	})
 	if held == 0 || takeovers < 100 {
 		t.Fatalf("held in %d steps, %d takeovers: nothing was tested", held, takeovers)
@@ -362,10 +397,128 @@
 	t.Logf("held in %d steps, %d takeovers", held, takeovers)
 }
 
+// Guards against two holders, and fencing tokens that go back, when the store is restored from
+// an older copy that names an earlier holder or none.
+func TestAtMostOneHolderWhileTheStoreIsRestored(t *testing.T) {
+	held, takeovers, restored := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s, all, check := &store{epoch: 1}, newParticipants(t), &holderCheck{}
+		copied := *s
+		for step := range 400 {
+			switch rapid.IntRange(0, 29).Draw(t, "event") {
+			case 0, 1:
+				copied = *s
+			case 2:
+				s.restore(copied)
+				restored++
+			case 3, 4, 5:
+				s.changes++ // of another object
+			case 6:
+				// A peer has told of the epoch.
+				p := all[rapid.IntRange(0, len(all)-1).Draw(t, "told")]
+				p.lease.ObserveEpoch(start.Add(time.Duration(step)*time.Second+p.offset), s.epoch)
+			}
+			for _, c := range all {
+				c.step(t, s, step)
+			}
+			check.step(t, all, step)
+		}
+		held, takeovers = held+check.held, takeovers+check.takeovers
+	})
+	if held == 0 || takeovers < 100 || restored < 100 {
+		t.Fatalf("held in %d steps, %d takeovers, %d restorations: nothing was tested", held, takeovers, restored)
+	}
+	t.Logf("held in %d steps, %d takeovers, %d restorations", held, takeovers, restored)
+}
+
+// inEpoch returns the answer that the lease of a holder has a version of an epoch.
+func inEpoch(epoch, number int64, holder string, term int64) Answer {
+	record := Record{Holder: holder, Term: term, DurationNs: int64(duration)}
+	return Answer{Kind: Found, Version: revision.Revision{Epoch: epoch, Number: number}, Record: record}
+}
+
+// writtenIn returns the answer to a successful write in an epoch.
+func writtenIn(c Command, epoch, number int64) Answer {
+	return Answer{Kind: Found, Version: revision.Revision{Epoch: epoch, Number: number}, Record: c.(Write).Record}
+}
+
+// Guards against a lease that nobody writes after the store was restored, since all know a
+// higher version, and against orders of a holder whose lease is gone.
+func TestHolderAcquiresTheLeaseAgainInALaterEpoch(t *testing.T) {
+	s := &script{l: newLease("a")}
+	s.tick(0)
+	s.answer(0, Answer{Kind: Absent, Version: revision.Revision{Epoch: 1}})
+	s.tick(5) // another process may hold a lease that the store has forgotten
+	w := s.tick(11)
+	s.answer(11, writtenIn(w, 1, 50))
+	s.state(11)
+	s.tick(15)
+	s.answer(15, inEpoch(2, 40, "z", 1)) // the condition of the renewal did not hold
+	s.state(15)
+	if s.l.LastTerm().Held {
+		t.Error("the last term holds in a later epoch")
+	}
+	w = s.tick(15)
+	s.answer(15, writtenIn(w, 2, 41))
+	s.state(15)
+	s.want(t, `0: read
+11: write holder "a" term 1 change a-1 if 1.0
+11: held true for 10s fence 1099511627826
+15: write holder "a" term 1 change a-2 if 1.50
+15: held false for 0s fence 0
+15: write holder "a" term 2 change a-3 if 2.40
+15: held true for 10s fence 2199023255593`)
+}
+
+// A process that did not hold the lease waits for the holder that the store has forgotten.
+func TestOthersWaitForAForgottenHolder(t *testing.T) {
+	for name, found := range map[string]Answer{
+		"absent":      {Kind: Absent, Version: revision.Revision{Epoch: 2}},
+		"released":    inEpoch(2, 40, "", 3),
+		"own, before": inEpoch(2, 40, "b", 3),
+		"of another":  inEpoch(2, 40, "a", 3),
+		"unreadable":  {Kind: Unreadable, Version: revision.Revision{Epoch: 2, Number: 40}},
+	} {
+		l := newLease("b")
+		l.Tick(at(0))
+		l.Answered(at(0), inEpoch(1, 50, "a", 7))
+		l.ObserveEpoch(at(1), 2)
+		for tenths := 10; ; tenths++ {
+			now := float64(tenths) / 10
+			switch c := l.Tick(at(now)).(type) {
+			case Read:
+				l.Answered(at(now), found)
+				continue
+			case nil:
+				continue
+			case Write:
+				if now < 12 || now > 13 || c.Record.Term != 8 {
+					t.Errorf("%s: %s at %g s", name, c, now)
+				}
+			}
+			break
+		}
+	}
+}
+
+// An answer of an earlier epoch that arrives late says nothing.
+func TestLateAnswerOfAnEarlierEpochIsIgnored(t *testing.T) {
+	l := newLease("b")
+	l.Tick(at(0))
+	l.ObserveEpoch(at(1), 2)
+	l.Answered(at(2), inEpoch(1, 50, "", 7))
+	if l.Version() != (revision.Revision{Epoch: 2}) {
+		t.Errorf("version %v", l.Version())
+	}
+	if c := l.Tick(at(20)); c != (Read{}) {
+		t.Errorf("got %v, want a read", c)
+	}
+}
+
 func TestStaleReadsDoNotDelayTakeover(t *testing.T) {
 	l := New(Options{Holder: "b", Duration: duration, ReadInterval: duration, StaleReads: true})
 	s := &script{l: l}
-	held := Answer{Kind: Found, Version: 5, Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}}
+	held := Answer{Kind: Found, Version: rev(5), Record: Record{Holder: "a", Term: 3, DurationNs: int64(duration)}}
 	s.tick(0)
 	s.answer(0, held)
 	for tenths := 1; tenths < 110; tenths++ {
@@ -394,7 +547,7 @@
 		t.Errorf("after the lease expired: last term %+v, state %+v", got, s.l.State(at(20)))
 	}
 	s.tick(20)
-	s.answer(20, Answer{Kind: Found, Version: 9, Record: Record{Holder: "b", Term: 2, DurationNs: int64(duration)}})
+	s.answer(20, Answer{Kind: Found, Version: rev(9), Record: Record{Holder: "b", Term: 2, DurationNs: int64(duration)}})
 	if got := s.l.LastTerm(); got.Held {
 		t.Errorf("after another process took over: last term %+v", got)
 	}
--- a/decide/lease/step.go
+++ b/decide/lease/step.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosaarch.example/core/backoff"
+	"mimosaarch.example/core/revision"
 )
 
 // Tick returns the call to make now, or nil. It must be called often compared
@@ -31,16 +32,44 @@
 		return nil
 	case !l.known || l.mustRead:
 		return Read{}
+	case l.candidate && l.stillExclusive(now):
+		return l.acquire(now)
 	case l.isOwnRecord():
 		return l.renewOrRelease(now)
 	case !l.candidate:
 		return nil
-	case l.record.Holder == "" || !now.Before(l.takeoverTime()):
-		return l.write(now, l.opts.Holder, l.record.Term+1)
+	case l.record.Holder == "":
+		return l.acquire(now)
+	case !now.Before(l.takeoverTime()):
+		return l.acquire(now)
 	}
 	return Read{Stale: l.opts.StaleReads}
 }
 
+// stillExclusive reports whether a term of this process, which ended with its epoch, would
+// still be valid, so that no other process can have acquired the lease.
+func (l *Lease) stillExclusive(now time.Time) bool {
+	return l.term == 0 && now.Before(l.heldUntil)
+}
+
+// acquire begins a new term, or returns nil while another process may hold the lease
+// without this one knowing it.
+func (l *Lease) acquire(now time.Time) Command {
+	if !l.stillExclusive(now) && now.Before(l.unknownHolderUntil()) {
+		return nil
+	}
+	return l.write(now, l.opts.Holder, max(l.record.Term, l.highestTerm)+1)
+}
+
+// unknownHolderUntil returns when the lease of a holder that the store has forgotten
+// has certainly expired.
+func (l *Lease) unknownHolderUntil() time.Time {
+	if l.epochSince.IsZero() {
+		return time.Time{}
+	}
+	return l.epochSince.Add(l.opts.Duration + l.opts.Margin)
+}
+
 // takeoverTime returns when the other holder's lease has certainly expired,
 // unless the object changes before then.
 func (l *Lease) takeoverTime() time.Time {
@@ -49,7 +78,7 @@
 
 // isOwnRecord reports whether the object names this process as the holder.
 func (l *Lease) isOwnRecord() bool {
-	return l.version != 0 && l.record.Holder == l.opts.Holder
+	return l.version.Number != 0 && l.record.Holder == l.opts.Holder
 }
 
 // renewOrRelease renews the lease of this process, begins a new term if it has
@@ -60,7 +89,7 @@
 	case !l.candidate:
 		return l.write(now, "", l.record.Term)
 	case l.term != l.record.Term || left <= 0:
-		return l.write(now, l.opts.Holder, l.record.Term+1)
+		return l.acquire(now)
 	case left <= l.opts.Duration-l.opts.Duration/renewDivisor:
 		return l.write(now, l.opts.Holder, l.record.Term)
 	}
@@ -91,6 +120,12 @@
 		return
 	}
 	l.callOpen = false
+	if answer.Kind == Found || answer.Kind == Absent || answer.Kind == Unreadable {
+		if answer.Version.Epoch < l.epoch {
+			answer.Kind = Lost
+		}
+		l.ObserveEpoch(now, answer.Version.Epoch)
+	}
 	if answer.Kind == Found && !answer.Record.valid() {
 		answer.Kind = Unreadable
 	}
@@ -107,7 +142,7 @@
 		l.mustRead = false
 		// A stale read may show the state before the object was created.
 		if !l.staleRead {
-			l.observeAbsent(now)
+			l.observeAbsent(now, answer.Version.Epoch)
 		}
 	case Lost:
 		// A stale read changes nothing, so its loss requires no new read.
@@ -128,7 +163,7 @@
 	}
 	l.failures = 0
 	switch {
-	case l.record.Holder == "" || l.isOwnRecord():
+	case l.record.Holder == "" || l.isOwnRecord() || l.stillExclusive(now):
 		l.nextCallAt = now
 	default:
 		l.nextCallAt = now.Add(l.jitter(l.opts.ReadInterval))
@@ -151,8 +186,8 @@
 // observe updates the state from an object that was read or written. It ignores
 // an object with the known version, which is unchanged, and one with an older
 // version, which arrived late.
-func (l *Lease) observe(now time.Time, version int64, record Record) {
-	if l.known && version <= l.version {
+func (l *Lease) observe(now time.Time, version revision.Revision, record Record) {
+	if l.known && !version.After(l.version) {
 		return
 	}
 	l.known = true
@@ -169,18 +204,19 @@
 	write := l.writes[at]
 	if l.term != write.term {
 		l.term = write.term
-		l.fence = version
+		l.fence = version.Fence()
 		l.since = now
 	}
 	l.until = write.at.Add(l.opts.Duration)
+	l.heldUntil = time.Time{}
 	l.writes = l.writes[at+1:]
 }
 
 // observeAbsent records that the object does not exist. If another process held
 // the lease, it may not know yet that its object was deleted, so its duration
 // must still pass.
-func (l *Lease) observeAbsent(now time.Time) {
-	if l.known && l.version == 0 {
+func (l *Lease) observeAbsent(now time.Time, epoch int64) {
+	if l.known && l.version.Number == 0 {
 		return
 	}
 	gone := Record{Term: l.record.Term}
@@ -189,17 +225,35 @@
 		gone.DurationNs = l.record.DurationNs
 	}
 	l.known = true
-	l.version = 0
+	l.version = revision.Revision{Epoch: epoch}
 	l.record = gone
 	l.versionSeenAt = now
 	l.term = 0
 }
 
+// ObserveEpoch records that the store is in an epoch. A later epoch than the known one
+// ends the term of this process, and the object must be read again. An earlier one is
+// ignored.
+func (l *Lease) ObserveEpoch(now time.Time, epoch int64) {
+	if epoch <= l.epoch {
+		return
+	}
+	if l.term != 0 {
+		l.heldUntil = l.until
+	}
+	l.highestTerm = max(l.highestTerm, l.record.Term)
+	l.epoch, l.epochSince = epoch, now
+	l.known, l.version, l.record = false, revision.Revision{Epoch: epoch}, Record{}
+	l.term, l.writes = 0, nil
+	l.mustRead = true
+	l.nextCallAt = now
+}
+
 // Resign ends the term of this process at once and lets Tick release the lease.
 // Campaign makes the process a candidate again.
 func (l *Lease) Resign() {
 	l.candidate = false
-	l.term = 0
+	l.term, l.heldUntil = 0, time.Time{}
 }
 
 // Campaign makes the process a candidate for the lease. It is one after New.
@@ -209,6 +263,6 @@
 // exist. The process stays a candidate, but reads the object before its next
 // write.
 func (l *Lease) StepDown() {
-	l.term = 0
+	l.term, l.heldUntil = 0, time.Time{}
 	l.mustRead = true
 }
--- a/decide/roster/lease_test.go
+++ b/decide/roster/lease_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/lease"
 )
 
@@ -13,17 +14,17 @@
 
 // object is the stored object of a lease.
 type object struct {
-	version int64
+	version revision.Revision
 	record  lease.Record
 }
 
 // apply executes a command as the store would.
 func (o *object) apply(c lease.Command) lease.Answer {
 	if w, ok := c.(lease.Write); ok && w.IfMatch == o.version {
-		o.version++
+		o.version.Number++
 		o.record = w.Record
 	}
-	if o.version == 0 {
+	if o.version.IsZero() {
 		return lease.Answer{Kind: lease.Absent}
 	}
 	return lease.Answer{Kind: lease.Found, Version: o.version, Record: o.record}
--- a/node/entry/epochs.go
+++ b/node/entry/epochs.go
@@ -9,11 +9,16 @@
 // copy: it has lost its latest changes, leases among them. It does not block, and is safe for
 // concurrent use.
 func (n *Node) ObserveEpoch(epoch int64) {
-	for known := n.epoch.Load(); epoch > known; known = n.epoch.Load() {
-		if n.epoch.CompareAndSwap(known, epoch) {
+	for {
+		known := n.epoch.Load()
+		if epoch <= known {
 			return
 		}
+		if n.epoch.CompareAndSwap(known, epoch) {
+			break
+		}
 	}
+	n.elector.ObserveEpoch(epoch)
 }
 
 // DroppedResponse counts and logs a response of the store that was dropped because of its
