A version of the configuration that is written again with another content is active everywhere

What callers would see: the store loses version 11 in a return to a copy, and the operator writes version 11 again with another content. Nodes that had the first one kept it for good, others took the second, so that the answer to a request depended on the node.

Cause: a configuration with the version in force was ignored whatever it contained.

Change: of two contents of one version the one that was read in the later epoch of the store wins. A version below the active one is still ignored, so that nothing goes back while the store lacks what it had accepted; a line configuration_older tells operators. Equal contents do not make a configuration newer for peers more than once, so they are not sent again and again.

--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -60,6 +60,8 @@
 type UpdateRequest struct {
 	// ConfigVersion is the version of the caller's configuration, or 0 for none.
 	ConfigVersion int64 `json:"config_version"`
+	// ConfigEpoch is the store's epoch in which that configuration was read.
+	ConfigEpoch int64 `json:"config_epoch,omitempty"`
 	// Epoch is the latest epoch of the store that the caller knows.
 	Epoch int64 `json:"epoch,omitempty"`
 	// Revision is the revision of the caller's directory.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -304,7 +304,7 @@
 	if req.Want != relay.WantUpstreams {
 		update.RecordAge(n.configs.age(now))
 		update.Disconnected = n.configs.disconnected.Load()
-		if newest := n.configs.newest.Load(); newest != nil && newest.isNewerThan(req.ConfigVersion) {
+		if newest := n.configs.newest.Load(); newest != nil && newest.isNewerThan(req.ConfigVersion, req.ConfigEpoch) {
 			newest.addTo(&update, req.AcceptsPacked)
 		}
 	}
--- a/node/entry/epochs.go
+++ b/node/entry/epochs.go
@@ -41,7 +41,8 @@
 // logEpoch counts and logs a change of the store's epoch.
 func (n *Node) logEpoch(c epochChange) {
 	n.metrics.Add("store.epochs_began", 1)
+	version, _ := n.configs.version()
 	c.from.addTo(n.log.Warn().Str("event", "store_restored")).Int64("epoch_before", c.before.Epoch).Int64("epoch", c.after.Epoch).
 		Int64("revision_before", c.before.Number).Int64("revision", c.after.Number).
-		Int("awaited", c.missing).Int("deferred", c.deferred).Int64("version", n.configs.version()).Send()
+		Int("awaited", c.missing).Int("deferred", c.deferred).Int64("version", version).Send()
 }
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -137,7 +137,8 @@
 		return
 	}
 	req := m.node.upstreams.updateRequest(name)
-	req.ConfigVersion, req.Want, req.Epoch = m.node.configs.version(), "", m.node.epoch.Load()
+	req.ConfigVersion, req.ConfigEpoch = m.node.configs.version()
+	req.Want, req.Epoch = "", m.node.epoch.Load()
 	req.Members = m.node.fleet.memberListVersion()
 	askedAt := boottime.Now()
 	update, err := relay.Fetch(ctx, peer, req)
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -25,7 +25,10 @@
 // registerGauges registers the gauges. An age is the time in ms since the store
 // last answered, and one hour if it never did.
 func (n *Node) registerGauges() {
-	n.metrics.Gauge("configuration.version", n.configs.version)
+	n.metrics.Gauge("configuration.version", func() int64 {
+		version, _ := n.configs.version()
+		return version
+	})
 	n.metrics.Gauge("configuration.age_ms", func() int64 {
 		age, _ := n.configs.age(boottime.Now())
 		return age.Milliseconds()
--- a/node/entry/shared_source.go
+++ b/node/entry/shared_source.go
@@ -224,7 +224,8 @@
 		observe:  n.metrics.ObserveDuration,
 		log:      n.log,
 		request: func(ids.VM) relay.UpdateRequest {
-			return relay.UpdateRequest{ConfigVersion: n.configs.version(), Want: relay.WantConfig}
+			version, epoch := n.configs.version()
+			return relay.UpdateRequest{ConfigVersion: version, ConfigEpoch: epoch, Want: relay.WantConfig}
 		},
 		epoch:        n.epoch.Load,
 		observeEpoch: n.ObserveEpoch,
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,12 +173,12 @@
 
 // apply activates a configuration that was read in an epoch of the store, if it is valid
 // and newer than the active one. The version decides. A store that was restored from an
-// older copy may have lost the active version; it stays active until a higher one is
-// accepted.
+// older copy may have lost the active version; it stays active until a higher one, or
+// another content of the same version in a later epoch, is accepted.
 func (c *configs) apply(config *routing.Config, epoch int64, from origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if active := c.newest.Load(); active != nil && !active.isReplacedBy(config) {
+	if active := c.newest.Load(); active != nil && !active.isReplacedBy(config, epoch) {
 		c.keep(active, config, epoch, from)
 		return
 	}
@@ -196,9 +197,16 @@
 
 // keep keeps the active configuration in place of an older or equal one.
 func (c *configs) keep(active *packableConfig, other *routing.Config, epoch int64, from origin) {
-	if epoch > active.epoch && other.Version < active.config.Version {
+	switch {
+	case epoch <= active.epoch:
+	case other.Version < active.config.Version:
 		from.addTo(c.log.Warn().Str("event", "configuration_older")).Int64("version", other.Version).Int64("epoch", epoch).
 			Int64("active", active.config.Version).Send()
+	case from.peer != "":
+		// With the peer's epoch the node is not sent the same content again.
+		same := *active
+		same.epoch = epoch
+		c.newest.Store(&same)
 	}
 }
 
@@ -211,13 +219,20 @@
 	packed func() relay.Packed
 }
 
-// isReplacedBy reports whether another configuration is newer.
-func (p *packableConfig) isReplacedBy(other *routing.Config) bool {
-	return other.Version > p.config.Version
+// isReplacedBy reports whether another configuration, read in an epoch of the store,
+// is newer.
+func (p *packableConfig) isReplacedBy(other *routing.Config, epoch int64) bool {
+	if other.Version != p.config.Version {
+		return other.Version > p.config.Version
+	}
+	return epoch > p.epoch && !reflect.DeepEqual(other, p.config)
 }
 
-// isNewerThan reports whether the configuration is newer than that of a version.
-func (p *packableConfig) isNewerThan(version int64) bool { return p.config.Version > version }
+// isNewerThan reports whether the configuration is newer than that of a version which
+// was read in an epoch of the store.
+func (p *packableConfig) isNewerThan(version, epoch int64) bool {
+	return p.config.Version > version || p.config.Version == version && p.epoch > epoch
+}
 
 // addTo adds the configuration to an update for a peer, packed if the peer
 // accepts that.
@@ -242,13 +257,13 @@
 	return packed
 }
 
-// version returns the version of the active configuration, or 0 if there is
-// none.
-func (c *configs) version() int64 {
-	if table := c.table.Load(); table != nil {
-		return table.Version()
+// version returns the version of the active configuration and the epoch of the store in
+// which it was read, or 0 if there is none.
+func (c *configs) version() (version, epoch int64) {
+	if active := c.newest.Load(); active != nil {
+		return active.config.Version, active.epoch
 	}
-	return 0
+	return 0, 0
 }
 
 // upstreams holds the directory of upstreams. mu serializes its changes.
