Nodes whose entries the store has lost write them again

What operators saw: a node that had joined within the seconds that the copy lacks was missing from the list of nodes for good, so that peers did not tell it of verdicts, limits and leavings, and counted their shares without it.

Cause: a node writes its entry once.

Change: a node writes its entry again if the list of a later epoch lacks it, spread over a second. The others keep the nodes of the list before for 10 s, in which these are back; peers pass on the list as the store has it. Nodes that watch the store read the list as soon as they learn of an epoch.

--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -47,9 +47,9 @@
 	unreached atomic.Bool
 
 	mu sync.Mutex
-	// keepers holds the keepers of services, as of the list of nodes with version.
+	// keepers holds the keepers of services, as of the nodes with a digest.
 	keepers map[ids.Service][]roster.Member
-	version relay.MemberListVersion
+	digest  uint64
 }
 
 // newCrashExchange returns the exchange of a node.
@@ -133,12 +133,12 @@
 
 // keepersOf returns the keepers of a service, and the number of nodes.
 func (c *crashExchange) keepersOf(service ids.Service) ([]roster.Member, int) {
-	members, version := c.node.fleet.memberList()
+	members, digest := c.node.fleet.memberList()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version != c.version {
+	if digest != c.digest {
 		clear(c.keepers)
-		c.version = version
+		c.digest = digest
 	}
 	keepers, known := c.keepers[service]
 	if !known {
--- a/node/entry/epochs.go
+++ b/node/entry/epochs.go
@@ -19,6 +19,7 @@
 		}
 	}
 	n.elector.ObserveEpoch(epoch)
+	n.membership.listNow()
 }
 
 // DroppedResponse counts and logs a response of the store that was dropped because of its
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -30,9 +30,16 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// listVersion is the revision and digest of members.
+	// listed is the list of nodes as the store has it, and listVersion its revision and
+	// digest.
+	listed      []roster.Member
 	listVersion relay.MemberListVersion
-	members     []roster.Member
+	// carried holds the nodes of the list of an earlier epoch until carriedUntil.
+	carried      []roster.Member
+	carriedUntil time.Time
+	// members holds the listed and the carried nodes, and membersDigest is their digest.
+	members       []roster.Member
+	membersDigest uint64
 	// names holds the names of members.
 	names []ids.VM
 	ready bool
@@ -46,30 +53,73 @@
 	return &fleet{now: now, onChanged: onChanged, readyCh: make(chan struct{}), firstListCh: make(chan struct{}), unresponsiveCh: make(chan struct{}), roster: roster.New(s.VM, s.Zone)}
 }
 
+// carryTime is how long nodes that a list of a new epoch lacks are kept. They add themselves
+// again once they have read it.
+const carryTime = 10 * time.Second
+
 // setMembers replaces the list of nodes by the list as of a revision of the
 // store. It ignores a list that is older than the current one.
 func (f *fleet) setMembers(members []roster.Member, at revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at.Before(f.listVersion.Revision) {
+	known := f.listVersion.Revision
+	if at.Before(known) {
 		return
 	}
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b roster.Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	version := relay.MemberListVersion{Revision: at, Digest: digest(members)}
-	if version.Digest != f.listVersion.Digest {
-		f.members, f.names = members, nil
-		for _, m := range members {
-			f.names = append(f.names, m.Name)
-		}
-		f.roster.Set(members)
-		f.onChanged(len(members))
+	if at.Epoch > known.Epoch && !known.IsZero() {
+		f.carried, f.carriedUntil = f.members, f.now().Add(carryTime)
 	}
-	f.listVersion = version
+	f.listed = sortedMembers(members)
+	f.listVersion = relay.MemberListVersion{Revision: at, Digest: digest(f.listed)}
+	f.applyMembers()
 	f.markReady()
 	f.markFirstList()
 }
 
+// sortedMembers returns a copy of a list of nodes, sorted by name.
+func sortedMembers(members []roster.Member) []roster.Member {
+	return slices.SortedFunc(slices.Values(members), func(a, b roster.Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
+// dropCarried forgets the nodes of an earlier epoch when their time is over.
+func (f *fleet) dropCarried() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.carried != nil && !f.now().Before(f.carriedUntil) {
+		f.carried = nil
+		f.applyMembers()
+	}
+}
+
+// applyMembers makes the listed and the carried nodes the members. The caller must hold mu.
+func (f *fleet) applyMembers() {
+	members := slices.Clone(f.listed)
+	for _, c := range f.carried {
+		if !slices.ContainsFunc(f.listed, func(m roster.Member) bool { return m.Name == c.Name }) {
+			members = append(members, c)
+		}
+	}
+	members = sortedMembers(members)
+	version := digest(members)
+	if version == f.membersDigest {
+		return
+	}
+	f.members, f.membersDigest, f.names = members, version, nil
+	for _, m := range members {
+		f.names = append(f.names, m.Name)
+	}
+	f.roster.Set(members)
+	f.onChanged(len(members))
+}
+
+// listLacks reports whether the list of the latest epoch lacks a node, and that epoch.
+func (f *fleet) listLacks(name ids.VM) (epoch int64, lacks bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := slices.ContainsFunc(f.listed, func(m roster.Member) bool { return m.Name == name })
+	return f.listVersion.Revision.Epoch, !listed
+}
+
 // markFirstList closes firstListCh. The caller must hold mu.
 func (f *fleet) markFirstList() {
 	select {
@@ -186,11 +236,11 @@
 	return keepers
 }
 
-// memberList returns the list of nodes, which must not be modified, and its version.
-func (f *fleet) memberList() ([]roster.Member, relay.MemberListVersion) {
+// memberList returns the nodes, which must not be modified, and a digest of them.
+func (f *fleet) memberList() ([]roster.Member, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.members, f.listVersion
+	return f.members, f.membersDigest
 }
 
 // memberListVersion returns the revision and digest of the current list.
@@ -205,8 +255,9 @@
 func (f *fleet) addMembers(update *relay.Update, peer relay.MemberListVersion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listVersion.Digest != peer.Digest && f.listVersion.Revision.After(peer.Revision) {
-		update.Members, update.MembersRevision = f.members, f.listVersion.Revision
+	newer := f.listVersion.Revision.After(peer.Revision)
+	if newer && (f.listVersion.Digest != peer.Digest || f.listVersion.Revision.Epoch != peer.Revision.Epoch) {
+		update.Members, update.MembersRevision = f.listed, f.listVersion.Revision
 	}
 }
 
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,12 +51,16 @@
 	log      zerolog.Logger
 	rand     *rand.Rand
 
-	joined    bool
-	startedAt time.Time
+	joined bool
+	// joinedEpoch is the epoch of the store in which the entry was written.
+	joinedEpoch int64
+	startedAt   time.Time
 	// joinAt and listAt are the times at which the next call of each kind is
 	// due.
 	joinAt, listAt time.Time
 	joinFailures   int
+	// listDue is set to read the list at the next tick.
+	listDue atomic.Bool
 }
 
 // newMembership returns a membership that has not joined yet.
@@ -76,6 +81,9 @@
 	every.Do(ctx, peerFetchInterval, func() { m.tick(ctx) })
 }
 
+// listNow makes a node that watches the store read the list at its next tick.
+func (m *membership) listNow() { m.listDue.Store(true) }
+
 // tick makes the roster ready when startupPeriod is over, and makes at most one
 // call that is due: to a peer while this node is disconnected from the store,
 // otherwise to the store.
@@ -85,6 +93,11 @@
 	if !ready && now.Sub(m.startedAt) >= startupPeriod {
 		m.node.fleet.forceReady()
 	}
+	m.node.fleet.dropCarried()
+	m.checkEntry(now)
+	if m.listDue.Swap(false) {
+		m.listAt = now
+	}
 	switch {
 	case m.node.configs.disconnected.Load() || m.node.upstreams.disconnected.Load():
 		m.fetchFromPeer(ctx)
@@ -95,6 +108,26 @@
 	}
 }
 
+// rejoinSpread is the time over which the nodes whose entries the store has lost write
+// them again.
+const rejoinSpread = time.Second
+
+// checkEntry makes the node write its entry again if the list of a later epoch than that
+// of its entry lacks it.
+func (m *membership) checkEntry(now time.Time) {
+	epoch, lacks := m.node.fleet.listLacks(m.settings.VM)
+	if !m.joined || epoch <= m.joinedEpoch {
+		return
+	}
+	m.joinedEpoch = epoch
+	if !lacks {
+		return
+	}
+	m.joined, m.joinFailures = false, 0
+	m.joinAt = now.Add(time.Duration(m.rand.Int64N(int64(rejoinSpread))))
+	m.log.Info().Str("event", "entry_lost").Int64("epoch", epoch).Send()
+}
+
 // join writes this node's entry to the list of nodes.
 func (m *membership) join(ctx context.Context) {
 	err := m.members.Join(ctx, roster.Member{Name: m.settings.VM, Zone: m.settings.Zone, PeerAddress: m.settings.PeerAddr})
@@ -104,7 +137,7 @@
 		m.joinFailures++
 		return
 	}
-	m.joined = true
+	m.joined, m.joinedEpoch = true, m.node.epoch.Load()
 	m.listAt = time.Now().Add(listDelayAfterJoin)
 }
 
