decide/roster: the simulated fleet plays a store that is restored

Bounds on the time until all nodes that can learn are in the new epoch: 1.5 s, and 2 s beside any fault of any node before, during or after.

--- a/decide/roster/model_test.go
+++ b/decide/roster/model_test.go
@@ -354,7 +354,7 @@
 		return
 	}
 	age := sim.now - p.storeSeenAt
-	if p.disconnected || !Fresh(age, p.hops) {
+	if p.disconnected || epochOf(p.version) < epochOf(l.version) || !Fresh(age, p.hops) {
 		l.selector.PeerStale(sim.clock(), l.peer.member.Name)
 		sim.endWithoutUpdate(l)
 		return
--- /dev/null
+++ b/decide/roster/restore_test.go
@@ -0,0 +1,131 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// epochStep is the difference between the versions of two epochs in the simulation: a version of
+// a later epoch is higher than any of an earlier one.
+const epochStep = 1_000_000
+
+// epochOf returns the epoch of a version.
+func epochOf(version int) int { return version / epochStep }
+
+// lostChanges is the number of changes that the store loses when it is restored.
+const lostChanges = 5
+
+// Bounds after the return of a restored store.
+const (
+	// callsTolerance is the highest number of calls in percent of those after an outage in
+	// which nothing was lost.
+	callsTolerance = 110
+	// epochBound is the time until all nodes that reach the store or a peer are in the new
+	// epoch, and epochBoundBesideFault that beside a fault of one node.
+	epochBound            = 1500 * time.Millisecond
+	epochBoundBesideFault = 2 * time.Second
+)
+
+// returnOfStore lets the store make changes, go away for a time and come back. If it is restored, it
+// has lost the changes and begins a new epoch; otherwise it has only made one more.
+func (sim *simulation) returnOfStore(away time.Duration, restored bool) {
+	sim.version += lostChanges
+	sim.run(time.Second)
+	sim.storeDown = true
+	sim.run(away)
+	sim.storeDown = false
+	if restored {
+		sim.version += epochStep - lostChanges
+	} else {
+		sim.version++
+	}
+}
+
+// callsAfterReturn returns the time from the return of the store until all nodes that can learn
+// are up to date, and the calls to the store within epochBound.
+func callsAfterReturn(members []Member, seed uint64, away time.Duration, restored bool) (took time.Duration, calls int, late []string) {
+	sim := newSimulation(members, seed)
+	sim.run(time.Second + time.Duration(sim.rand.IntN(40))*step)
+	sim.returnOfStore(away+time.Duration(sim.rand.IntN(40))*step, restored)
+	before := sim.calls
+	took, late = sim.timeToEpoch(epochBound)
+	sim.run(epochBound - took)
+	return took, sim.calls - before, late
+}
+
+// timeToEpoch returns the time from the return of the store until all nodes that can learn of it
+// are in the new epoch.
+func (sim *simulation) timeToEpoch(limit time.Duration) (took time.Duration, late []string) {
+	for took < limit {
+		if late = sim.outdated(canLearn); len(late) == 0 {
+			return took, nil
+		}
+		sim.run(step)
+		took += step
+	}
+	return took, sim.outdated(canLearn)
+}
+
+// awayTimes are times for which the store is away.
+var awayTimes = []time.Duration{300 * time.Millisecond, time.Second, 2500 * time.Millisecond}
+
+// Guards against nodes that stay in the epoch before, since they ask peers that have not heard of
+// the new one.
+func TestAllEnterTheEpochOfARestoredStore(t *testing.T) {
+	limitParallel(t)
+	for _, members := range fleets() {
+		worst, calls, callsWithoutLoss, runs := time.Duration(0), 0, 0, 0
+		for _, away := range awayTimes {
+			for seed := range uint64(10) {
+				took, n, late := callsAfterReturn(members, seed, away, true)
+				_, without, _ := callsAfterReturn(members, seed, away, false)
+				if len(late) > 0 {
+					t.Errorf("%d nodes, away %v, seed %d: %d late, for example %s", len(members), away, seed, len(late), late[0])
+				}
+				worst, calls, callsWithoutLoss, runs = max(worst, took), calls+n, callsWithoutLoss+without, runs+1
+			}
+		}
+		t.Logf("%d nodes, %d runs: at most %v, %d calls, %d if nothing is lost", len(members), runs, worst, calls, callsWithoutLoss)
+		if calls > callsWithoutLoss*callsTolerance/100 {
+			t.Errorf("%d nodes: %d calls, %d if the store has lost nothing", len(members), calls, callsWithoutLoss)
+		}
+	}
+}
+
+// The same beside one more fault, which begins before, while the store is away, or after.
+func TestAllEnterTheEpochDespiteAnyOneFault(t *testing.T) {
+	limitParallel(t)
+	members := smallFleet()
+	worst, runs := time.Duration(0), 0
+	for _, at := range positions(members) {
+		for f := killed; f < faultCount; f++ {
+			for moment := range 3 {
+				sim := newSimulation(members, uint64(runs))
+				sim.run(time.Second)
+				n := sim.nodes[at]
+				if moment == 0 {
+					sim.setFault(n, f)
+				}
+				sim.version += lostChanges
+				sim.run(time.Second)
+				sim.storeDown = true
+				sim.run(500 * time.Millisecond)
+				if moment == 1 {
+					sim.setFault(n, f)
+				}
+				sim.run(500 * time.Millisecond)
+				sim.storeDown = false
+				sim.version += epochStep - lostChanges
+				if moment == 2 {
+					sim.setFault(n, f)
+				}
+				took, late := sim.timeToEpoch(epochBoundBesideFault)
+				if len(late) > 0 {
+					t.Errorf("%s of %s, moment %d: late %v", f, n.member.Name, moment, late)
+				}
+				worst, runs = max(worst, took), runs+1
+			}
+		}
+	}
+	t.Logf("%d runs, at most %v", runs, worst)
+}
