node/entry: tests of peers that know another epoch of the store

A peer of an earlier epoch is left for another however high its revision is, the first update of an epoch is whole, and updates of another epoch that come late are ignored. The second fails if changes since a mark are sent across epochs.

--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -127,6 +127,35 @@
 	}
 }
 
+// Guards against nodes that stay with a peer which has not heard that the store was restored,
+// however high its revision is.
+func TestPeerOfAnEarlierEpochIsReplacedByAnother(t *testing.T) {
+	_, behind := startPeer(t, relay.Update{Epoch: 1, ConfigRevision: revision.Revision{Epoch: 1, Number: 900}, AgeMs: 10})
+	_, good := startPeer(t, relay.Update{Epoch: 2, ConfigRevision: revision.Revision{Epoch: 2, Number: 7}, AgeMs: 100})
+	s, store := newFollower(behind, good)
+	known := int64(1)
+	s.epoch = func() int64 { return known }
+	s.observeEpoch = func(epoch int64) { known = max(known, epoch) }
+	since := revision.Revision{Epoch: 1, Number: 900}
+	if _, err := s.Watch(t.Context(), since, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for known == 1 {
+		if _, err := s.Watch(t.Context(), since, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 4 {
+		changes, err := s.Watch(t.Context(), since, time.Second)
+		if err != nil || changes.Revision != (revision.Revision{Epoch: 2, Number: 7}) {
+			t.Fatalf("%+v, %v", changes, err)
+		}
+	}
+	if store.watches != 0 {
+		t.Errorf("the store was called %d times", store.watches)
+	}
+}
+
 // TestWaitingPeersLearnOfTheLossOfTheStore checks that a node answers waiting
 // peers at once when it loses the store.
 func TestWaitingPeersLearnOfTheLossOfTheStore(t *testing.T) {
--- a/node/entry/upstreams_test.go
+++ b/node/entry/upstreams_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	u := newUpstreams(process, zerolog.Nop(), newNotifier())
 	u.onRemoved = func(*directory.Upstream) {}
 	u.onStoreRecovered = func() {}
+	u.onEpoch = func(epochChange) {}
 	if list != nil {
 		u.Listed(listwatch.List[directory.Upstream]{Items: list, Revision: revision.Of(int64(len(list)))})
 	}
@@ -188,3 +190,60 @@
 		t.Errorf("%+v", line)
 	}
 }
+
+// inEpoch returns upstreams as they are listed in an epoch of the store.
+func inEpoch(epoch int64, list []directory.Upstream) listwatch.List[directory.Upstream] {
+	items := slices.Clone(list)
+	for i := range items {
+		items[i].Revision.Epoch = epoch
+	}
+	return listwatch.List[directory.Upstream]{Items: items, Revision: revision.Revision{Epoch: epoch, Number: int64(len(items))}}
+}
+
+// Guards against followers that keep the state of the epoch before: what a peer sends of its
+// changes since a mark does not contain what the store has lost.
+func TestFirstUpdateOfAnEpochIsWhole(t *testing.T) {
+	from, to := listedUpstreams("p", nil), listedUpstreams("q", nil)
+	from.Listed(inEpoch(1, upstreamList(5)))
+	transferUpdate(to, from)
+	if update := transferUpdate(to, from); !update.Revision.IsZero() {
+		t.Fatalf("update without a change is not empty: %+v", update)
+	}
+	began := epochChange{}
+	to.onEpoch = func(c epochChange) { began = c }
+	from.Listed(inEpoch(2, upstreamList(4)))
+	update := transferUpdate(to, from)
+	if update.Delta || len(update.Upstreams) != 5 || len(update.Present) != 5 {
+		t.Errorf("%d upstreams, %d present, delta %v", len(update.Upstreams), len(update.Present), update.Delta)
+	}
+	if began.before.Epoch != 1 || began.after.Epoch != 2 {
+		t.Errorf("told of %+v", began)
+	}
+	again := directory.Upstream{ID: instance("u-0004"), Service: "s", Address: "at 4", Revision: revision.Revision{Epoch: 2, Number: 5}}
+	from.Changed(listwatch.Changes[directory.Upstream]{Events: []listwatch.Event[directory.Upstream]{{Put: &again}}, Revision: again.Revision})
+	if update := transferUpdate(to, from); !update.Delta || len(update.Upstreams) != 1 {
+		t.Errorf("update in the same epoch: %d upstreams, delta %v", len(update.Upstreams), update.Delta)
+	}
+	if got := to.view.Load().Get(instance("u-0004")); got == nil || got.Revision != again.Revision {
+		t.Errorf("entry that was written again: %+v", got)
+	}
+}
+
+// An answer of a peer that was under way during a restoration of the store comes late.
+func TestUpdatesOfAnotherEpochAreIgnored(t *testing.T) {
+	from, to := listedUpstreams("p", nil), listedUpstreams("q", nil)
+	from.Listed(inEpoch(1, upstreamList(5)))
+	transferUpdate(to, from)
+	late := relay.Update{Revision: revision.Revision{Epoch: 1, Number: 90}, Delta: true, Gone: []ids.Upstream{"u-0000"}, Base: relay.Base{Process: "p", Mark: 77}}
+	early := late
+	early.Revision.Epoch = 3
+	to.Listed(inEpoch(2, upstreamList(5)))
+	to.merge("p", late, boottime.Now())
+	to.merge("p", early, boottime.Now())
+	if to.view.Load().Get(instance("u-0000")) == nil || to.view.Load().Revision.Epoch != 2 {
+		t.Errorf("an update of another epoch took effect: %v", to.view.Load().Revision)
+	}
+	if base := to.updateRequest("p").Base; base != (relay.Base{}) {
+		t.Errorf("the next request is for changes since %+v, want the whole directory", base)
+	}
+}
