decide/quarantine: a share of all requests crashes engines, each from another moment on

Holds on the code as it stands; the simulated fleet's checks are those of one request (crashes and late sends).

--- a/decide/quarantine/decider_test.go
+++ b/decide/quarantine/decider_test.go
@@ -207,6 +207,26 @@
 	}
 }
 
+// Guards against verdicts that fail while a share of all requests crashes engines: others begin
+// at other moments, and each comes again.
+func TestShareOfRequestsThatCrashEngines(t *testing.T) {
+	for _, n := range fleetSizes[:3] {
+		for _, share := range []int{2, 5} {
+			for seed := range uint64(2) {
+				f := newSimFleet(t, n, 600+seed)
+				f.play(2, 300)
+				var deadly []Fingerprint
+				for i := range share {
+					deadly = append(deadly, Fingerprint(fmt.Sprint("deadly-", i)))
+					f.play(1, 400, deadly...)
+				}
+				f.play(8, 400, deadly...)
+				f.check(fmt.Sprint(share, " requests"), 10, deadly...)
+			}
+		}
+	}
+}
+
 // Guards against the quarantine of requests that crash nothing while many engines fail, also
 // of one that many callers send.
 func TestInnocentRequestsOnFailingEngines(t *testing.T) {
