A copy does not give addresses back, and held entries do not look removed to peers

All nodes had dropped all plain upstreams, which were registered and well.

Cause, from the logs: a node that had just started applied the list of the new epoch one entry after the other. Entries of former processes, which the copy had brought back, were of the new epoch, and those of the present ones at the same addresses were still known by the epoch before, so the former took the addresses over. The view of that node lacked the present ones; its peers took that for removals, and the ends of their grace periods went round as removals without a revision. By the same way an entry that a node held for a former removal looked removed to others.

Change: known entries are applied before others, and an entry whose number is below that of the one at its address does not take it over. Held entries are part of the view for peers, marked as held. Changes since a mark are sent only within an epoch, grace periods begin anew with it, and a deferred entry is told to peers that lack it.

Evidence: TestCopyDoesNotGiveAnAddressBack and TestHeldEntryIsNotGoneForPeers fail on the code before.

--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -41,6 +41,9 @@
 	Busy bool
 	// Revision is the registry's revision of the entry.
 	Revision revision.Revision
+	// Held entries get no work yet: a registry that was restored from a copy may have
+	// brought them back.
+	Held bool `json:",omitempty"`
 }
 
 // RestartedError reports that the process under a name is not the expected one, because
@@ -107,6 +110,8 @@
 	// epochSince is when the registry's current epoch was first seen, or zero if no other
 	// epoch came before it.
 	epochSince time.Time
+	// epochMark is the mark at the beginning of the epoch.
+	epochMark uint64
 	// deferred holds the entries of a registry restored from a copy that are older than
 	// what is known. departed holds the entries that were removed lately.
 	deferred map[ids.Upstream]deferredEntry
@@ -178,9 +183,13 @@
 	}
 	d.advance(now, at)
 	var changes []Change
-	for i := range changed {
-		if !d.deferOlder(now, &changed[i]) {
-			changes = d.put(changes, &changed[i])
+	// Known entries come first, so that one which the copy has brought back does not take the
+	// address of another whose revision is still that of the epoch before.
+	for _, known := range []bool{true, false} {
+		for i := range changed {
+			if u := &changed[i]; (d.byID[u.ID.Upstream] != nil) == known {
+				changes = d.putListed(changes, now, u)
+			}
 		}
 	}
 	return d.retain(changes, now, present)
@@ -204,7 +213,7 @@
 	}
 	for id := range d.deferred {
 		if !listed[id] {
-			delete(d.deferred, id)
+			d.forgetDeferred(id)
 		}
 	}
 	return changes
@@ -219,10 +228,14 @@
 	d.revision = at
 	var changes []Change
 	for i := range changed {
-		changes = d.put(changes, &changed[i])
+		if u := &changed[i]; u.Held {
+			changes = d.putListed(changes, now, u)
+		} else {
+			changes = d.put(changes, u)
+		}
 	}
 	for _, id := range gone {
-		delete(d.deferred, id)
+		d.forgetDeferred(id)
 		d.removeUnconfigured(d.unconfigured[id])
 		if u := d.byID[id]; u != nil {
 			changes = d.remove(changes, now, u)
@@ -246,7 +259,7 @@
 	if !d.advance(now, at) {
 		return nil
 	}
-	delete(d.deferred, id)
+	d.forgetDeferred(id)
 	if u := d.unconfigured[id]; u != nil && !u.Revision.After(at) {
 		d.removeUnconfigured(u)
 	}
@@ -269,7 +282,7 @@
 
 // invalidate removes the entry of an upstream unless it is later than a revision.
 func (d *Directory) invalidate(changes []Change, id ids.Upstream, at revision.Revision) []Change {
-	delete(d.deferred, id)
+	d.forgetDeferred(id)
 	d.removeUnconfigured(d.unconfigured[id])
 	u := d.byID[id]
 	if u == nil || u.Revision.After(at) {
@@ -377,7 +390,8 @@
 		return changes
 	}
 	delete(d.missingUntil, id)
-	delete(d.deferred, id)
+	d.forgetDeferred(id)
+	u.Held = false
 	restarted := old != nil && u.ID.NewerThan(old.ID) && old.ID.StartedMs != 0
 	if old != nil && (restarted || old.Address != u.Address) {
 		changes = d.drop(changes, old)
@@ -409,13 +423,13 @@
 }
 
 // add registers a new entry at its address. The entry replaces the current one there,
-// unless that has a newer revision, or the new entry was active recently and has only
-// sent a late heartbeat.
+// unless that has a newer revision, the new entry was active recently and has only
+// sent a late heartbeat, or it may be one that a copy has brought back.
 func (d *Directory) add(changes []Change, u *Upstream) []Change {
 	others := d.byAddress[u.Address]
 	if len(others) > 0 {
 		current := d.byID[others[len(others)-1]]
-		if !u.Revision.After(current.Revision) || slices.Contains(d.recentChanges, changeRecord{u.ID, true}) {
+		if !u.Revision.After(current.Revision) || isOlder(u.Revision, current.Revision) || slices.Contains(d.recentChanges, changeRecord{u.ID, true}) {
 			d.byAddress[u.Address] = slices.Insert(others, 0, u.ID.Upstream)
 			return changes
 		}
--- a/decide/directory/epoch.go
+++ b/decide/directory/epoch.go
@@ -21,6 +21,9 @@
 //
 // A change of an entry in the new epoch was written by its upstream, so it is applied
 // at once. An upstream that was leaving stays so.
+//
+// Views contain the entries that are held for a former removal, for peers alone: what is in the
+// registry must not look removed to them.
 
 // returnHold is how long after the beginning of an epoch the entry of an upstream that
 // had been removed before is deferred. It is longer than the registry waits for the
@@ -36,7 +39,7 @@
 // deferredEntry is an entry that is applied at a later time, unless the registry
 // changes or removes it before.
 type deferredEntry struct {
-	upstream Upstream
+	upstream *Upstream
 	until    time.Time
 }
 
@@ -65,8 +68,13 @@
 func (d *Directory) beginEpoch(now time.Time) {
 	d.epochSince = now
 	d.graceUntil = now.Add(RemovalGrace)
+	// What was missing or deferred is decided anew by the list of the epoch.
+	clear(d.missingUntil)
 	clear(d.deferred)
 	d.forgetDepartures(now)
+	// The empty record separates the marks of the epochs.
+	d.recordChange(ids.Instance{}, false)
+	d.epochMark = d.mark
 }
 
 // Deferred returns the number of entries that wait because they are older than what is
@@ -76,27 +84,56 @@
 // Missing returns the number of active entries that the registry lacks.
 func (d *Directory) Missing() int { return len(d.missingUntil) }
 
-// deferOlder defers a listed entry if the copy from which the registry was restored may
-// have brought it back. It reports whether it did.
-func (d *Directory) deferOlder(now time.Time, u *Upstream) bool {
-	if d.epochSince.IsZero() || u.Leaving || !d.isConfigured(u) {
-		return false
+// putListed applies a listed entry, or defers it if the copy from which the registry was
+// restored may have brought it back.
+func (d *Directory) putListed(changes []Change, now time.Time, u *Upstream) []Change {
+	if u.Leaving || !d.isConfigured(u) {
+		return d.put(changes, u)
 	}
 	if waiting, ok := d.deferred[u.ID.Upstream]; ok && waiting.upstream.Revision == u.Revision {
-		return true
+		return changes
 	}
 	until, older := d.olderThanKnown(u)
+	if u.Held && d.byID[u.ID.Upstream] == nil && !older {
+		until, older = now.Add(returnHold), true
+	}
 	if !older || !now.Before(until) {
-		return false
+		return d.put(changes, u)
+	}
+	d.deferEntry(u, until)
+	return changes
+}
+
+// deferEntry defers an entry until a time. It is held if its upstream is not active.
+func (d *Directory) deferEntry(u *Upstream, until time.Time) {
+	id := u.ID.Upstream
+	delete(d.missingUntil, id)
+	d.forgetDeferred(id)
+	waiting := *u
+	waiting.Held = d.byID[id] == nil
+	d.deferred[id] = deferredEntry{&waiting, until}
+	// Peers may lack the entry in their lists of the epoch.
+	d.recordChange(u.ID, !waiting.Held)
+}
+
+// forgetDeferred forgets the deferred entry of an upstream, if there is one.
+func (d *Directory) forgetDeferred(id ids.Upstream) {
+	waiting, ok := d.deferred[id]
+	if !ok {
+		return
+	}
+	delete(d.deferred, id)
+	if waiting.upstream.Held {
+		d.recordChange(waiting.upstream.ID, false)
 	}
-	delete(d.missingUntil, u.ID.Upstream)
-	d.deferred[u.ID.Upstream] = deferredEntry{*u, until}
-	return true
 }
 
 // olderThanKnown reports whether an entry is older than what is known about its instance
 // from an earlier epoch, and until when the known state holds.
 func (d *Directory) olderThanKnown(u *Upstream) (until time.Time, older bool) {
+	if d.epochSince.IsZero() {
+		return time.Time{}, false
+	}
 	if old := d.byID[u.ID.Upstream]; old != nil {
 		same := old.ID == u.ID || u.ID.StartedMs == 0
 		return d.epochSince.Add(RemovalGrace), same && isOlder(u.Revision, old.Revision) && !sameContent(u, old)
@@ -114,7 +151,7 @@
 // sameContent reports whether two entries differ in nothing but their revision.
 func sameContent(a, b *Upstream) bool {
 	other := *b
-	other.Revision = a.Revision
+	other.Revision, other.Held = a.Revision, a.Held
 	return *a == other
 }
 
@@ -124,8 +161,8 @@
 		if now.Before(waiting.until) {
 			continue
 		}
-		delete(d.deferred, id)
-		changes = d.put(changes, &waiting.upstream)
+		d.forgetDeferred(id)
+		changes = d.put(changes, waiting.upstream)
 	}
 	return changes
 }
--- a/decide/directory/epoch_test.go
+++ b/decide/directory/epoch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,51 +165,155 @@
 	}
 }
 
-// Guards against peers that end up with different directories when some follow the store and
-// others follow them, through several restorations of the store.
+// Guards against an upstream that is lost because the copy has brought back the one that had its
+// address before.
+func TestCopyDoesNotGiveAnAddressBack(t *testing.T) {
+	before, after := inEpoch(2, "before", 8), inEpoch(1, "now", 19)
+	before.Address, after.Address = "shared:1", "shared:1"
+	listed := after
+	listed.Revision.Epoch = 2
+	for name, list := range map[string][]Upstream{
+		"listed after it": {before, listed},
+		"not listed":      {before},
+	} {
+		d := firstEpoch(after)
+		d.Replace(start, list, rev2(20))
+		if diff := cmp.Diff([]string{"now"}, viewNames(d)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+		listed.Revision = rev2(25)
+		d.Put(at(300), listed)
+		d.Remove(at(3000), "before", rev2(26))
+		d.Expire(at(5000))
+		if diff := cmp.Diff([]string{"now"}, viewNames(d)); diff != "" {
+			t.Errorf("%s, written again: %s", name, diff)
+		}
+	}
+}
+
+// Guards against peers that drop an upstream because another node holds its entry.
+func TestHeldEntryIsNotGoneForPeers(t *testing.T) {
+	holder := firstEpoch(inEpoch(1, "a", 5), inEpoch(1, "back", 6))
+	holder.Remove(start, "back", revision.Revision{Epoch: 1, Number: 21})
+	list := []Upstream{inEpoch(2, "a", 5), inEpoch(2, "back", 6)}
+	holder.Replace(start, list, rev2(8))
+	started, follower := New(), New()
+	started.Replace(at(100), list, rev2(8))
+	mark := follow(at(200), holder, started, 0)
+	follow(at(200), holder, follower, 0)
+	if got := fmt.Sprint(viewNames(holder), viewNames(started), viewNames(follower)); got != "[a] [a back] [a]" {
+		t.Errorf("while it is held: %s", got)
+	}
+	if len(holder.View().All()) != 2 {
+		t.Error("the view for peers lacks the held entry")
+	}
+	holder.Expire(start.Add(returnHold))
+	follow(start.Add(returnHold), holder, follower, mark)
+	if got := fmt.Sprint(viewNames(holder), viewNames(follower)); got != "[a back] [a back]" {
+		t.Errorf("after the hold: %s", got)
+	}
+}
+
+// Guards against nodes that end up with different directories, or without an upstream that is
+// registered, after several restorations of the registry.
 func TestDirectoriesAgreeAfterRestorations(t *testing.T) {
-	for seed := range uint64(300) {
-		r := rand.New(rand.NewPCG(seed, 7))
-		w := newRegistry(r)
-		watcher, follower := New(), New()
-		mark, now := uint64(0), start
-		for range 60 {
-			now = now.Add(time.Duration(r.IntN(400)) * time.Millisecond)
-			w.step()
-			if r.IntN(3) > 0 {
-				watcher.Replace(now, w.list(), w.at)
+	for seed := range uint64(400) {
+		if wrong := playRestorations(seed); wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+	}
+}
+
+// Guards against an upstream that is registered and that all nodes drop, because one whose grace
+// period has ended tells the others of it.
+func TestExpiryOnOneNodeRemovesNoRegisteredUpstream(t *testing.T) {
+	if wrong := playRestorations(529); wrong != "" {
+		t.Error(wrong)
+	}
+}
+
+// playRestorations plays changes and restorations of a registry for 20 s. Two nodes follow it, all
+// four follow each other, and some restart. It returns what is wrong when all is calm again, or an
+// empty string.
+func playRestorations(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 7))
+	g := newRegistry(r)
+	var nodes []*member
+	for range 4 {
+		nodes = append(nodes, newMember())
+	}
+	now := start
+	play := func(d time.Duration, change bool) {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			if change && r.IntN(4) == 0 {
+				g.step()
 			}
-			if r.IntN(3) > 0 {
-				mark = follow(now, watcher, follower, mark)
+			if change && r.IntN(60) == 0 {
+				nodes[r.IntN(len(nodes))] = newMember()
+			}
+			for i, n := range nodes {
+				if i < 2 && r.IntN(2) == 0 {
+					n.watch(now, g)
+				}
+				if from := nodes[r.IntN(len(nodes))]; from != n {
+					n.follow(now, from)
+				}
+				n.Expire(now)
 			}
-			watcher.Expire(now)
-			follower.Expire(now)
 		}
-		now = now.Add(returnHold + RemovalGrace)
-		watcher.Replace(now, w.list(), w.at)
-		watcher.Expire(now.Add(returnHold))
-		watcher.Replace(now.Add(returnHold), w.list(), w.at)
-		mark = follow(now.Add(returnHold), watcher, follower, mark)
-		follower.Expire(now.Add(2 * returnHold))
-		follow(now.Add(2*returnHold), watcher, follower, mark)
-		want := fmt.Sprint(w.names())
-		if got := fmt.Sprint(viewNames(watcher)); got != want {
-			t.Fatalf("seed %d: watcher has %s, the registry %s", seed, got, want)
+	}
+	play(20*time.Second, true)
+	play(3*returnHold, false)
+	for i, n := range nodes {
+		if got, want := fmt.Sprint(viewNames(n.Directory)), fmt.Sprint(g.names()); got != want {
+			return fmt.Sprintf("node %d has %s, the registry %s", i, got, want)
 		}
-		if got := fmt.Sprint(viewNames(follower)); got != want {
-			t.Fatalf("seed %d: follower has %s, the registry %s", seed, got, want)
+	}
+	return ""
+}
+
+// member is a node with a directory.
+type member struct {
+	*Directory
+	// seen is the number of changes of the registry that it has applied, in epoch.
+	seen  int
+	epoch int64
+	// marks holds the marks of the directories that it follows.
+	marks map[*Directory]uint64
+}
+
+func newMember() *member { return &member{Directory: New(), marks: make(map[*Directory]uint64)} }
+
+// watch applies what the registry has changed, or its list in a new epoch.
+func (m *member) watch(now time.Time, g *registry) {
+	if m.epoch != g.at.Epoch {
+		m.Replace(now, g.list(), g.at)
+		m.seen, m.epoch = len(g.changes), g.at.Epoch
+		return
+	}
+	for _, c := range g.changes[m.seen:] {
+		if c.gone == "" {
+			m.Put(now, c.put)
+		} else {
+			m.Remove(now, c.gone, c.at)
 		}
 	}
+	m.seen = len(g.changes)
 }
 
-// follow passes what a directory lacks on to another, as peers do, and returns the mark.
+// follow takes over what a peer has.
+func (m *member) follow(now time.Time, from *member) {
+	m.marks[from.Directory] = follow(now, from.Directory, m.Directory, m.marks[from.Directory])
+}
+
+// follow passes what a directory lacks on to another, as node/entry does, and returns the mark.
 func follow(now time.Time, from, to *Directory, mark uint64) uint64 {
 	view := from.View()
-	if view.Revision.Before(to.Revision()) {
+	if view.Revision.IsZero() || view.Revision.Before(to.Revision()) {
 		return mark
 	}
 	changed, gone, ok := view.Since(mark)
-	if ok && view.Revision.Epoch == to.Revision().Epoch {
+	if ok && mark > 0 && view.Revision.Epoch == to.Revision().Epoch {
 		var list []Upstream
 		for _, u := range changed {
 			list = append(list, *u)
@@ -217,18 +323,31 @@
 	}
 	var list []Upstream
 	var present []ids.Upstream
+	sameEpoch := view.Revision.Epoch == to.Revision().Epoch
 	for _, u := range view.All() {
-		list, present = append(list, *u), append(present, u.ID.Upstream)
+		present = append(present, u.ID.Upstream)
+		if u.Revision.After(to.Revision()) || u.Leaving || !sameEpoch {
+			list = append(list, *u)
+		}
 	}
 	to.Merge(now, list, present, view.Revision)
 	return view.Mark
 }
 
+// registryChange is a change in the registry: put, or the removal of gone.
+type registryChange struct {
+	put  Upstream
+	gone ids.Upstream
+	at   revision.Revision
+}
+
 // registry is a registry of upstreams that is restored from copies at random.
 type registry struct {
 	rand    *rand.Rand
 	at      revision.Revision
 	entries map[string]Upstream
+	// changes holds the changes in the present epoch.
+	changes []registryChange
 	copied  map[string]Upstream
 	copy    int64
 }
@@ -237,24 +356,30 @@
 	return &registry{rand: r, at: revision.Revision{Epoch: 1, Number: 100}, entries: make(map[string]Upstream), copied: make(map[string]Upstream), copy: 100}
 }
 
+// registeredNames are the names of all upstreams that may be registered.
+var registeredNames = []string{"u0", "u1", "u2", "u3", "u4", "u5"}
+
 // step changes an entry, removes one, takes a copy, or restores it.
 func (g *registry) step() {
-	id := fmt.Sprint("u", g.rand.IntN(6))
+	id := registeredNames[g.rand.IntN(len(registeredNames))]
 	switch g.rand.IntN(12) {
 	case 0:
-		g.copied, g.copy = clone(g.entries), g.at.Number
+		g.copied, g.copy = maps.Clone(g.entries), g.at.Number
 	case 1:
-		g.entries, g.at = clone(g.copied), revision.Revision{Epoch: g.at.Epoch + 1, Number: g.copy}
+		g.entries, g.changes = maps.Clone(g.copied), nil
+		g.at = revision.Revision{Epoch: g.at.Epoch + 1, Number: g.copy}
 	case 2, 3:
 		if _, ok := g.entries[id]; ok {
 			delete(g.entries, id)
 			g.at.Number++
+			g.changes = append(g.changes, registryChange{gone: ids.Upstream(id), at: g.at})
 		}
 	default:
 		g.at.Number++
 		u := upstream(id, 0)
 		u.Slots, u.Revision = g.rand.IntN(3), g.at
 		g.entries[id] = u
+		g.changes = append(g.changes, registryChange{put: u, at: g.at})
 	}
 }
 
@@ -269,20 +394,4 @@
 	return list
 }
 
-func (g *registry) names() []string {
-	var names []string
-	for i := range 6 {
-		if _, ok := g.entries[fmt.Sprint("u", i)]; ok {
-			names = append(names, fmt.Sprint("u", i))
-		}
-	}
-	return names
-}
-
-func clone(entries map[string]Upstream) map[string]Upstream {
-	out := make(map[string]Upstream, len(entries))
-	for id, u := range entries {
-		out[id] = u
-	}
-	return out
-}
+func (g *registry) names() []string { return slices.Sorted(maps.Keys(g.entries)) }
--- a/decide/directory/view.go
+++ b/decide/directory/view.go
@@ -15,8 +15,10 @@
 	// Mark is the number of changes that the Directory had made.
 	Mark     uint64
 	services map[ids.Service][]*Upstream
-	// byID also contains the entries whose service is not configured.
+	// byID also contains the entries whose service is not configured, and those that are held.
 	byID map[ids.Upstream]*Upstream
+	// epochMark is the lowest mark in the registry's epoch.
+	epochMark uint64
 	// recentChanges are the latest changes, oldest first. The last one is change number
 	// Mark.
 	recentChanges []changeRecord
@@ -66,9 +68,9 @@
 
 // Since returns the upstreams that changed since an earlier mark of the same Directory,
 // and the names of those that were removed. ok is false if the changes since that mark
-// are no longer kept.
+// are no longer kept, or the mark is of an earlier epoch of the registry.
 func (v *View) Since(mark uint64) (changed []*Upstream, gone []ids.Upstream, ok bool) {
-	if v == nil || mark > v.Mark || v.Mark-mark > uint64(len(v.recentChanges)) {
+	if v == nil || mark < v.epochMark || mark > v.Mark || v.Mark-mark > uint64(len(v.recentChanges)) {
 		return nil, nil, false
 	}
 	seen := make(map[ids.Upstream]bool)
@@ -92,6 +94,7 @@
 	v := &View{
 		Revision:      d.revision,
 		Mark:          d.mark,
+		epochMark:     d.epochMark,
 		recentChanges: d.recentChanges,
 		services:      make(map[ids.Service][]*Upstream),
 		byID:          make(map[ids.Upstream]*Upstream, len(d.byID)),
@@ -104,6 +107,11 @@
 		v.services[u.Service] = append(v.services[u.Service], u)
 	}
 	maps.Copy(v.byID, d.unconfigured)
+	for id, waiting := range d.deferred {
+		if waiting.upstream.Held {
+			v.byID[id] = waiting.upstream
+		}
+	}
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b *Upstream) int { return a.ID.Compare(b.ID) })
 	}
