Logs: when a node knew of a caller that left, and what took the processor

The lines did not tell why: caller_gone had the number of sends and the time since the arrival.

It now has what the request was doing, when the node knew, when the request was last sent and when the upstream's connection was closed, and the longest wait for the processor. processor_busy tells once a second, while work waits for 50 ms or more, how long it waits, the processor time of the process and the duties that took longest.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -70,6 +70,7 @@
 func (x *exchange) begin(ctx context.Context, c chain.Chain, head []byte, watch upconn.WaitFunc) (*attempt, *failure) {
 	u := c[0].Engine
 	a := &attempt{x: x, u: u}
+	x.phase = phaseConnect
 	conn, err := x.server.pool.Get(ctx, target(u))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -90,7 +91,8 @@
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
 	a.conn, a.sentAt = conn, x.server.opts.Now()
-	x.sentAt = a.sentAt
+	x.sentAt, x.upstream, x.disconnectedAt = a.sentAt, u.ID, time.Time{}
+	x.phase = phaseSend
 	a.unbind = conn.Bind(ctx, watch)
 	if err := a.send(head); err != nil {
 		a.discard()
@@ -221,4 +223,5 @@
 func (a *attempt) discard() {
 	a.unbind()
 	a.conn.Close()
+	a.x.disconnectedAt = a.x.server.opts.Now()
 }
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -35,7 +35,11 @@
 
 // CallerGoneError reports that the connection to the caller is closed or cannot be
 // written to.
-type CallerGoneError struct{ Cause error }
+type CallerGoneError struct {
+	// At is when the node noticed.
+	At    time.Time
+	Cause error
+}
 
 // Error implements error.
 func (e *CallerGoneError) Error() string { return fmt.Sprintf("caller disconnected: %v", e.Cause) }
@@ -249,14 +253,19 @@
 // write sends bytes to the caller. The error is a *CallerGoneError.
 func (c *callerConn) write(p []byte) error {
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return &CallerGoneError{err}
+		return c.gone(err)
 	}
 	if _, err := c.conn.Write(p); err != nil {
-		return &CallerGoneError{err}
+		return c.gone(err)
 	}
 	return nil
 }
 
+// gone returns the error of a caller that has just been found to have left.
+func (c *callerConn) gone(cause error) *CallerGoneError {
+	return &CallerGoneError{At: c.server.opts.Now(), Cause: cause}
+}
+
 // watchDisconnect calls cancel with a *CallerGoneError when the caller closes its side.
 // The returned function ends the watch. Bytes of a pipelined request stay in the
 // buffer.
@@ -269,7 +278,7 @@
 	go func() {
 		defer close(done)
 		if _, err := c.r.Peek(1); err != nil && !stopped.Load() {
-			cancel(&CallerGoneError{err})
+			cancel(c.gone(err))
 		}
 	}()
 	return func() {
--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -176,10 +176,12 @@
 	return died
 }
 
-// update reads or changes the node's evidence and verdicts.
-func (c *crashTracker) update(change func(now time.Time, d *quarantine.Decider)) {
+// update reads or changes the node's evidence and verdicts. duty names it in the account of the
+// processor.
+func (c *crashTracker) update(duty string, change func(now time.Time, d *quarantine.Decider)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.opts.Processor.Begin(duty)()
 	change(c.opts.Now(), c.decider)
 }
 
@@ -187,6 +189,7 @@
 func (c *crashTracker) requestServed(service ids.Service, fingerprint quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.unlock()
+	defer c.opts.Processor.Begin("crashes.record_success")()
 	c.decider.RecordSuccess(c.opts.Now(), service, fingerprint)
 }
 
@@ -198,6 +201,7 @@
 	}
 	c.mu.Lock()
 	defer c.unlock()
+	defer c.opts.Processor.Begin("crashes.record_success")()
 	c.decider.RecordLived(at, service, parts)
 }
 
@@ -218,6 +222,7 @@
 	role := c.opts.QuarantineRole(service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.opts.Processor.Begin("crashes.check")()
 	now := c.opts.Now()
 	refused, finding, newVerdict := c.decider.Check(now, service, fingerprint, role)
 	if finding.Ruling != quarantine.Unsuspected && (!refused || newVerdict != nil) {
@@ -249,6 +254,7 @@
 func (c *crashTracker) addReport(r quarantine.Report) {
 	c.mu.Lock()
 	defer c.unlock()
+	defer c.opts.Processor.Begin("crashes.add_report")()
 	c.opts.Log.Info().Str("event", "crash_report").Str("service", string(r.Service)).Str("peer", string(r.From)).
 		Bool("announced", r.Announced).Int("evidence", len(r.Events)).Send()
 	c.decider.AddReport(c.opts.Now(), r)
@@ -258,5 +264,6 @@
 func (c *crashTracker) addPeerVerdict(v quarantine.Verdict) {
 	c.mu.Lock()
 	defer c.unlock()
+	defer c.opts.Processor.Begin("crashes.add_verdict")()
 	c.decider.AddVerdict(c.opts.Now(), v)
 }
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -75,6 +75,12 @@
 	firstEvent time.Duration
 	// writingSince is when the first event came from the present upstreams, zero before.
 	writingSince time.Time
+	// phase is what the exchange is doing, and upstream the last one that it was sent to.
+	phase    phase
+	upstream ids.Instance
+	// disconnectedAt is when the connection to that upstream was closed before the end of the
+	// response, zero if it was not.
+	disconnectedAt time.Time
 }
 
 // newExchange returns the exchange of a request that was read completely.
@@ -102,6 +108,7 @@
 func (x *exchange) serve(ctx context.Context) {
 	x.server.active.Add(1)
 	defer x.server.active.Add(-1)
+	x.phase = phaseReady
 	ready := x.awaitReady(ctx)
 	table := x.server.opts.Table()
 	if refusal := x.admit(table); refusal != nil {
@@ -245,6 +252,7 @@
 // awaitDecision waits while the keepers may be about to decide whether the request crashes
 // upstreams, until then or the end of ctx, and then returns the result of checkCrashes.
 func (x *exchange) awaitDecision(ctx context.Context) *failure {
+	x.phase = phaseDecision
 	for {
 		if failed := x.checkCrashes(); failed != nil {
 			return failed
@@ -403,7 +411,7 @@
 	var late *TimeoutError
 	switch {
 	case errors.As(cause, &gone):
-		x.callerGone()
+		x.callerGone(gone)
 	case errors.As(cause, &late), !x.server.opts.Now().Before(x.deadline):
 		x.giveUp(outcome.DeadlineExpired, "deadline has passed", noUpstreamRetryAfter)
 	default:
@@ -412,13 +420,6 @@
 	return true
 }
 
-// callerGone ends a request whose caller has closed its connection.
-func (x *exchange) callerGone() {
-	x.caller.closeAfter = true
-	x.count("outcome.caller_gone")
-	x.log("caller_gone").Int("sends", x.sends).Dur("took_ms", x.server.opts.Now().Sub(x.arrived)).Send()
-}
-
 // recordAnswered logs and counts a complete response of an upstream.
 func (x *exchange) recordAnswered(status int, u *directory.Upstream) {
 	took := x.server.opts.Now().Sub(x.arrived)
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"slices"
@@ -247,6 +248,33 @@
 	f.granted, f.silent = granted, silent
 }
 
+// logLines keeps the lines of a log.
+type logLines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+// Write implements io.Writer.
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, string(p))
+	return len(p), nil
+}
+
+// find returns the first line of an event about a request, decoded; nil if there is none.
+func (l *logLines) find(event, request string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, text := range l.all {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) == nil && line["event"] == event && line["request"] == request {
+			return line
+		}
+	}
+	return nil
+}
+
 // testServer is a Server in front of fake upstreams.
 type testServer struct {
 	*Server
@@ -254,6 +282,7 @@
 	metrics   *fakeMetrics
 	engines   *fakeEngines
 	permits   *fakePermits
+	lines     *logLines
 	table     atomic.Pointer[routing.Table]
 	role      atomic.Pointer[quarantine.Role]
 	mu        sync.Mutex
@@ -341,13 +370,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &testServer{metrics: &fakeMetrics{n: make(map[string]int64)}, engines: &fakeEngines{dead: make(map[ids.Instance]bool), refused: make(map[ids.Instance]bool)}, dir: directory.New(), ready: make(chan struct{}), permits: &fakePermits{}}
+	r := &testServer{metrics: &fakeMetrics{n: make(map[string]int64)}, engines: &fakeEngines{dead: make(map[ids.Instance]bool), refused: make(map[ids.Instance]bool)}, dir: directory.New(), ready: make(chan struct{}), permits: &fakePermits{}, lines: &logLines{}}
 	r.table.Store(table)
 	for _, f := range fakes {
 		r.dir.Put(time.Time{}, f.Upstream)
 	}
 	r.Server = New(Options{
-		Headers: testHeaders, Zone: "z", Dial: upconn.DialDirect, Engines: r.engines, Now: boottime.Now, Log: zerolog.Nop(), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Permits: r.permits, Ready: r.ready,
+		Headers: testHeaders, Zone: "z", Dial: upconn.DialDirect, Engines: r.engines, Now: boottime.Now, Log: zerolog.New(r.lines), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Permits: r.permits, Ready: r.ready,
 		QuarantineRole: r.quarantineRole, OnEvidence: func() {},
 		Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		Table:  r.table.Load,
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -20,6 +20,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
@@ -89,7 +90,7 @@
 	return fmt.Sprintf("stage %s cannot take the request: status %d", e.Address, e.Status)
 }
 
-// Options configures a Server. All fields are required.
+// Options configures a Server. All fields are required unless stated otherwise.
 type Options struct {
 	Headers Headers
 	// Zone is the node's own zone.
@@ -114,6 +115,8 @@
 	// Log receives a line for each decision.
 	Log     zerolog.Logger
 	Metrics Metrics
+	// Processor measures what the processor is used for. It may be nil.
+	Processor *processor.Monitor
 	// OnVerdict is called when this node has found a request that crashes upstreams, to
 	// inform the other nodes. It must not block and must be safe for concurrent use.
 	OnVerdict func(quarantine.Verdict)
--- a/adapter/forward/overload.go
+++ b/adapter/forward/overload.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"sync/atomic"
 	"time"
 
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/decide/overload"
 )
 
@@ -70,7 +70,7 @@
 	last := time.Now()
 	for ctx.Err() == nil {
 		<-ticker.C
-		wait := processorWait()
+		wait := processor.Wait()
 		now := time.Now()
 		active := s.active.Load()
 		change := limiter.Observe(overload.Sample{Wait: wait, Elapsed: now.Sub(last), Active: int(active)})
@@ -83,13 +83,6 @@
 	}
 }
 
-// processorWait measures how long a goroutine that is ready to run waits for a processor.
-func processorWait() time.Duration {
-	start := time.Now()
-	runtime.Gosched()
-	return time.Since(start)
-}
-
 // logOverload logs the beginning and the end of a limit.
 func (s *Server) logOverload(change overload.Change, l *overload.Limiter, active int64) {
 	if change == overload.Unchanged {
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -123,6 +123,7 @@
 	began := p.opts.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.opts.Processor.Begin("chain.choose")()
 	defer func() { p.opts.Metrics.ObserveDuration("decision.chain", p.opts.Now().Sub(began)) }()
 	r.Avoid = p.withHeld(r.Avoid, ch)
 	c, err = p.chains.Pick(p.opts.Now(), m, view, r)
@@ -222,6 +223,7 @@
 func (p *picker) tryReroute(m *layered.Model, view *directory.View, r chain.Request, present chain.Chain, dead bool, ch *choice) (other chain.Chain, need []ids.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.opts.Processor.Begin("chain.reroute")()
 	now := p.opts.Now()
 	r.Avoid = p.withHeld(r.Avoid, ch)
 	other, err := p.chains.Pick(now, m, view, r)
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -184,6 +184,7 @@
 	if failed != nil {
 		return nil, nil, failed
 	}
+	x.phase = phaseResponse
 	if failed := a.readHead(); failed != nil {
 		return nil, nil, failed
 	}
@@ -207,7 +208,7 @@
 	c.endHead()
 	c.out = append(c.out, body...)
 	if err := c.write(c.out); err != nil {
-		x.callerGone()
+		x.writeFailed(err)
 		return
 	}
 	x.recordAnswered(resp.Head.StatusCode(), u)
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -172,7 +172,7 @@
 
 // TakeCrashReports returns the evidence that the keepers of services have to be told.
 func (s *Server) TakeCrashReports() (reports []quarantine.Report) {
-	s.crashes.update(func(now time.Time, d *quarantine.Decider) { reports = d.TakeReports(now) })
+	s.crashes.update("crashes.take_reports", func(now time.Time, d *quarantine.Decider) { reports = d.TakeReports(now) })
 	return reports
 }
 
@@ -182,7 +182,7 @@
 func (s *Server) ReviewSuspects() (announcements []quarantine.Report, next time.Time) {
 	var actions quarantine.Actions
 	var now time.Time
-	s.crashes.update(func(at time.Time, d *quarantine.Decider) {
+	s.crashes.update("crashes.review", func(at time.Time, d *quarantine.Decider) {
 		now, actions = at, d.Review(at, s.opts.QuarantineRole)
 	})
 	for _, d := range actions.Decisions {
@@ -197,7 +197,7 @@
 // CrashKnowledge returns the evidence against suspects and the verdicts that a node without
 // any has to be told.
 func (s *Server) CrashKnowledge() (reports []quarantine.Report, verdicts []quarantine.Verdict) {
-	s.crashes.update(func(now time.Time, d *quarantine.Decider) { reports, verdicts = d.Knowledge(now) })
+	s.crashes.update("crashes.knowledge", func(now time.Time, d *quarantine.Decider) { reports, verdicts = d.Knowledge(now) })
 	return reports, verdicts
 }
 
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -129,6 +129,7 @@
 
 // waitToResume waits for resumeRetryDelay or the end of ctx.
 func (s *stream) waitToResume(ctx context.Context) {
+	s.x.phase = phaseRetry
 	timer := time.NewTimer(resumeRetryDelay)
 	defer timer.Stop()
 	select {
@@ -169,6 +170,7 @@
 	if failed := x.awaitDecision(ctx); failed != nil {
 		return failed
 	}
+	x.phase = phaseChoose
 	c, failed := s.chooseChain(ctx)
 	if failed != nil {
 		return failed
@@ -297,6 +299,7 @@
 // relay reads the response of one attempt and passes its events on.
 func (s *stream) relay(a *attempt, w *stallWatch) *failure {
 	x := s.x
+	x.phase = phaseResponse
 	failed := a.readHead()
 	s.recordLoad(a)
 	if failed != nil {
@@ -316,6 +319,7 @@
 		if err != nil {
 			return a.readFailed(err)
 		}
+		x.phase = phaseEvents
 		pass, err := s.seq.accept(ev)
 		if err != nil {
 			a.discard()
@@ -327,7 +331,7 @@
 		}
 		if err := s.writeEvent(a, ev); err != nil {
 			a.discard()
-			x.callerGone()
+			x.writeFailed(err)
 			return nil
 		}
 	}
@@ -391,7 +395,7 @@
 	}
 	c.out = append(c.out, "0\r\n\r\n"...)
 	if err := c.write(c.out); err != nil {
-		x.callerGone()
+		x.writeFailed(err)
 		return nil
 	}
 	x.recordAnswered(a.resp.Head.StatusCode(), a.u)
--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -19,6 +19,7 @@
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/layered"
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/lease"
 	"mimosaarch.example/decide/placement"
@@ -86,6 +87,8 @@
 	// SilentFor returns how long an engine has left this node's requests
 	// unanswered; 0 if it answers or if that is unknown.
 	SilentFor func(*directory.Upstream) time.Duration
+	// Processor measures how long plans take. It may be nil.
+	Processor *processor.Monitor
 	// OnRestart is called with the new instance of an engine that reports a later
 	// start than the directory knows. Calls may be concurrent.
 	OnRestart func(ids.Instance)
@@ -210,7 +213,9 @@
 	if p.planWasEmpty(service.Name, input) {
 		return
 	}
+	planned := p.opts.Processor.Begin("placement.plan")
 	orders := placement.Plan(m, state, plan)
+	planned()
 	if len(orders) == 0 {
 		p.emptyPlans[service.Name] = input
 	}
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
@@ -192,8 +193,9 @@
 	IssuePermit(ctx context.Context, r backpressure.PermitRequest) (backpressure.PermitReply, error)
 }
 
-// Serve answers peers until l is closed, and returns the error of Accept.
-func Serve(ctx context.Context, l net.Listener, source Source) error {
+// Serve answers peers until l is closed, and returns the error of Accept. The monitor measures
+// how long it takes to decode calls; it may be nil.
+func Serve(ctx context.Context, l net.Listener, source Source, monitor *processor.Monitor) error {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -204,7 +206,7 @@
 			continue
 		}
 		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(handler(source)), jsonrpc2.SetLogger(discardLogger))
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(handler(source, monitor)), jsonrpc2.SetLogger(discardLogger))
 	}
 }
 
@@ -212,8 +214,15 @@
 // caller notices that itself, and a node must write nothing but JSON lines.
 var discardLogger = log.New(io.Discard, "", 0)
 
-// method handles the calls of one method. params is never nil.
-type method func(ctx context.Context, source Source, params json.RawMessage) (any, error)
+// incoming is a call that has arrived. params is never nil.
+type incoming struct {
+	name    string
+	params  json.RawMessage
+	monitor *processor.Monitor
+}
+
+// method handles the calls of one method.
+type method func(ctx context.Context, source Source, call incoming) (any, error)
 
 // methods holds the handlers of all methods by name.
 var methods = map[string]method{
@@ -247,9 +256,12 @@
 
 // handle returns a method that decodes its parameters.
 func handle[P any](f func(context.Context, Source, P) (any, error)) method {
-	return func(ctx context.Context, source Source, raw json.RawMessage) (any, error) {
+	return func(ctx context.Context, source Source, call incoming) (any, error) {
 		var params P
-		if err := json.Unmarshal(raw, &params); err != nil {
+		decoded := call.monitor.Begin("peer.decode_" + call.name)
+		err := json.Unmarshal(call.params, &params)
+		decoded()
+		if err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		return f(ctx, source, params)
@@ -257,13 +269,13 @@
 }
 
 // handler returns a function that answers one call from source.
-func handler(source Source) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+func handler(source Source, monitor *processor.Monitor) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		method := methods[r.Method]
 		if method == nil || r.Params == nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 		}
-		return method(ctx, source, *r.Params)
+		return method(ctx, source, incoming{name: r.Method, params: *r.Params, monitor: monitor})
 	}
 }
 
@@ -356,7 +368,7 @@
 	}
 	timed := &readTimeoutConn{Conn: conn, readTimeout: timeout - callTimeout + roster.PeerReadTimeout}
 	stream := jsonrpc2.NewBufferedStream(timed, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(callCtx, stream, jsonrpc2.HandlerWithError(handler(emptySource{})), jsonrpc2.SetLogger(discardLogger))
+	rpc := jsonrpc2.NewConn(callCtx, stream, jsonrpc2.HandlerWithError(handler(emptySource{}, nil)), jsonrpc2.SetLogger(discardLogger))
 	defer rpc.Close()
 	return rpc.Call(callCtx, method, params, result)
 }
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -83,7 +83,7 @@
 func serve(t *testing.T, s Source) string {
 	t.Helper()
 	l := listen(t)
-	go func() { _ = Serve(t.Context(), l, s) }()
+	go func() { _ = Serve(t.Context(), l, s, nil) }()
 	return l.Addr().String()
 }
 
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -80,7 +80,7 @@
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		members[i].PeerAddress = l.Addr().String()
-		go func() { _ = relay.Serve(t.Context(), l, r) }()
+		go func() { _ = relay.Serve(t.Context(), l, r, nil) }()
 	}
 	n.fleet.setMembers(members, revision.Of(1))
 	return n, r
--- a/node/entry/crashes_test.go
+++ b/node/entry/crashes_test.go
@@ -40,7 +40,7 @@
 		r.listsOnly = "a-00"
 		r.knowledge = relay.CrashKnowledge{Verdicts: []quarantine.Verdict{{Fingerprint: quarantine.Fingerprint(m.Name), For: time.Minute}}}
 		recorders[m.Name] = r
-		go func() { _ = relay.Serve(t.Context(), l, r) }()
+		go func() { _ = relay.Serve(t.Context(), l, r, nil) }()
 	}
 	n.fleet.setMembers(members, revision.Of(1))
 	return n, recorders
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/lease"
@@ -100,6 +101,8 @@
 	ports    Ports
 	log      zerolog.Logger
 	metrics  *telemetry.Telemetry
+	// processor measures what the node's processor is used for.
+	processor *processor.Monitor
 
 	updates    *notifier
 	configs    *configs
@@ -137,7 +140,7 @@
 
 // New creates a Node. It opens no sockets and starts no goroutines before Run.
 func New(settings Settings, ports Ports, log zerolog.Logger) *Node {
-	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New(), storeCalls: newCallCounter()}
+	n := &Node{settings: settings, ports: ports, log: log, metrics: telemetry.New(), processor: processor.NewMonitor(), storeCalls: newCallCounter()}
 	n.initialized = make(chan struct{})
 	n.verdicts = newOutbox[quarantine.Verdict](maxQueuedVerdicts, n.metrics, "verdicts.dropped")
 	n.crashes = newCrashExchange(n)
@@ -150,8 +153,9 @@
 		// The fleet's lock is held.
 		n.detours.dialer.SetPeers(n.fleet.roster.Others())
 	})
-	n.configs = &configs{log: log, updates: n.updates}
+	n.configs = &configs{log: log, updates: n.updates, processor: n.processor}
 	n.upstreams = newUpstreams(processID(settings), log, n.updates)
+	n.upstreams.processor = n.processor
 	n.membership = newMembership(settings, &timedMembers{ports.Members, n.metrics.ObserveDuration}, n, log)
 	n.probe = newProbe(ports.Prober, n.fleet, log, &n.configs.storeContact, &n.upstreams.storeContact)
 	n.detours = newDetours(n)
@@ -169,6 +173,7 @@
 		Now:       boottime.Now,
 		Log:       log,
 		Metrics:   n.metrics,
+		Processor: n.processor,
 		OnVerdict: n.verdicts.add,
 		OnLimit:   n.limits.add,
 		Permits:   n.permits,
@@ -215,6 +220,7 @@
 		Now:               boottime.Now,
 		Log:               log,
 		Count:             n.metrics.Add,
+		Processor:         n.processor,
 		SilentFor:         n.silentFor,
 		OnRestart:         n.upstreams.recordRestart,
 	})
@@ -309,6 +315,7 @@
 
 // currentUpdate returns what is newer than the peer's state, without waiting.
 func (n *Node) currentUpdate(req relay.UpdateRequest) relay.Update {
+	defer n.processor.Begin("update.answer")()
 	configRevision := n.configs.revision()
 	update := relay.Update{ConfigRevision: configRevision, Epoch: configRevision.Epoch}
 	n.fleet.addMembers(&update, req.Members)
@@ -403,7 +410,7 @@
 	}
 	// These servers return when stop closes their listeners.
 	peers := n.detours.server.Listen(l.peers)
-	go func() { _ = relay.Serve(ctx, peers, n) }()
+	go func() { _ = relay.Serve(ctx, peers, n, n.processor) }()
 	go func() { _ = n.server.Serve(ctx, l.callers) }()
 	go n.awaitInitialState(ctx)
 	go n.followConfig(ctx)
@@ -416,6 +423,7 @@
 	go n.limits.run(ctx, n.sendLimit)
 	go n.leavings.run(ctx, n.sendLeaving)
 	go n.logCallsPeriodically(ctx)
+	go n.watchProcessor(ctx)
 	go n.elector.Run(ctx)
 	go n.placer.Run(ctx)
 }
--- a/node/entry/permits_test.go
+++ b/node/entry/permits_test.go
@@ -67,7 +67,7 @@
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		members[i].PeerAddress = l.Addr().String()
-		go func() { _ = relay.Serve(t.Context(), l, permitPeer{p}) }()
+		go func() { _ = relay.Serve(t.Context(), l, permitPeer{p}, nil) }()
 	}
 	for _, i := range gone {
 		members[i].PeerAddress = "127.0.0.1:1"
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -56,7 +56,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	p := &fixedPeer{update: update, requests: make(chan relay.UpdateRequest, 100)}
-	go func() { _ = relay.Serve(t.Context(), l, p) }()
+	go func() { _ = relay.Serve(t.Context(), l, p, nil) }()
 	return p, l.Addr().String()
 }
 
--- a/node/entry/state.go
+++ b/node/entry/state.go
@@ -15,6 +15,7 @@
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/core/processor"
 	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/routing"
@@ -107,6 +108,8 @@
 	storeContact
 	log     zerolog.Logger
 	updates *notifier
+	// processor measures how long it takes to apply a configuration.
+	processor *processor.Monitor
 	// included is the store's revision up to which changes are included, nil before the
 	// first list.
 	included atomic.Pointer[revision.Revision]
@@ -182,6 +185,7 @@
 		c.keep(active, config, epoch, from)
 		return
 	}
+	defer c.processor.Begin("configuration.apply")()
 	table, err := routing.Build(*config)
 	if err != nil {
 		from.addTo(c.log.Error().Str("event", "configuration_refused")).Int64("version", config.Version).Err(err).Send()
@@ -273,6 +277,8 @@
 	process string
 	log     zerolog.Logger
 	updates *notifier
+	// processor measures how long it takes to apply changes.
+	processor *processor.Monitor
 	// onRemoved is called for each upstream that was removed.
 	onRemoved func(*directory.Upstream)
 	// onStoreRecovered is called when the store's state arrives again, from a
@@ -508,6 +514,7 @@
 func (u *upstreams) update(from origin, apply func(*directory.Directory, time.Time) []directory.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	defer u.processor.Begin("directory.apply")()
 	before, mark := u.directory.Revision(), u.directory.Mark()
 	changes := apply(u.directory, boottime.Now())
 	if u.directory.Mark() == mark && u.directory.Revision() == before {
