--- a/adapter/upconn/upconn_test.go
+++ b/adapter/upconn/upconn_test.go
@@ -207,3 +207,41 @@
 // instance returns the only known instance of an upstream that reports no start
 // time.
 func instance(name ids.Upstream) ids.Instance { return ids.Instance{Upstream: name} }
+
+// Guards against a read that goes on after its context has ended while its WaitFunc ran.
+func TestContextThatEndsInAWaitFuncEndsTheRead(t *testing.T) {
+	target := serve(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	c := connect(t, NewPool(time.Now, DialDirect, nil), target, waitLong)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	stop := c.Bind(ctx, func(waited time.Duration) (time.Duration, error) {
+		cancel(io.ErrClosedPipe)
+		time.Sleep(20 * time.Millisecond) // The context's functions run meanwhile.
+		return waitLong(waited)
+	})
+	defer stop()
+	began := time.Now()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.ErrClosedPipe) || time.Since(began) > time.Second {
+		t.Errorf("the read ended after %v with %v", time.Since(began), err)
+	}
+}
+
+// Guards against a request that is written after its context has ended.
+func TestNothingIsWrittenAfterTheContextEnded(t *testing.T) {
+	got := make(chan int, 1)
+	target := serve(t, func(c net.Conn) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	})
+	c := connect(t, NewPool(time.Now, DialDirect, nil), target, waitLong)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(io.ErrClosedPipe)
+	stop := c.Bind(ctx, waitLong)
+	defer stop()
+	if err := c.Write([]byte("x"), time.Second); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("the write ended with %v", err)
+	}
+	c.Close()
+	if n := <-got; n > 0 {
+		t.Error("the upstream got a byte")
+	}
+}
