Connections to upstreams are closed when their caller leaves

Cause: the end of an exchange was signalled by a deadline in the past. The next step of the exchange set another deadline over it: a read whose WaitFunc was under way, or a write that was about to begin.

The end of the context now closes the connection, which no later step undoes, and reads and writes return the cause of the context. TestAbortEndsARead uses Bind in place of Abort, which is gone; its WaitFunc no longer helps it.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -91,7 +91,7 @@
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
 	a.conn, a.sentAt = conn, x.server.opts.Now()
-	x.sentAt, x.upstream, x.disconnectedAt = a.sentAt, u.ID, time.Time{}
+	x.sentAt, x.upstream, x.conn = a.sentAt, u.ID, conn
 	x.phase = phaseSend
 	a.unbind = conn.Bind(ctx, watch)
 	if err := a.send(head); err != nil {
@@ -223,5 +223,4 @@
 func (a *attempt) discard() {
 	a.unbind()
 	a.conn.Close()
-	a.x.disconnectedAt = a.x.server.opts.Now()
 }
--- a/adapter/forward/departure.go
+++ b/adapter/forward/departure.go
@@ -34,9 +34,9 @@
 		Dur("known_ms", gone.At.Sub(x.arrived)).Dur("longest_wait_ms", x.server.opts.Processor.LongestWait()).AnErr("cause", gone.Cause)
 	if x.sends > 0 {
 		line.Str("upstream", x.upstream.String()).Dur("sent_ms", x.sentAt.Sub(x.arrived))
-	}
-	if !x.disconnectedAt.IsZero() {
-		line.Dur("disconnected_ms", x.disconnectedAt.Sub(x.arrived))
+		if closedAt := x.conn.ClosedAt(); !closedAt.IsZero() {
+			line.Dur("disconnected_ms", closedAt.Sub(x.arrived))
+		}
 	}
 	line.Send()
 }
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/directory"
@@ -75,12 +76,11 @@
 	firstEvent time.Duration
 	// writingSince is when the first event came from the present upstreams, zero before.
 	writingSince time.Time
-	// phase is what the exchange is doing, and upstream the last one that it was sent to.
+	// phase is what the exchange is doing, upstream the last one that it was sent to, and conn the
+	// connection over which it was sent.
 	phase    phase
 	upstream ids.Instance
-	// disconnectedAt is when the connection to that upstream was closed before the end of the
-	// response, zero if it was not.
-	disconnectedAt time.Time
+	conn     *upconn.Conn
 }
 
 // newExchange returns the exchange of a request that was read completely.
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -9,11 +9,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,18 +61,24 @@
 type WaitFunc func(waited time.Duration) (time.Duration, error)
 
 // Conn is one connection to an upstream. It is used by one goroutine at a time, but
-// Abort may be called from any.
+// Close may be called from any.
 type Conn struct {
 	conn   net.Conn
 	raw    syscall.RawConn
 	r      *bufio.Reader
 	target Target
+	// now is the clock of the pool.
+	now func() time.Time
 	// lastUsedAt is when the last exchange ended, and idleTimeout how long the
 	// connection may then be kept for reuse.
 	lastUsedAt  time.Time
 	idleTimeout time.Duration
 	reused      bool
 	waitFunc    WaitFunc
+	// bound is the context of the present exchange, nil between exchanges.
+	bound atomic.Pointer[context.Context]
+	// closedAt is when the connection was closed here.
+	closedAt atomic.Pointer[time.Time]
 	// readErr is the error of the last failed read.
 	readErr error
 }
@@ -87,24 +95,34 @@
 // SetWaitFunc sets the function that bounds the reads that follow.
 func (c *Conn) SetWaitFunc(f WaitFunc) { c.waitFunc = f }
 
-// Bind sets the WaitFunc for the reads that follow and aborts reads and writes when
-// ctx ends. A read aborted this way returns the cause of ctx. The returned function
-// releases the connection from ctx and returns true if ctx had not aborted it
-// before.
+// Bind sets the WaitFunc for the reads that follow, and closes the connection when ctx ends.
+// A deadline in the past would not do: the next read or write sets another one. Reads and writes
+// then return the cause of ctx. The returned function releases the connection from ctx and
+// returns true if ctx had not closed it before.
 func (c *Conn) Bind(ctx context.Context, f WaitFunc) (stop func() bool) {
-	c.SetWaitFunc(func(waited time.Duration) (time.Duration, error) {
-		if ctx.Err() != nil {
-			return 0, context.Cause(ctx)
-		}
-		return f(waited)
-	})
-	return context.AfterFunc(ctx, c.Abort)
+	c.SetWaitFunc(f)
+	c.bound.Store(&ctx)
+	unbind := context.AfterFunc(ctx, c.Close)
+	return func() bool {
+		c.bound.Store(nil)
+		return unbind()
+	}
+}
+
+// ended returns the cause of the end of the context of the present exchange, nil if it has not
+// ended.
+func (c *Conn) ended() error {
+	if ctx := c.bound.Load(); ctx != nil && (*ctx).Err() != nil {
+		return context.Cause(*ctx)
+	}
+	return nil
 }
 
 // Read implements io.Reader for the buffered reader of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	if err != nil {
+		err = cmp.Or(c.ended(), err)
 		c.readErr = err
 	}
 	return n, err
@@ -119,6 +137,9 @@
 func (c *Conn) read(p []byte) (int, error) {
 	var waited time.Duration
 	for {
+		if err := c.ended(); err != nil {
+			return 0, err
+		}
 		wait, err := c.waitFunc(waited)
 		if err != nil {
 			return 0, err
@@ -137,23 +158,34 @@
 	}
 }
 
-// Write sends p within the given time.
+// Write sends p within the given time. It sends nothing once the context of the exchange has
+// ended.
 func (c *Conn) Write(p []byte, within time.Duration) error {
+	if err := c.ended(); err != nil {
+		return err
+	}
 	if err := c.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
-	_, err := c.conn.Write(p)
-	return err
+	if _, err := c.conn.Write(p); err != nil {
+		return cmp.Or(c.ended(), err)
+	}
+	return nil
 }
 
-// Abort ends a read or write in progress. A read then calls its WaitFunc again.
-func (c *Conn) Abort() {
-	// Setting the deadline fails only if the connection is already closed.
-	_ = c.conn.SetDeadline(time.Unix(1, 0))
+// ClosedAt returns when the connection was closed here, by the clock of its pool, zero if it was
+// not.
+func (c *Conn) ClosedAt() time.Time {
+	if at := c.closedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
-// Close closes the connection.
+// Close closes the connection, which ends reads and writes in progress.
 func (c *Conn) Close() {
+	at := c.now()
+	c.closedAt.CompareAndSwap(nil, &at)
 	// The connection is gone either way, so the error does not matter.
 	_ = c.conn.Close()
 }
--- a/adapter/upconn/pool.go
+++ b/adapter/upconn/pool.go
@@ -94,7 +94,7 @@
 	if p.opened != nil {
 		p.opened(t)
 	}
-	c := &Conn{conn: conn, raw: raw, target: t, idleTimeout: defaultIdleTimeout}
+	c := &Conn{conn: conn, raw: raw, target: t, now: p.now, idleTimeout: defaultIdleTimeout}
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/adapter/upconn/upconn_test.go
+++ b/adapter/upconn/upconn_test.go
@@ -115,10 +115,8 @@
 	target := serve(t, func(net.Conn) { <-hold })
 	defer close(hold)
 	ctx, cancel := context.WithCancel(t.Context())
-	conn := connect(t, NewPool(time.Now, DialDirect, nil), target, func(time.Duration) (time.Duration, error) {
-		return time.Hour, ctx.Err()
-	})
-	stop := context.AfterFunc(ctx, conn.Abort)
+	conn := connect(t, NewPool(time.Now, DialDirect, nil), target, waitLong)
+	stop := conn.Bind(ctx, func(time.Duration) (time.Duration, error) { return time.Hour, nil })
 	defer stop()
 	time.AfterFunc(5*time.Millisecond, cancel)
 	if _, err := conn.ReadResponse("GET"); !errors.Is(err, context.Canceled) {
