Requests that wait for a node that starts end with their callers

A request that came while the node started waited up to 0.9 s for it, was then admitted and sent although its caller had left: the watch of the caller's connection began only after the wait. It now begins when the request has been read, before anything is awaited, and the end of the context ends each wait.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -108,8 +108,15 @@
 func (x *exchange) serve(ctx context.Context) {
 	x.server.active.Add(1)
 	defer x.server.active.Add(-1)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := x.caller.watchDisconnect(cancel)
+	defer stop()
 	x.phase = phaseReady
 	ready := x.awaitReady(ctx)
+	if x.contextDone(ctx) {
+		return
+	}
 	table := x.server.opts.Table()
 	if refusal := x.admit(table); refusal != nil {
 		x.refuse(refusal)
@@ -124,12 +131,8 @@
 		return
 	}
 	x.prepareHead()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	reqCtx, cancelTimeout := context.WithTimeoutCause(ctx, x.deadline.Sub(x.arrived), &TimeoutError{})
 	defer cancelTimeout()
-	stop := x.caller.watchDisconnect(cancel)
-	defer stop()
 	x.server.picker.recordFirstSend(x.service)
 	if x.route.Kind == routing.Streaming {
 		x.serveStream(reqCtx, table)
@@ -250,7 +253,7 @@
 const suspectCheckInterval = 20 * time.Millisecond
 
 // awaitDecision waits while the keepers may be about to decide whether the request crashes
-// upstreams, until then or the end of ctx, and then returns the result of checkCrashes.
+// upstreams, and then returns the result of checkCrashes. It also fails if ctx ends.
 func (x *exchange) awaitDecision(ctx context.Context) *failure {
 	x.phase = phaseDecision
 	for {
@@ -266,7 +269,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return nil
+			return &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: context.Cause(ctx)}
 		}
 	}
 }
@@ -412,7 +415,7 @@
 	switch {
 	case errors.As(cause, &gone):
 		x.callerGone(gone)
-	case errors.As(cause, &late), !x.server.opts.Now().Before(x.deadline):
+	case errors.As(cause, &late), !x.deadline.IsZero() && !x.server.opts.Now().Before(x.deadline):
 		x.giveUp(outcome.DeadlineExpired, "deadline has passed", noUpstreamRetryAfter)
 	default:
 		x.giveUp(outcome.Draining, "node is stopping", notReadyRetryAfter)
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -37,6 +37,9 @@
 	avoid := make(map[ids.Instance]bool)
 	for refusals := 0; ; {
 		if failed := x.awaitDecision(ctx); failed != nil {
+			if x.contextDone(ctx) {
+				return
+			}
 			x.giveUp(failed.reason, quarantineDetail, quarantineRetryAfter)
 			return
 		}
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -53,7 +53,7 @@
 	}
 	for {
 		failed := s.attempt(ctx)
-		if failed == nil || x.contextDone(ctx) || !s.handleFailure(ctx, failed) {
+		if failed == nil || x.contextDone(ctx) || !s.handleFailure(ctx, failed) || x.contextDone(ctx) {
 			return
 		}
 	}
