A caller that leaves after bytes of its next request is noticed

Such a caller's request went on until its deadline (5 s in the test): the watch of its connection ended with the first byte that came, or did not begin if bytes were there already. The watch now reads on behind them, into the buffer that holds them until it is full (the limit of a request head). What comes behind a full buffer is not seen; it is read once the present response has ended.

--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -267,17 +267,18 @@
 }
 
 // watchDisconnect calls cancel with a *CallerGoneError when the caller closes its side.
-// The returned function ends the watch. Bytes of a pipelined request stay in the
-// buffer.
+// The returned function ends the watch. Bytes of next requests stay in the buffer, and the watch
+// goes on behind them until the buffer is full.
 func (c *callerConn) watchDisconnect(cancel context.CancelCauseFunc) (stop func()) {
-	if c.r.Buffered() > 0 || c.conn.SetReadDeadline(time.Time{}) != nil {
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		cancel(c.gone(err))
 		return func() {}
 	}
 	done := make(chan struct{})
 	var stopped atomic.Bool
 	go func() {
 		defer close(done)
-		if _, err := c.r.Peek(1); err != nil && !stopped.Load() {
+		if err := c.readAhead(); err != nil && !stopped.Load() {
 			cancel(c.gone(err))
 		}
 	}()
@@ -289,6 +290,16 @@
 	}
 }
 
+// readAhead reads into the buffer until a read fails or the buffer is full.
+func (c *callerConn) readAhead() error {
+	for c.r.Buffered() < c.r.Size() {
+		if _, err := c.r.Peek(c.r.Buffered() + 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeError sends a response that the node generates itself: a status, and a JSON body
 // with the reason. id and retryAfter are left out if they are zero.
 func (c *callerConn) writeError(status int, id, reason string, retryAfter time.Duration) error {
