Nothing is sent for a caller that had left before the send

Of 50 requests whose callers had left before they were read, 3 to 4 were sent, and others were answered as if their callers were there. The watch of a caller's connection is a goroutine of its own, which runs whenever the processor has time for it; nothing looked at the connection before a send. On a node without free processor time it comes up to half a second after the request was read.

Each send now asks the socket itself whether the caller has closed it, one call without a wait, and looks at the context of the request. So a request that was read late, or that has waited for a connection, is not sent.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -87,6 +87,10 @@
 		x.server.pool.Put(conn, 0)
 		return nil, failed
 	}
+	if err := x.checkCaller(ctx); err != nil {
+		x.server.pool.Put(conn, 0)
+		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
+	}
 	if x.sends++; x.sends == 1 {
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -300,6 +302,34 @@
 	return nil
 }
 
+// checkPresent returns a *CallerGoneError if the caller has closed the connection and all its
+// bytes have been read. Unlike the watch it does not depend on when its goroutine runs.
+func (c *callerConn) checkPresent() error {
+	conn, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return c.gone(err)
+	}
+	var n int
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, readErr = syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil:
+		return c.gone(err)
+	case errors.Is(readErr, syscall.EAGAIN), errors.Is(readErr, syscall.EINTR), readErr == nil && n > 0:
+		return nil
+	case readErr == nil:
+		return c.gone(io.EOF)
+	}
+	return c.gone(readErr)
+}
+
 // writeError sends a response that the node generates itself: a status, and a JSON body
 // with the reason. id and retryAfter are left out if they are zero.
 func (c *callerConn) writeError(status int, id, reason string, retryAfter time.Duration) error {
--- a/adapter/forward/departure.go
+++ b/adapter/forward/departure.go
@@ -1,6 +1,9 @@
 package forward
 
-import "errors"
+import (
+	"context"
+	"errors"
+)
 
 // phase is what an exchange is doing.
 type phase string
@@ -25,6 +28,15 @@
 	phaseRetry phase = "retry"
 )
 
+// checkCaller returns the cause of the end of ctx if it has ended. It ends ctx if the caller has
+// left, which the watch of its connection may notice later.
+func (x *exchange) checkCaller(ctx context.Context) error {
+	if err := x.caller.checkPresent(); err != nil {
+		x.leave(err)
+	}
+	return context.Cause(ctx)
+}
+
 // callerGone ends a request whose caller has left.
 func (x *exchange) callerGone(gone *CallerGoneError) {
 	x.caller.closeAfter = true
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -76,6 +76,8 @@
 	firstEvent time.Duration
 	// writingSince is when the first event came from the present upstreams, zero before.
 	writingSince time.Time
+	// leave ends the context of the exchange.
+	leave context.CancelCauseFunc
 	// phase is what the exchange is doing, upstream the last one that it was sent to, and conn the
 	// connection over which it was sent.
 	phase    phase
@@ -112,6 +114,7 @@
 	defer cancel(nil)
 	stop := x.caller.watchDisconnect(cancel)
 	defer stop()
+	x.leave = cancel
 	x.phase = phaseReady
 	ready := x.awaitReady(ctx)
 	if x.contextDone(ctx) {
