--- a/adapter/forward/departure.go
+++ b/adapter/forward/departure.go
@@ -37,6 +37,13 @@
 	return context.Cause(ctx)
 }
 
+// callerLeft reports whether ctx has ended because the caller has left. How an attempt ended then
+// says nothing about its upstreams.
+func callerLeft(ctx context.Context) bool {
+	var gone *CallerGoneError
+	return errors.As(context.Cause(ctx), &gone)
+}
+
 // callerGone ends a request whose caller has left.
 func (x *exchange) callerGone(gone *CallerGoneError) {
 	x.caller.closeAfter = true
--- a/adapter/forward/left_test.go
+++ b/adapter/forward/left_test.go
@@ -145,3 +145,23 @@
 		t.Error("the upstream still works")
 	}
 }
+
+// Guards against probes of all engines of a chain for each caller that leaves.
+func TestCallerThatLeavesStartsNoProbes(t *testing.T) {
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	u := fakeEngine(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool {
+		eventsFrom(conn, req, 1, 1, false)
+		<-hold
+		return false
+	})
+	r := newTestServer(t, u)
+	c := r.dial(t)
+	c.send("POST", "/stream/x", "s1", "p")
+	eventually(t, "the stream begins", func() bool { return len(u.requests()) == 1 })
+	c.leave()
+	eventually(t, "the stream ends", func() bool { return r.lines.find("caller_gone", "s1") != nil })
+	if n := r.metrics.get("upstream.probes"); n > 0 {
+		t.Errorf("%d probes were made", n)
+	}
+}
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -419,6 +419,9 @@
 func (s *stream) recordFailure(ctx context.Context, w *stallWatch, failed *failure) {
 	x, c := s.x, w.chain
 	x.recordPossibleRun(c[0].Engine, failed)
+	if callerLeft(ctx) {
+		return
+	}
 	if ctx.Err() == nil && failed.lostWhileRunning() {
 		x.recordLostRun(w.beganAt(), w.hasStarted(), x.writingSince, c.Engines()...)
 	}
