Evidence about crashes is reported as news, and paced

Cause: each news sent all that a node knew of crashes, 256 events, to each of six keepers, at most every 30 ms. A part of prompts that many requests have is blamed for each death and cleared of each by each success, so there was news all the time: decoding alone took a keeper 330 to 680 ms of 1.8 s.

A report now has what the node has found itself since the last one. A success is one event, whatever number of deaths it clears. Keepers name their process in the answer; one that did not answer, or that is another process, gets all recent evidence. Reports and announcements are paced by the number of nodes.

The simulated fleets tell senders of lost reports now, as calls do; their checks and bounds are as they were.

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,6 +51,8 @@
 // concurrent use.
 type crashTracker struct {
 	opts Options
+	// nodes is the number of nodes of the fleet.
+	nodes atomic.Int64
 
 	mu             sync.Mutex
 	decider        *quarantine.Decider
@@ -68,6 +71,10 @@
 	}
 }
 
+// setNodes sets the number of nodes of the fleet. It takes no lock, since its caller may hold
+// one that QuarantineRole takes.
+func (c *crashTracker) setNodes(n int) { c.nodes.Store(int64(n)) }
+
 // runLost records that the connection of a run broke, or that the run was rerouted
 // around a dead stage.
 func (c *crashTracker) runLost(r *run) {
@@ -182,6 +189,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.opts.Processor.Begin(duty)()
+	c.decider.SetNodes(int(c.nodes.Load()))
 	change(c.opts.Now(), c.decider)
 }
 
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -140,7 +140,10 @@
 func (s *Server) Active() int64 { return s.active.Load() }
 
 // SetNodes sets the number of nodes that share the upstreams and the retry budget.
-func (s *Server) SetNodes(n int) { s.picker.setNodes(n) }
+func (s *Server) SetNodes(n int) {
+	s.picker.setNodes(n)
+	s.crashes.setNodes(n)
+}
 
 // UpstreamRemoved drops the state of an upstream that has left the directory. Unless it
 // was leaving, it counts as crashed.
@@ -170,12 +173,25 @@
 // AddCrashReport applies a peer's evidence about requests that crash upstreams.
 func (s *Server) AddCrashReport(r quarantine.Report) { s.crashes.addReport(r) }
 
-// TakeCrashReports returns the evidence that the keepers of services have to be told.
+// TakeCrashReports returns the news that the keepers of services have to be told now.
 func (s *Server) TakeCrashReports() (reports []quarantine.Report) {
 	s.crashes.update("crashes.take_reports", func(now time.Time, d *quarantine.Decider) { reports = d.TakeReports(now) })
 	return reports
 }
 
+// NextCrashReport returns when TakeCrashReports has something to tell, zero if not before there is
+// new evidence.
+func (s *Server) NextCrashReport() (next time.Time) {
+	s.crashes.update("crashes.take_reports", func(_ time.Time, d *quarantine.Decider) { next = d.NextReport() })
+	return next
+}
+
+// CrashEvidence returns the evidence of a service for a keeper that may lack earlier news.
+func (s *Server) CrashEvidence(service ids.Service) (evidence quarantine.Report) {
+	s.crashes.update("crashes.evidence", func(now time.Time, d *quarantine.Decider) { evidence = d.Evidence(now, service) })
+	return evidence
+}
+
 // ReviewSuspects decides on the suspects of the services of which this node is a keeper. It
 // publishes new verdicts, and returns what has to be announced to all nodes and when the next
 // review is due, zero if not before there is new evidence.
--- a/adapter/relay/relay.go
+++ b/adapter/relay/relay.go
@@ -155,6 +155,13 @@
 	u.Hops = max(u.Hops, hops)
 }
 
+// CrashReportReply is the answer to evidence about requests that crash upstreams.
+type CrashReportReply struct {
+	// Process identifies the process that has taken the evidence. It has none of what its
+	// predecessors were told.
+	Process string `json:"process,omitempty"`
+}
+
 // CrashKnowledgeRequest names the node that asks for CrashKnowledge.
 type CrashKnowledgeRequest struct {
 	VM          ids.VM `json:"vm"`
@@ -181,7 +188,7 @@
 	// ApplyVerdict applies a verdict of a peer.
 	ApplyVerdict(v quarantine.Verdict)
 	// ApplyCrashReport applies a peer's evidence about requests that crash upstreams.
-	ApplyCrashReport(r quarantine.Report)
+	ApplyCrashReport(r quarantine.Report) CrashReportReply
 	// CrashKnowledge returns the evidence and the verdicts that a node without any needs.
 	CrashKnowledge(req CrashKnowledgeRequest) CrashKnowledge
 	// ApplyLimit applies a limit that an upstream has named to a peer.
@@ -235,8 +242,7 @@
 		return nil, nil
 	}),
 	methodCrashReport: handle(func(_ context.Context, source Source, r quarantine.Report) (any, error) {
-		source.ApplyCrashReport(r)
-		return nil, nil
+		return source.ApplyCrashReport(r), nil
 	}),
 	methodCrashKnowledge: handle(func(_ context.Context, source Source, req CrashKnowledgeRequest) (any, error) {
 		return source.CrashKnowledge(req), nil
@@ -314,11 +320,12 @@
 }
 
 // SendCrashReport sends evidence to the peer at an address. The error is a *CallError.
-func SendCrashReport(ctx context.Context, peer string, r quarantine.Report) error {
-	if err := call(ctx, peer, callTimeout, methodCrashReport, r, nil); err != nil {
-		return &CallError{peer, err}
+func SendCrashReport(ctx context.Context, peer string, r quarantine.Report) (CrashReportReply, error) {
+	var reply CrashReportReply
+	if err := call(ctx, peer, callTimeout, methodCrashReport, r, &reply); err != nil {
+		return CrashReportReply{}, &CallError{peer, err}
 	}
-	return nil
+	return reply, nil
 }
 
 // FetchCrashKnowledge returns what the peer at an address knows of requests that crash
@@ -402,7 +409,7 @@
 func (emptySource) ApplyVerdict(quarantine.Verdict) {}
 
 // ApplyCrashReport implements Source.
-func (emptySource) ApplyCrashReport(quarantine.Report) {}
+func (emptySource) ApplyCrashReport(quarantine.Report) CrashReportReply { return CrashReportReply{} }
 
 // CrashKnowledge implements Source.
 func (emptySource) CrashKnowledge(CrashKnowledgeRequest) CrashKnowledge { return CrashKnowledge{} }
--- a/adapter/relay/relay_test.go
+++ b/adapter/relay/relay_test.go
@@ -40,7 +40,10 @@
 
 func (s *fakeSource) ApplyVerdict(v quarantine.Verdict) { s.verdicts <- v }
 
-func (s *fakeSource) ApplyCrashReport(r quarantine.Report) { s.reports <- r }
+func (s *fakeSource) ApplyCrashReport(r quarantine.Report) CrashReportReply {
+	s.reports <- r
+	return CrashReportReply{Process: "p"}
+}
 
 func (s *fakeSource) CrashKnowledge(req CrashKnowledgeRequest) CrashKnowledge {
 	s.asker = req
@@ -133,7 +136,7 @@
 func TestCrashReportsAreDelivered(t *testing.T) {
 	s := &fakeSource{reports: make(chan quarantine.Report, 1)}
 	want := quarantine.Report{Service: "s", Events: testEvents, Announced: true, From: "vm"}
-	if err := SendCrashReport(t.Context(), serve(t, s), want); err != nil {
+	if reply, err := SendCrashReport(t.Context(), serve(t, s), want); err != nil || reply.Process != "p" {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(want, <-s.reports); diff != "" {
--- a/decide/quarantine/decider.go
+++ b/decide/quarantine/decider.go
@@ -60,8 +60,8 @@
 // that are in force there. All evidence of a service is brought together at its keepers,
 // which decide:
 //
-//   - TakeReports returns the evidence that the keepers have to be told. It goes to their
-//     AddReport.
+//   - TakeReports returns the news that the keepers have to be told. It goes to their
+//     AddReport. A keeper that may lack earlier news gets the Evidence of the service.
 //   - Review, on keepers, returns announcements for the AddReport of all nodes, and verdicts
 //     for their AddVerdict. A node that has served a suspect contradicts an announcement
 //     with its next report.
@@ -73,6 +73,8 @@
 //
 // A Decider is not safe for concurrent use and reads no clock.
 type Decider struct {
+	// nodes is the number of nodes of the fleet.
+	nodes    int
 	services map[ids.Service]*serviceEvidence
 	verdicts map[Fingerprint]heldVerdict
 }
@@ -81,8 +83,10 @@
 type serviceEvidence struct {
 	service  ids.Service
 	detector *Detector
-	// unreported is true if the node has evidence that it has not reported.
-	unreported bool
+	// scheduled is true if NextReport was asked for the present news.
+	scheduled bool
+	// reports and announcements pace what the node sends.
+	reports, announcements pacer
 	// findings holds the findings about suspects of the latest review.
 	findings map[Fingerprint]Finding
 	// reviewed is false if there is evidence that has not been reviewed. decideAt is when a
@@ -117,24 +121,30 @@
 	d := dec.services[service]
 	if d == nil {
 		d = &serviceEvidence{service: service, detector: New(Options{}), findings: make(map[Fingerprint]Finding), announced: make(map[Fingerprint]count)}
+		d.reports.burst, d.announcements.burst = reportBurst, announcementBurst
+		d.detector.news = newNews()
 		dec.services[service] = d
 	}
 	return d
 }
 
+// SetNodes sets the number of nodes of the fleet, by which messages are paced.
+func (dec *Decider) SetNodes(n int) { dec.nodes = n }
+
 // RecordDeath records the death of an upstream, at which the node lost runs or not.
 func (dec *Decider) RecordDeath(now, at time.Time, service ids.Service, upstream ids.Upstream, epoch string, runs []Run) {
 	d := dec.service(service)
 	d.detector.RecordDeathAt(now, at, upstream, epoch, runs)
 	d.reviewed = false
-	d.unreported = d.unreported || len(runs) > 0
 }
 
 // RecordSuccess records that an upstream served a request completely.
 func (dec *Decider) RecordSuccess(now time.Time, service ids.Service, fp Fingerprint) {
 	d := dec.service(service)
+	suspect := d.isSuspect(fp)
 	if d.detector.RecordSuccess(now, fp) {
-		d.reviewed, d.unreported = false, true
+		d.reviewed = false
+		d.tellSuccess(now, fp, suspect)
 	}
 }
 
@@ -143,21 +153,36 @@
 func (dec *Decider) RecordLived(at time.Time, service ids.Service, parts []Fingerprint) {
 	d := dec.service(service)
 	for _, part := range parts {
+		suspect := d.isSuspect(part)
 		if d.detector.RecordLived(at, part) {
-			d.reviewed, d.unreported = false, true
+			d.reviewed = false
+			d.tellSuccess(at, part, suspect)
 		}
 	}
 }
 
+// isSuspect reports whether there is sufficient evidence against a fingerprint.
+func (d *serviceEvidence) isSuspect(fp Fingerprint) bool {
+	return len(d.detector.suspects[fp]) > 0 && d.detector.isSuspect(d.detector.evidenceFor(fp))
+}
+
+// tellSuccess records that the keepers have to be told of a success, at once if it contradicts a
+// suspect.
+func (d *serviceEvidence) tellSuccess(at time.Time, fp Fingerprint, suspect bool) {
+	d.scheduled = d.scheduled && (!suspect || d.detector.news.urgent)
+	d.detector.news.success(at, fp, suspect)
+}
+
 // AddReport merges the evidence of another node.
 func (dec *Decider) AddReport(now time.Time, r Report) {
 	d := dec.service(r.Service)
-	if d.detector.MergeDigest(now, "", r.Events) {
-		d.unreported = true
-	}
+	contradicted := d.detector.MergeDigest(now, "", r.Events)
 	if r.Announced {
+		// Those that were announced are about to be decided on.
+		d.detector.news.urgent = d.detector.news.urgent || contradicted
 		d.noteAnnounced(r.Events)
 	}
+	d.scheduled = d.scheduled && !contradicted
 	d.reviewed = false
 }
 
@@ -170,24 +195,49 @@
 	dec.hold(now, v)
 }
 
-// TakeReports returns the evidence of services for which the node has some that it has not
-// reported.
+// TakeReports returns the news of the services for which a report is due.
 func (dec *Decider) TakeReports(now time.Time) []Report {
 	var reports []Report
 	for _, d := range dec.sortedServices() {
-		if !d.unreported {
+		if due := dec.reportAt(d); due.IsZero() || now.Before(due) {
 			continue
 		}
-		d.unreported = false
-		reports = append(reports, Report{Service: d.service, Events: d.detector.Digest(now)})
+		d.reports.sent(now, spacing(dec.nodes))
+		d.scheduled = false
+		if events := d.detector.news.take(now, d.detector, d.detector.opts.MaxEvents); len(events) > 0 {
+			reports = append(reports, Report{Service: d.service, Events: events})
+		}
 	}
 	return reports
 }
 
-// Due reports whether TakeReports or Review has something to do.
+// NextReport returns when the next report is due, zero if there is no news.
+func (dec *Decider) NextReport() time.Time {
+	var next time.Time
+	for _, d := range dec.services {
+		d.scheduled = true
+		next = earliest(next, dec.reportAt(d))
+	}
+	return next
+}
+
+// reportAt returns when the next report about a service is due, zero if there is no news.
+func (dec *Decider) reportAt(d *serviceEvidence) time.Time {
+	if d.detector.news.isEmpty() {
+		return time.Time{}
+	}
+	return later(d.detector.news.dueAt(), d.reports.next(spacing(dec.nodes)))
+}
+
+// Evidence returns the evidence of a service for a keeper that may lack earlier news.
+func (dec *Decider) Evidence(now time.Time, service ids.Service) Report {
+	return Report{Service: service, Events: dec.service(service).detector.Digest(now)}
+}
+
+// Due reports whether NextReport or Review has something new to say.
 func (dec *Decider) Due() bool {
 	for _, d := range dec.services {
-		if d.unreported || !d.reviewed {
+		if !d.scheduled && !d.detector.news.isEmpty() || !d.reviewed {
 			return true
 		}
 	}
@@ -225,10 +275,10 @@
 		if !d.reviewed || !d.decideAt.IsZero() && !now.Before(d.decideAt) {
 			dec.decideAll(now, d, r, &a)
 		}
-		if report := d.announce(now, r); report != nil {
+		if report := dec.announce(now, d, r); report != nil {
 			a.Announcements = append(a.Announcements, *report)
 		}
-		a.Next = earliest(a.Next, d.decideAt, d.announceAt(r))
+		a.Next = earliest(a.Next, d.decideAt, dec.announceAt(d, r))
 	}
 	return a
 }
@@ -285,17 +335,17 @@
 }
 
 // announceAt returns when the node announces the changes, zero if there are none.
-func (d *serviceEvidence) announceAt(r Role) time.Time {
+func (dec *Decider) announceAt(d *serviceEvidence, r Role) time.Time {
 	if d.changedAt.IsZero() || r.Alone {
 		return time.Time{}
 	}
-	return d.changedAt.Add(announceDelay + time.Duration(r.Rank)*keeperStagger)
+	return later(d.changedAt.Add(announceDelay+time.Duration(r.Rank)*keeperStagger), d.announcements.next(spacing(dec.nodes)))
 }
 
 // announce returns the announcement that is due, nil if there is none. What does not fit into
 // it follows with the next one.
-func (d *serviceEvidence) announce(now time.Time, r Role) *Report {
-	if due := d.announceAt(r); due.IsZero() || now.Before(due) {
+func (dec *Decider) announce(now time.Time, d *serviceEvidence, r Role) *Report {
+	if due := dec.announceAt(d, r); due.IsZero() || now.Before(due) {
 		return nil
 	}
 	d.changedAt = time.Time{}
@@ -303,6 +353,7 @@
 	if len(news) == 0 {
 		return nil
 	}
+	d.announcements.sent(now, spacing(dec.nodes))
 	report := &Report{Service: d.service, Events: d.detector.eventsOf(now, news[:min(len(news), maxAnnounced)]), Announced: true}
 	d.noteAnnounced(report.Events)
 	if len(d.unannounced(now)) > 0 {
--- a/decide/quarantine/digest.go
+++ b/decide/quarantine/digest.go
@@ -24,6 +24,9 @@
 	Cleared Kind = "cleared"
 	// Death: the upstream died. The event names no fingerprint.
 	Death Kind = "death"
+	// Succeeded: the fingerprint has succeeded. The event names no upstream, and Age is the time
+	// since then.
+	Succeeded Kind = "succeeded"
 )
 
 // Event is one item of evidence that VMs exchange. Upstream and Epoch identify
@@ -47,6 +50,19 @@
 	Excused bool          `json:"excused,omitempty"`
 }
 
+// applySuccess clears a fingerprint of deaths, as a peer has served it at some time.
+func (det *Detector) applySuccess(at time.Time, fp Fingerprint) (cleared bool) {
+	if fp.IsPart() {
+		return det.applyLived(at, fp)
+	}
+	for _, d := range det.suspects[fp] {
+		if !d.at.After(at) && det.clear(d, fp) {
+			cleared = true
+		}
+	}
+	return cleared
+}
+
 // MergeDigest adds the events of a peer's digest to the evidence. Peers relay
 // events of other VMs, and each event identifies its death, so it does not
 // matter which VM sent it. Events are ignored if they exceed MaxEvents, have an
@@ -58,6 +74,10 @@
 		if e.Age >= retentionFactor*det.opts.Duration || !e.Kind.valid() {
 			continue
 		}
+		if e.Kind == Succeeded {
+			det.applySuccess(now.Add(-max(e.Age, 0)), e.Fingerprint)
+			continue
+		}
 		d := det.findOrAddDeath(now.Add(-max(e.Age, 0)), deathID{e.Upstream, e.Epoch})
 		if e.Kind == Death {
 			continue
@@ -69,6 +89,7 @@
 		b := blame{learnedAt: now, ran: ran, started: e.Started, via: slices.Clone(e.Via[:min(len(e.Via), maxVia)]), excused: e.Excused}
 		if det.addBlame(d, e.Fingerprint, b) && e.Kind == Blamed {
 			contradicted = true
+			det.news.success(det.successes[e.Fingerprint], e.Fingerprint, false)
 		}
 		if e.Kind == Cleared {
 			det.clear(d, e.Fingerprint)
@@ -78,7 +99,9 @@
 }
 
 // valid reports whether the kind is known.
-func (k Kind) valid() bool { return k == Blamed || k == Cleared || k == Death }
+func (k Kind) valid() bool {
+	return k == Blamed || k == Cleared || k == Death || k == Succeeded
+}
 
 // Digest returns the evidence to send to peers, including evidence received from
 // peers. Events against suspects of several deaths come first, then the other
--- a/decide/quarantine/parts.go
+++ b/decide/quarantine/parts.go
@@ -41,6 +41,11 @@
 		return false
 	}
 	det.storeSuccess(at, part)
+	return det.applyLived(at, part)
+}
+
+// applyLived clears a part of earlier deaths, and excuses it of those shortly after.
+func (det *Detector) applyLived(at time.Time, part Fingerprint) (cleared bool) {
 	for _, d := range det.suspects[part] {
 		switch b := d.inFlight[part]; {
 		case b.cleared:
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -198,6 +198,8 @@
 	successes   map[Fingerprint]time.Time
 	successRing []Fingerprint
 	ringNext    int
+	// news is what peers have to be told, nil if it is not collected.
+	news *news
 }
 
 // New returns a Detector without evidence.
@@ -245,6 +247,7 @@
 			b.via = []Fingerprint{r.Via}
 		}
 		det.addBlame(d, r.Fingerprint, b)
+		det.news.blamed(now, d, r.Fingerprint)
 	}
 }
 
@@ -252,12 +255,7 @@
 // completely. It reports whether that cleared the fingerprint of a death.
 func (det *Detector) RecordSuccess(now time.Time, fp Fingerprint) (cleared bool) {
 	det.storeSuccess(now, fp)
-	for _, d := range det.suspects[fp] {
-		if !d.at.After(now) && det.clear(d, fp) {
-			cleared = true
-		}
-	}
-	return cleared
+	return det.applySuccess(now, fp)
 }
 
 // Ruling is the result of an assessment of a fingerprint.
--- a/decide/quarantine/reports_test.go
+++ b/decide/quarantine/reports_test.go
@@ -36,3 +36,44 @@
 		t.Errorf("%d events were reported about %d runs, want %d at most", reported, runs, mostReported)
 	}
 }
+
+// mostWithin returns the most of some sorted times that lie within a window, in ms.
+func mostWithin(times []int, window int) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for times[first] <= at-window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against keepers whose load grows with the square of the crashes, beside parts of prompts
+// that most requests have.
+func TestReportsAreBoundedWhileEnginesFailByTurns(t *testing.T) {
+	const (
+		window  = 1000 // ms
+		seconds = 14
+		// controlBytes is what a node may send for control, in bytes per second.
+		controlBytes = 16_000
+	)
+	for _, nodes := range []int{9, 85, 295} {
+		f := newSimFleet(t, nodes, 7)
+		f.badPart = badPart // requests have parts
+		f.failEngines(0, fleetEngines, 200)
+		f.playBadPart(seconds, 1<<30)
+		mostReports := reportBurst + int(window*time.Millisecond/spacing(nodes))
+		for pair, times := range f.reportTimes {
+			if n := mostWithin(times, window); n > mostReports {
+				t.Errorf("%d nodes: node %d sent keeper %d %d reports within %d ms, want %d at most", nodes, pair[0], pair[1], n, window, mostReports)
+				break
+			}
+		}
+		rate := f.reportBytes / nodes / seconds
+		if rate > controlBytes {
+			t.Errorf("%d nodes: each sent %d bytes a second to keepers, want %d at most", nodes, rate, controlBytes)
+		}
+		t.Logf("%d nodes: each sent %d bytes a second to keepers", nodes, rate)
+	}
+}
--- a/decide/quarantine/simfleet_test.go
+++ b/decide/quarantine/simfleet_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -42,6 +43,9 @@
 type simNode struct {
 	Peer
 	decider *Decider
+	// process counts the starts of the node, and delivery holds what the keepers have of it.
+	process  int
+	delivery Delivery
 	// reviewAt is when the next review is due, in ms, 0 for none.
 	reviewAt int
 	// frozenUntil is the time until which the node stands still, in ms.
@@ -94,6 +98,10 @@
 	crashes, sends map[Fingerprint][]int
 	// messages counts calls between nodes, and largest the most events of one of them.
 	messages, largest int
+	// reportTimes holds the times of the reports from a node to a keeper, in ms, and reportBytes is
+	// the size of all of them.
+	reportTimes map[[2]int][]int
+	reportBytes int
 	// parts holds the parts of the prompts of requests. Requests with badPart crash engines,
 	// and are counted as if they were all the same.
 	parts   map[Fingerprint][]Fingerprint
@@ -104,9 +112,12 @@
 
 // newSimFleet returns a fleet of n nodes.
 func newSimFleet(t *testing.T, n int, seed uint64) *simFleet {
-	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int), parts: make(map[Fingerprint][]Fingerprint)}
+	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), reportTimes: make(map[[2]int][]int), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int), parts: make(map[Fingerprint][]Fingerprint)}
 	for i := range n {
-		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, decider: NewDecider()})
+		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, decider: NewDecider(), process: 1})
+	}
+	for _, n := range f.nodes {
+		n.decider = f.newDecider()
 	}
 	f.keepers = f.keepersWithout(nil)
 	for range fleetEngines {
@@ -116,6 +127,13 @@
 	return f
 }
 
+// newDecider returns the Decider of a node that starts.
+func (f *simFleet) newDecider() *Decider {
+	d := NewDecider()
+	d.SetNodes(len(f.nodes))
+	return d
+}
+
 // keepersWithout returns the keepers in a list that lacks some nodes.
 func (f *simFleet) keepersWithout(missing []int) []int {
 	var peers []Peer
@@ -171,6 +189,80 @@
 	})
 }
 
+// callTimeout is how long it takes until a node knows that a call has failed, in ms.
+const callTimeout = 1000
+
+// call is send for a message whose sender learns whether it has been delivered.
+func (f *simFleet) call(from, to, events int, deliver func(*simNode), failed func()) {
+	delivered := false
+	f.send(from, to, events, func(n *simNode) {
+		delivered = true
+		deliver(n)
+	})
+	f.after(callTimeout, func() {
+		if !delivered {
+			failed()
+		}
+	})
+}
+
+// report sends a report to the keepers, or all evidence to those that may lack some.
+func (f *simFleet) report(i int, r Report) {
+	for _, k := range f.keepersOf(i) {
+		if k != i {
+			f.reportTo(i, k, r)
+		}
+	}
+}
+
+// reportTo is report for one keeper.
+func (f *simFleet) reportTo(i, k int, r Report) {
+	n, keeper := f.nodes[i], string(f.nodes[k].VM)
+	content := n.delivery.Next(at(f.now), keeper)
+	switch content {
+	case Nothing:
+		return
+	case Whole:
+		r = n.decider.Evidence(at(f.now), r.Service)
+	}
+	if len(r.Events) == 0 {
+		return
+	}
+	process := n.process
+	f.reportTimes[[2]int{i, k}] = append(f.reportTimes[[2]int{i, k}], f.now)
+	f.reportBytes += sizeOf(f.t, r)
+	f.call(i, k, len(r.Events), func(to *simNode) {
+		to.decider.AddReport(at(f.now), r)
+		if n.process == process && n.delivery.Delivered(keeper, fmt.Sprint(to.process), content) {
+			f.reportTo(i, k, r)
+		}
+	}, func() {
+		if n.process == process {
+			n.delivery.Failed(at(f.now), keeper)
+		}
+	})
+}
+
+// sizeOf returns the size of a report on the wire, in bytes.
+func sizeOf(t *testing.T, r Report) int {
+	t.Helper()
+	encoded, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(encoded)
+}
+
+// retryReports sends a node's evidence to keepers that did not take an earlier report.
+func (f *simFleet) retryReports(i int) {
+	n := f.nodes[i]
+	for _, k := range f.keepersOf(i) {
+		if due, _ := n.delivery.Retry(at(f.now), []string{string(f.nodes[k].VM)}); due {
+			f.reportTo(i, k, Report{Service: simService})
+		}
+	}
+}
+
 // touch makes the review of a node due.
 func (f *simFleet) touch(n *simNode) { n.reviewAt = f.now }
 
@@ -181,13 +273,10 @@
 		return
 	}
 	for _, r := range n.decider.TakeReports(at(f.now)) {
-		for _, k := range f.keepersOf(i) {
-			if k != i {
-				f.send(i, k, len(r.Events), func(to *simNode) { to.decider.AddReport(at(f.now), r) })
-			}
-		}
+		f.report(i, r)
 		f.touch(n)
 	}
+	f.retryReports(i)
 	if n.reviewAt == 0 || n.reviewAt > f.now {
 		return
 	}
@@ -212,7 +301,9 @@
 // restart starts a node anew, which then asks another one for what it knows.
 func (f *simFleet) restart(i int) {
 	n := f.nodes[i]
-	n.decider, n.reviewAt = NewDecider(), 0
+	n.decider, n.reviewAt = f.newDecider(), 0
+	n.process++
+	n.delivery = Delivery{}
 	for to := range f.nodes {
 		if to == i || !f.reaches(i, to) || f.nodes[to].frozenUntil > f.now {
 			continue
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -47,7 +47,10 @@
 
 func (r broadcastRecorder) ApplyVerdict(v quarantine.Verdict) { r.verdicts <- v }
 
-func (r broadcastRecorder) ApplyCrashReport(report quarantine.Report) { r.reports <- report }
+func (r broadcastRecorder) ApplyCrashReport(report quarantine.Report) relay.CrashReportReply {
+	r.reports <- report
+	return relay.CrashReportReply{}
+}
 
 func (r broadcastRecorder) CrashKnowledge(req relay.CrashKnowledgeRequest) relay.CrashKnowledge {
 	known := r.knowledge
--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -17,8 +17,7 @@
 )
 
 const (
-	// maxQueuedReports is the most reports about crashes that wait to be sent. A report
-	// contains all that the node knows, so a later one replaces one that is dropped.
+	// maxQueuedReports is the most reports about crashes that wait to be sent.
 	maxQueuedReports = 16
 	// reportSenders is how many reports are sent at once, so that a frozen keeper, which
 	// delays one of them by a second, does not delay the next one.
@@ -50,12 +49,15 @@
 	// keepers holds the keepers of services, as of the nodes with a digest.
 	keepers map[ids.Service][]roster.Member
 	digest  uint64
+	// deliveries holds what the keepers of services have of this node.
+	deliveries map[ids.Service]*quarantine.Delivery
 }
 
 // newCrashExchange returns the exchange of a node.
 func newCrashExchange(n *Node) *crashExchange {
 	return &crashExchange{
 		node: n, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), caughtUp: make(chan struct{}), keepers: make(map[ids.Service][]roster.Member),
+		deliveries:    make(map[ids.Service]*quarantine.Delivery),
 		reports:       newOutbox[quarantine.Report](maxQueuedReports, n.metrics, "crash_reports.dropped"),
 		announcements: newOutbox[quarantine.Report](maxQueuedReports, n.metrics, "crash_reports.dropped"),
 	}
@@ -116,21 +118,72 @@
 	}
 }
 
-// exchange queues what other nodes have to be told. It returns when a review is due, zero if
-// not before there is new evidence.
+// exchange queues what other nodes have to be told. It returns when it has to be called again,
+// zero if not before there is new evidence.
 func (c *crashExchange) exchange() time.Time {
 	for _, r := range c.node.server.TakeCrashReports() {
 		r.From = c.node.settings.VM
 		c.reports.add(r)
 	}
+	retryAt := c.retryReports()
 	announcements, next := c.node.server.ReviewSuspects()
 	for _, a := range announcements {
 		a.From = c.node.settings.VM
 		c.announcements.add(a)
 	}
+	return earliest(next, c.node.server.NextCrashReport(), retryAt)
+}
+
+// earliest returns the earliest of some times that are not zero, zero if all are.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, t := range times {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
+
+// retryReports queues all evidence for keepers that did not take an earlier report. It returns
+// when the next one is due, zero for none.
+func (c *crashExchange) retryReports() time.Time {
+	now := boottime.Now()
+	c.mu.Lock()
+	var due []ids.Service
+	var next time.Time
+	for service, delivery := range c.deliveries {
+		isDue, at := delivery.Retry(now, addresses(c.keepers[service]))
+		if isDue {
+			due = append(due, service)
+		}
+		next = earliest(next, at)
+	}
+	c.mu.Unlock()
+	for _, service := range due {
+		c.reports.add(quarantine.Report{Service: service, From: c.node.settings.VM})
+	}
 	return next
 }
 
+// addresses returns the addresses at which nodes listen for peers.
+func addresses(members []roster.Member) []string {
+	addresses := make([]string, len(members))
+	for i, m := range members {
+		addresses[i] = m.PeerAddress
+	}
+	return addresses
+}
+
+// names returns the names of nodes.
+func names(members []roster.Member) []ids.VM {
+	names := make([]ids.VM, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	return names
+}
+
 // keepersOf returns the keepers of a service, and the number of nodes.
 func (c *crashExchange) keepersOf(service ids.Service) ([]roster.Member, int) {
 	members, digest := c.node.fleet.memberList()
@@ -165,18 +218,15 @@
 // role is the server's QuarantineRole. A node that reaches no keeper decides by itself.
 func (c *crashExchange) role(service ids.Service) quarantine.Role {
 	keepers, nodes := c.keepersOf(service)
-	names := make([]ids.VM, len(keepers))
-	for i, m := range keepers {
-		names[i] = m.Name
-	}
-	role := quarantine.RoleOf(c.node.settings.VM, names, nodes)
+	role := quarantine.RoleOf(c.node.settings.VM, names(keepers), nodes)
 	if !role.Keeper && nodes > 0 && c.unreached.Load() {
 		return quarantine.Role{Keeper: true}
 	}
 	return role
 }
 
-// sendReport sends a report to the keepers of its service.
+// sendReport sends a report to the keepers of its service, or all evidence to those that may lack
+// some.
 func (c *crashExchange) sendReport(ctx context.Context, r quarantine.Report) {
 	keepers, _ := c.keepersOf(r.Service)
 	pool := pond.NewPool(maxBroadcastCalls)
@@ -187,11 +237,9 @@
 			continue
 		}
 		pool.Submit(func() {
-			if err := relay.SendCrashReport(ctx, m.PeerAddress, r); err != nil {
-				c.node.log.Debug().Str("event", "peer_silent").Err(err).Send()
-				return
+			if c.sendReportTo(ctx, m, r) {
+				reached.Store(true)
 			}
-			reached.Store(true)
 		})
 	}
 	pool.StopAndWait()
@@ -200,10 +248,62 @@
 	}
 }
 
+// sendReportTo sends a report to one keeper, or all evidence if the keeper may lack some. It
+// reports whether the keeper answers.
+func (c *crashExchange) sendReportTo(ctx context.Context, keeper roster.Member, news quarantine.Report) bool {
+	var content quarantine.Content
+	c.updateDelivery(news.Service, func(now time.Time, d *quarantine.Delivery) { content = d.Next(now, keeper.PeerAddress) })
+	if content == quarantine.Nothing {
+		return false
+	}
+	report := news
+	switch {
+	case content == quarantine.Whole:
+		if all := c.node.server.CrashEvidence(news.Service); len(all.Events) > 0 {
+			report.Events = all.Events
+		}
+	case len(news.Events) == 0:
+		return true
+	}
+	reply, err := relay.SendCrashReport(ctx, keeper.PeerAddress, report)
+	if err != nil {
+		c.node.log.Debug().Str("event", "peer_silent").Err(err).Send()
+		c.updateDelivery(news.Service, func(now time.Time, d *quarantine.Delivery) { d.Failed(now, keeper.PeerAddress) })
+		c.evidenceDue()
+		return false
+	}
+	var lacks bool
+	c.updateDelivery(news.Service, func(_ time.Time, d *quarantine.Delivery) {
+		lacks = d.Delivered(keeper.PeerAddress, reply.Process, content)
+	})
+	if lacks {
+		return c.sendReportTo(ctx, keeper, news)
+	}
+	return true
+}
+
+// updateDelivery reads or changes what is known of the keepers of a service.
+func (c *crashExchange) updateDelivery(service ids.Service, change func(now time.Time, d *quarantine.Delivery)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.deliveries[service]
+	if d == nil {
+		d = &quarantine.Delivery{}
+		c.deliveries[service] = d
+	}
+	change(boottime.Now(), d)
+}
+
 // announce sends an announcement to all other nodes.
 func (c *crashExchange) announce(ctx context.Context, r quarantine.Report) {
-	c.node.broadcast(func(peer string) error { return relay.SendCrashReport(ctx, peer, r) })
+	c.node.broadcast(func(peer string) error {
+		_, err := relay.SendCrashReport(ctx, peer, r)
+		return err
+	})
 }
 
 // ApplyCrashReport implements relay.Source. It applies evidence received from a peer.
-func (n *Node) ApplyCrashReport(r quarantine.Report) { n.server.AddCrashReport(r) }
+func (n *Node) ApplyCrashReport(r quarantine.Report) relay.CrashReportReply {
+	n.server.AddCrashReport(r)
+	return relay.CrashReportReply{Process: processID(n.settings)}
+}
--- a/node/entry/permits_test.go
+++ b/node/entry/permits_test.go
@@ -25,7 +25,9 @@
 
 func (permitPeer) ApplyVerdict(quarantine.Verdict) {}
 
-func (permitPeer) ApplyCrashReport(quarantine.Report) {}
+func (permitPeer) ApplyCrashReport(quarantine.Report) relay.CrashReportReply {
+	return relay.CrashReportReply{}
+}
 
 func (permitPeer) CrashKnowledge(relay.CrashKnowledgeRequest) relay.CrashKnowledge {
 	return relay.CrashKnowledge{}
--- a/node/entry/shared_source_test.go
+++ b/node/entry/shared_source_test.go
@@ -33,7 +33,9 @@
 
 func (*fixedPeer) ApplyVerdict(quarantine.Verdict) {}
 
-func (*fixedPeer) ApplyCrashReport(quarantine.Report) {}
+func (*fixedPeer) ApplyCrashReport(quarantine.Report) relay.CrashReportReply {
+	return relay.CrashReportReply{}
+}
 
 func (*fixedPeer) CrashKnowledge(relay.CrashKnowledgeRequest) relay.CrashKnowledge {
 	return relay.CrashKnowledge{}
