Reviews of evidence look at candidates only

A keeper went through all requests and parts that are blamed for anything, with each review, and summed up each one with two deaths, most of which had been cleared. It keeps those with enough deaths that still count.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -141,6 +141,7 @@
 		d.inFlight[fp] = known
 		d.blamed++
 		det.suspects[fp] = append(det.suspects[fp], d)
+		det.addToBlames(fp, 1)
 		det.changed()
 	} else if known.merge(b) {
 		det.changed()
@@ -196,18 +197,30 @@
 	det.changed()
 	d.inFlight[fp].cleared = true
 	d.blamed--
+	det.addToBlames(fp, -1)
 	return true
 }
 
+// addToBlames adds to the number of deaths that a fingerprint is blamed for.
+func (det *Detector) addToBlames(fp Fingerprint, n int) {
+	blames := det.blames[fp] + n
+	det.blames[fp] = blames
+	if blames == 0 {
+		delete(det.blames, fp)
+	}
+	if blames >= det.opts.Threshold {
+		det.candidates[fp] = true
+	} else {
+		delete(det.candidates, fp)
+	}
+}
+
 // suspectsOf returns the suspects whose quarantine would not be over, those with the most
 // evidence against them first.
 func (det *Detector) suspectsOf(now time.Time) []Fingerprint {
 	weights := make(map[Fingerprint]float64)
 	var suspects []Fingerprint
-	for fp, deaths := range det.suspects {
-		if len(deaths) < det.opts.Threshold {
-			continue
-		}
+	for fp := range det.candidates {
 		if e := det.evidenceFor(fp); det.isSuspect(e) && now.Before(e.last.Add(det.opts.Duration)) {
 			weights[fp] = e.weight
 			suspects = append(suspects, fp)
@@ -278,6 +291,9 @@
 func (det *Detector) removeReferences(d *death) {
 	delete(det.byID, d.id)
 	for fp := range d.inFlight {
+		if d.isBlamed(fp) {
+			det.addToBlames(fp, -1)
+		}
 		rest := slices.DeleteFunc(det.suspects[fp], func(other *death) bool { return other == d })
 		if len(rest) == 0 {
 			delete(det.suspects, fp)
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -190,6 +190,10 @@
 	deaths   []*death
 	byID     map[deathID]*death
 	suspects map[Fingerprint][]*death
+	// blames counts the deaths that a fingerprint is still blamed for. candidates holds those
+	// with enough of them to be suspects.
+	blames     map[Fingerprint]int
+	candidates map[Fingerprint]bool
 	// summaries holds the evidence against fingerprints, until it changes.
 	summaries map[Fingerprint]evidence
 	// successes maps fingerprints to their last success on this VM. successRing
@@ -207,6 +211,7 @@
 	det := &Detector{
 		byID:      make(map[deathID]*death),
 		suspects:  make(map[Fingerprint][]*death),
+		blames:    make(map[Fingerprint]int),
 		summaries: make(map[Fingerprint]evidence),
 		successes: make(map[Fingerprint]time.Time),
 	}
@@ -217,6 +222,10 @@
 // SetOptions replaces the options. They apply to existing evidence too.
 func (det *Detector) SetOptions(opts Options) {
 	det.opts = withDefaults(opts)
+	det.candidates = make(map[Fingerprint]bool)
+	for fp := range det.blames {
+		det.addToBlames(fp, 0)
+	}
 	det.changed()
 }
 
