Evidence about crashes that finds no room in the queue is sent later

Since reports contain news only, one that was dropped because the queue was full, as beside a keeper that stands still, would never have reached the keepers. They get all recent evidence with the next report then. Found by reading; TestReportThatIsDroppedFollowsWithAllEvidence.

--- a/decide/quarantine/delivery.go
+++ b/decide/quarantine/delivery.go
@@ -82,6 +82,13 @@
 	*s = keeperState{failures: s.failures + 1, retryAt: now.Add(pause)}
 }
 
+// Lost records that news will not be sent to any keeper.
+func (d *Delivery) Lost() {
+	for _, s := range d.keepers {
+		s.process = ""
+	}
+}
+
 // Retry reports whether one of some keepers that did not take a report is due to be sent all
 // evidence. If not, it returns when the next one is, zero if all have taken theirs.
 func (d *Delivery) Retry(now time.Time, keepers []string) (due bool, next time.Time) {
--- a/node/entry/broadcast.go
+++ b/node/entry/broadcast.go
@@ -22,12 +22,15 @@
 	return &outbox[M]{queue: make(chan M, size), metrics: metrics, dropped: dropped}
 }
 
-// add queues a message. It drops and counts the message if the queue is full.
-func (o *outbox[M]) add(m M) {
+// add queues a message. It drops and counts the message if the queue is full, and reports whether
+// it was queued.
+func (o *outbox[M]) add(m M) bool {
 	select {
 	case o.queue <- m:
+		return true
 	default:
 		o.metrics.Add(o.dropped, 1)
+		return false
 	}
 }
 
--- a/node/entry/broadcast_test.go
+++ b/node/entry/broadcast_test.go
@@ -49,7 +49,7 @@
 
 func (r broadcastRecorder) ApplyCrashReport(report quarantine.Report) relay.CrashReportReply {
 	r.reports <- report
-	return relay.CrashReportReply{}
+	return relay.CrashReportReply{Process: "p"}
 }
 
 func (r broadcastRecorder) CrashKnowledge(req relay.CrashKnowledgeRequest) relay.CrashKnowledge {
--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -123,17 +123,25 @@
 func (c *crashExchange) exchange() time.Time {
 	for _, r := range c.node.server.TakeCrashReports() {
 		r.From = c.node.settings.VM
-		c.reports.add(r)
+		c.addReport(r)
 	}
 	retryAt := c.retryReports()
 	announcements, next := c.node.server.ReviewSuspects()
 	for _, a := range announcements {
 		a.From = c.node.settings.VM
-		c.announcements.add(a)
+		_ = c.announcements.add(a) // a dropped one is counted
 	}
 	return earliest(next, c.node.server.NextCrashReport(), retryAt)
 }
 
+// addReport queues a report for the keepers of its service. If there is no room for it, the next
+// one will contain all evidence.
+func (c *crashExchange) addReport(r quarantine.Report) {
+	if !c.reports.add(r) {
+		c.updateDelivery(r.Service, func(_ time.Time, d *quarantine.Delivery) { d.Lost() })
+	}
+}
+
 // earliest returns the earliest of some times that are not zero, zero if all are.
 func earliest(times ...time.Time) time.Time {
 	var first time.Time
@@ -161,7 +169,7 @@
 	}
 	c.mu.Unlock()
 	for _, service := range due {
-		c.reports.add(quarantine.Report{Service: service, From: c.node.settings.VM})
+		c.addReport(quarantine.Report{Service: service, From: c.node.settings.VM})
 	}
 	return next
 }
--- a/node/entry/crashes_test.go
+++ b/node/entry/crashes_test.go
@@ -129,3 +129,25 @@
 	members, _ := n.fleet.memberList()
 	return members
 }
+
+// Guards against evidence that no keeper ever gets because a queue was full.
+func TestReportThatIsDroppedFollowsWithAllEvidence(t *testing.T) {
+	n, _ := newCrashNode(t)
+	service := serviceOfOthers(t, n)
+	report := quarantine.Report{Service: service, Events: []quarantine.Event{{Kind: quarantine.Death, Upstream: "u"}}}
+	n.crashes.sendReport(t.Context(), report)
+	content := func() (c quarantine.Content) {
+		keepers, _ := n.crashes.keepersOf(service)
+		n.crashes.updateDelivery(service, func(now time.Time, d *quarantine.Delivery) { c = d.Next(now, keepers[0].PeerAddress) })
+		return c
+	}
+	if content() != quarantine.News {
+		t.Fatal("a keeper that got the first report lacks news")
+	}
+	for range maxQueuedReports + 1 {
+		n.crashes.addReport(report)
+	}
+	if content() != quarantine.Whole {
+		t.Error("keepers are not sent what was dropped")
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -174,8 +174,8 @@
 		Log:       log,
 		Metrics:   n.metrics,
 		Processor: n.processor,
-		OnVerdict: n.verdicts.add,
-		OnLimit:   n.limits.add,
+		OnVerdict: func(v quarantine.Verdict) { _ = n.verdicts.add(v) },     // a dropped one is counted
+		OnLimit:   func(l backpressure.LimitNotice) { _ = n.limits.add(l) }, // a dropped one is counted
 		Permits:   n.permits,
 		OnRestart: n.upstreams.recordRestart,
 		OnLeaving: n.recordLeaving,
--- a/node/entry/leavings.go
+++ b/node/entry/leavings.go
@@ -26,7 +26,7 @@
 // other nodes if it is news.
 func (n *Node) recordLeaving(instance ids.Instance) {
 	if n.upstreams.recordLeaving(instance) {
-		n.leavings.add(saidLeaving{instance, time.Now()})
+		_ = n.leavings.add(saidLeaving{instance, time.Now()}) // a dropped one is counted
 	}
 }
 
