--- a/node/entry/crashes.go
+++ b/node/entry/crashes.go
@@ -237,6 +237,7 @@
 // some.
 func (c *crashExchange) sendReport(ctx context.Context, r quarantine.Report) {
 	keepers, _ := c.keepersOf(r.Service)
+	all := sync.OnceValue(func() quarantine.Report { return c.node.server.CrashEvidence(r.Service) })
 	pool := pond.NewPool(maxBroadcastCalls)
 	var reached atomic.Bool
 	for _, m := range keepers {
@@ -245,7 +246,7 @@
 			continue
 		}
 		pool.Submit(func() {
-			if c.sendReportTo(ctx, m, r) {
+			if c.sendReportTo(ctx, m, r, all) {
 				reached.Store(true)
 			}
 		})
@@ -258,7 +259,7 @@
 
 // sendReportTo sends a report to one keeper, or all evidence if the keeper may lack some. It
 // reports whether the keeper answers.
-func (c *crashExchange) sendReportTo(ctx context.Context, keeper roster.Member, news quarantine.Report) bool {
+func (c *crashExchange) sendReportTo(ctx context.Context, keeper roster.Member, news quarantine.Report, all func() quarantine.Report) bool {
 	var content quarantine.Content
 	c.updateDelivery(news.Service, func(now time.Time, d *quarantine.Delivery) { content = d.Next(now, keeper.PeerAddress) })
 	if content == quarantine.Nothing {
@@ -267,8 +268,8 @@
 	report := news
 	switch {
 	case content == quarantine.Whole:
-		if all := c.node.server.CrashEvidence(news.Service); len(all.Events) > 0 {
-			report.Events = all.Events
+		if evidence := all(); len(evidence.Events) > 0 {
+			report.Events = evidence.Events
 		}
 	case len(news.Events) == 0:
 		return true
@@ -285,7 +286,7 @@
 		lacks = d.Delivered(keeper.PeerAddress, reply.Process, content)
 	})
 	if lacks {
-		return c.sendReportTo(ctx, keeper, news)
+		return c.sendReportTo(ctx, keeper, news, all)
 	}
 	return true
 }
