Repairs of a zone search its tilings with less work

Cause: a repair tries up to 36 moves for each gap of a zone and searched all tilings of the zone for each, with an allocation for each better segment.

The rows of engines before the first one that a move changes are shared, a row is two slices, and a cost is a few comparisons. The results are the same: TestTilingsAreThoseOfThePlainSearch compares costs, moves and orders with those of the search as it was, over random zones.

--- a/decide/placement/relocate.go
+++ b/decide/placement/relocate.go
@@ -21,29 +21,30 @@
 // if no such tiling covers all layers.
 func tilingWithRelocation(m *layered.Model, engines []Engine, opts Options) ([]Engine, *segment) {
 	ordered := inModelOrder(engines)
-	drainCost := drainCostOf(m, ordered)
-	best := cheapestTiling(m, ordered, opts, drainCost)
+	best := newTilings(m, ordered, opts, drainCostOf(m, ordered))
 	gaps := findGaps(coverage(m, ordered))
 	free := relocatable(ordered)
+	rows := best.newRows()
 	for range maxMovedEngines {
-		moved, last := ordered, best
+		moved := best
 		for _, id := range free {
 			for _, gap := range gaps {
-				other := withRelocated(ordered, id, gap)
-				if t := cheapestTiling(m, other, opts, drainCost); t.cost < last.cost {
-					moved, last = other, t
+				other := best.reordered(withRelocated(best.ordered, id, gap), rows)
+				if other.cost() < moved.cost() {
+					moved, rows = other, best.newRows()
 				}
 			}
 		}
-		if last == best {
+		if moved == best {
 			break
 		}
-		ordered, best = moved, last
+		best = moved
 	}
-	if best.missing > 0 {
+	last := best.last()
+	if last.missing > 0 {
 		return nil, nil
 	}
-	return ordered, best
+	return best.ordered, last
 }
 
 // relocatable returns the engines that may move to a gap, those with the fewest
--- a/decide/placement/tiling.go
+++ b/decide/placement/tiling.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -44,61 +43,7 @@
 // engines in the given order, and returns the last segment. It leaves out layers
 // that no engine can run. Giving up layers costs an engine drainCost.
 func cheapestTiling(m *layered.Model, ordered []Engine, o Options, drainCost int) *segment {
-	// A missing layer costs more than any way to run it.
-	missing := 1 + len(ordered)*(m.Layers+orderCostLayers+drainCost)
-	best := make([]*segment, m.Layers+1)
-	best[0] = &segment{engine: -1}
-	allowGaps(best, missing)
-	for i, e := range ordered {
-		next := slices.Clone(best)
-		maxLayers := capacity(m, e, o)
-		for from, prev := range best {
-			for to := from + 1; to <= min(from+max(maxLayers, e.heldAfterOrder().Len()), m.Layers); to++ {
-				cost := segmentCost(e, layered.Range{From: from, To: to}, maxLayers, drainCost)
-				if cost == math.MaxInt {
-					continue
-				}
-				if cost += prev.cost; cost < next[to].cost {
-					next[to] = &segment{cost: cost, missing: prev.missing, engine: i, from: from, prev: prev}
-				}
-			}
-		}
-		allowGaps(next, missing)
-		best = next
-	}
-	return best[m.Layers]
-}
-
-// allowGaps extends the tilings that end one layer earlier by a missing layer,
-// where that is cheaper.
-func allowGaps(best []*segment, missing int) {
-	for to := 1; to < len(best); to++ {
-		prev := best[to-1]
-		if cost := prev.cost + missing; best[to] == nil || cost < best[to].cost {
-			best[to] = &segment{cost: cost, missing: prev.missing + 1, engine: -1, from: to - 1, prev: prev}
-		}
-	}
-}
-
-// segmentCost returns the cost for the engine to run the range, as a number of
-// layers loaded; math.MaxInt if it cannot. An engine with a pending order can get
-// another one afterwards. Giving up layers adds drainCost.
-func segmentCost(e Engine, r layered.Range, maxLayers, drainCost int) int {
-	held := e.heldAfterOrder()
-	if held.Covers(r) {
-		return 0
-	}
-	if r.Len() > maxLayers || e.Fixed && !e.hasPendingOrder() {
-		return math.MaxInt
-	}
-	cost := r.Len() - held.Intersect(r).Len()
-	if !e.hasPendingOrder() {
-		cost += orderCostLayers
-	}
-	if !keepHeld(held, r, maxLayers).Covers(held) {
-		cost += drainCost
-	}
-	return cost
+	return newTilings(m, ordered, o, drainCost).last()
 }
 
 // drainCostOf returns drainTime as the number of layers that could be loaded meanwhile.
