Plans of layers keep to a fifth of the time

A node that places layers planned ten times a second, whatever a plan took: on a small VM the next round began as the last one ended, and callers waited. After a round the node now pauses for four times as long as it took, a second at most, so that repairs are never put off by more. On a node with free processor time a round is shorter than a quarter of the interval, and nothing changes.

--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -98,6 +98,10 @@
 const (
 	// planInterval is the time between two planning rounds.
 	planInterval = 100 * time.Millisecond
+	// maxPlanShare is the largest share of the time that rounds may take, so that callers of the
+	// node are served meanwhile. maxPlanPause bounds the pause after a round.
+	maxPlanShare = 0.2
+	maxPlanPause = time.Second
 	// initialSettleTime is the time that must pass after the last engine was added
 	// before a plan is made for a service whose engines hold no layers yet. Engines
 	// enter the directory over some seconds, and a plan made for only some of them is
@@ -143,6 +147,8 @@
 	// Run's goroutine uses them.
 	lastDeparture map[serviceZone]time.Time
 	responsive    map[ids.Service]map[ids.Instance]ids.Zone
+	// pausedUntil is the end of the pause after the last round. Only Run's goroutine uses it.
+	pausedUntil time.Time
 	// emptyPlans holds, for services whose last plan gave no orders, the input of
 	// that plan. Only Run's goroutine uses it.
 	emptyPlans map[ids.Service]planInput
@@ -183,6 +189,14 @@
 
 // planAll plans for every service with a model.
 func (p *Placer) planAll(ctx context.Context) {
+	began := p.opts.Now()
+	if began.Before(p.pausedUntil) {
+		return
+	}
+	defer func() {
+		now := p.opts.Now()
+		p.pausedUntil = now.Add(planPause(now.Sub(began)))
+	}()
 	table, view := p.opts.Table(), p.opts.View()
 	if table == nil || view == nil {
 		return
@@ -195,6 +209,11 @@
 	}
 }
 
+// planPause returns the pause after a round that took some time.
+func planPause(took time.Duration) time.Duration {
+	return min(time.Duration(float64(took)*(1/maxPlanShare-1)), maxPlanPause)
+}
+
 // planService plans for the engines of one service and sends the orders.
 func (p *Placer) planService(ctx context.Context, service *routing.Service, engines []*directory.Upstream) {
 	now := p.opts.Now()
