--- a/adapter/placer/placer.go
+++ b/adapter/placer/placer.go
@@ -254,8 +254,8 @@
 	reassign, move map[ids.Zone]bool
 }
 
-// planWasEmpty reports whether the last plan with the same input gave no orders. A
-// plan takes 8 ms for 3,100 engines, and a round is due ten times a second.
+// planWasEmpty reports whether the last plan with the same input gave no orders, and need not be
+// made again.
 func (p *Placer) planWasEmpty(service ids.Service, input planInput) bool {
 	last, ok := p.emptyPlans[service]
 	return ok && last.model == input.model && slices.Equal(last.state, input.state) &&
