Successes reach the keepers before they decide

A part that all callers had just begun to use was in three deaths, and its successes, which contradicted no suspect yet, waited for 1 s, while keepers decide after 0.2 s.

They now wait for half of that, and reports that contradict a suspect have a pace of their own.

--- a/decide/quarantine/decider.go
+++ b/decide/quarantine/decider.go
@@ -85,8 +85,8 @@
 	detector *Detector
 	// scheduled is true if NextReport was asked for the present news.
 	scheduled bool
-	// reports and announcements pace what the node sends.
-	reports, announcements pacer
+	// reports, contradictions and announcements pace what the node sends.
+	reports, contradictions, announcements pacer
 	// findings holds the findings about suspects of the latest review.
 	findings map[Fingerprint]Finding
 	// reviewed is false if there is evidence that has not been reviewed. decideAt is when a
@@ -121,7 +121,7 @@
 	d := dec.services[service]
 	if d == nil {
 		d = &serviceEvidence{service: service, detector: New(Options{}), findings: make(map[Fingerprint]Finding), announced: make(map[Fingerprint]count)}
-		d.reports.burst, d.announcements.burst = reportBurst, announcementBurst
+		d.reports.burst, d.contradictions.burst, d.announcements.burst = reportBurst, contradictionBurst, announcementBurst
 		d.detector.news = newNews()
 		dec.services[service] = d
 	}
@@ -169,7 +169,7 @@
 // tellSuccess records that the keepers have to be told of a success, at once if it contradicts a
 // suspect.
 func (d *serviceEvidence) tellSuccess(at time.Time, fp Fingerprint, suspect bool) {
-	d.scheduled = d.scheduled && (!suspect || d.detector.news.urgent)
+	d.scheduled = d.scheduled && (!suspect || d.detector.news.contradicts)
 	d.detector.news.success(at, fp, suspect)
 }
 
@@ -179,7 +179,7 @@
 	contradicted := d.detector.MergeDigest(now, "", r.Events)
 	if r.Announced {
 		// Those that were announced are about to be decided on.
-		d.detector.news.urgent = d.detector.news.urgent || contradicted
+		d.detector.news.contradicts = d.detector.news.contradicts || contradicted
 		d.noteAnnounced(r.Events)
 	}
 	d.scheduled = d.scheduled && !contradicted
@@ -202,7 +202,11 @@
 		if due := dec.reportAt(d); due.IsZero() || now.Before(due) {
 			continue
 		}
-		d.reports.sent(now, spacing(dec.nodes))
+		if now.Before(d.reports.next(spacing(dec.nodes))) {
+			d.contradictions.sent(now, contradictionSpacing)
+		} else {
+			d.reports.sent(now, spacing(dec.nodes))
+		}
 		d.scheduled = false
 		if events := d.detector.news.take(now, d.detector, d.detector.opts.MaxEvents); len(events) > 0 {
 			reports = append(reports, Report{Service: d.service, Events: events})
@@ -226,7 +230,11 @@
 	if d.detector.news.isEmpty() {
 		return time.Time{}
 	}
-	return later(d.detector.news.dueAt(), d.reports.next(spacing(dec.nodes)))
+	paced := later(d.detector.news.dueAt(), d.reports.next(spacing(dec.nodes)))
+	if !d.detector.news.contradicts {
+		return paced
+	}
+	return earliest(paced, later(d.detector.news.since, d.contradictions.next(contradictionSpacing)))
 }
 
 // Evidence returns the evidence of a service for a keeper that may lack earlier news.
--- a/decide/quarantine/news.go
+++ b/decide/quarantine/news.go
@@ -9,13 +9,14 @@
 // so reports of all that a node knows would grow with the square of the crashes.
 //
 //   - A blame goes to the keepers at once, and so does a success that contradicts a suspect.
-//     Other successes matter only once there is more evidence, and wait for calmNewsDelay.
+//     Other successes wait for more, but not longer than keepers wait with a decision.
 //   - A success is one event, whatever number of deaths it clears its fingerprint of.
 //   - Reports are paced by the number of nodes, so that the load on a keeper has a limit that
-//     depends neither on the fleet's size nor on the number of crashes.
+//     depends neither on the fleet's size nor on the number of crashes. Those that contradict a
+//     suspect have a pace of their own: a sound request is refused if they come too late.
 const (
-	// calmNewsDelay is how long news that is not urgent waits for more.
-	calmNewsDelay = time.Second
+	// successDelay is how long a success that contradicts no suspect waits for more news.
+	successDelay = evidenceWait / 2
 	// minSpacing and maxSpacing bound the mean time between two reports of one node, and between
 	// two announcements of one keeper. spacingPerNode is that time for each node of the fleet.
 	minSpacing     = 30 * time.Millisecond
@@ -24,6 +25,9 @@
 	// reportBurst and announcementBurst are how many may follow each other without a pause.
 	reportBurst       = 5
 	announcementBurst = 4
+	// contradictionSpacing and contradictionBurst pace reports that contradict a suspect.
+	contradictionSpacing = evidenceWait
+	contradictionBurst   = 3
 )
 
 // news is what a VM has found itself and not reported yet.
@@ -34,10 +38,10 @@
 	// successes holds the time of the last success of each fingerprint, in the order of succeeded.
 	successes map[Fingerprint]time.Time
 	succeeded []Fingerprint
-	// urgent is true if the keepers have to be told without delay. since is when the first of the
-	// news was found, zero if there is none.
-	urgent bool
-	since  time.Time
+	// urgent is true if the keepers have to be told without delay, and contradicts if a suspect
+	// has succeeded. since is when the first of the news was found, zero if there is none.
+	urgent, contradicts bool
+	since               time.Time
 }
 
 // blameKey identifies the blame of a death on a fingerprint.
@@ -56,7 +60,8 @@
 	if n == nil {
 		return
 	}
-	n.found(now, true)
+	n.found(now)
+	n.urgent = true
 	key := blameKey{d.id, fp}
 	if !n.listed[key] {
 		n.listed[key] = true
@@ -65,11 +70,12 @@
 }
 
 // success records a success that clears or excuses a fingerprint.
-func (n *news) success(at time.Time, fp Fingerprint, urgent bool) {
+func (n *news) success(at time.Time, fp Fingerprint, suspect bool) {
 	if n == nil {
 		return
 	}
-	n.found(at, urgent)
+	n.found(at)
+	n.contradicts = n.contradicts || suspect
 	known, ok := n.successes[fp]
 	if !ok {
 		n.succeeded = append(n.succeeded, fp)
@@ -80,11 +86,10 @@
 }
 
 // found records that there is news.
-func (n *news) found(now time.Time, urgent bool) {
+func (n *news) found(now time.Time) {
 	if n.since.IsZero() {
 		n.since = now
 	}
-	n.urgent = n.urgent || urgent
 }
 
 // isEmpty reports whether there is nothing to tell.
@@ -92,10 +97,10 @@
 
 // dueAt returns when the keepers have to be told, zero if there is no news.
 func (n *news) dueAt() time.Time {
-	if n.isEmpty() || n.urgent {
+	if n.isEmpty() || n.urgent || n.contradicts {
 		return n.since
 	}
-	return n.since.Add(calmNewsDelay)
+	return n.since.Add(successDelay)
 }
 
 // take removes and returns up to limit events, as the evidence is now. What does not fit stays.
