--- a/decide/quarantine/decider_test.go
+++ b/decide/quarantine/decider_test.go
@@ -16,6 +16,7 @@
 // Guards against a request that crashes engines without end because its repeats arrive at
 // many nodes, beside others that are lost with it.
 func TestRequestThatCrashesEnginesThroughManyNodes(t *testing.T) {
+	t.Parallel()
 	for _, n := range fleetSizes {
 		crashes, messages, largest := 0, 0, 0
 		const seeds = 6
@@ -96,6 +97,7 @@
 // Guards against a request that is not recognized because it crashes engines after its first
 // event, comes seldom, or comes many times at once.
 func TestRequestThatCrashesEnginesInOtherWays(t *testing.T) {
+	t.Parallel()
 	ways := []struct {
 		what                             string
 		seconds, interval, delay, copies int
@@ -127,6 +129,7 @@
 
 // Guards against verdicts that depend on nodes that are killed, frozen, cut off or not heard.
 func TestRequestThatCrashesEnginesBesideFaultsOfNodes(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *simFleet){
 		"first two keepers frozen": func(f *simFleet) {
 			for _, k := range f.keepers[:2] {
@@ -191,6 +194,7 @@
 // Guards against verdicts that other crashes hide: those of a rack, and of other requests
 // that crash engines.
 func TestRequestThatCrashesEnginesBesideOtherCrashes(t *testing.T) {
+	t.Parallel()
 	for _, n := range fleetSizes {
 		for seed := range uint64(2) {
 			f := newSimFleet(t, n, 200+seed)
@@ -210,6 +214,7 @@
 // Guards against verdicts that fail while a share of all requests crashes engines: others begin
 // at other moments, and each comes again.
 func TestShareOfRequestsThatCrashEngines(t *testing.T) {
+	t.Parallel()
 	for _, n := range fleetSizes[:2] {
 		for _, share := range []int{2, 5} {
 			for seed := range uint64(2) {
@@ -230,6 +235,7 @@
 // Guards against the quarantine of requests that crash nothing while many engines fail, also
 // of one that many callers send.
 func TestInnocentRequestsOnFailingEngines(t *testing.T) {
+	t.Parallel()
 	for _, n := range fleetSizes[:3] {
 		for _, pause := range []int{0, 40, 150} {
 			for seed := range uint64(2) {
--- a/decide/quarantine/parts_test.go
+++ b/decide/quarantine/parts_test.go
@@ -54,6 +54,7 @@
 // Guards against requests with a part that crashes engines, no two alike, that are never
 // recognized, through any number of nodes.
 func TestPartThatCrashesEnginesThroughManyNodes(t *testing.T) {
+	t.Parallel()
 	// Sends count from 3 s after the fifth crash on. Requests that were under way then may crash
 	// as many engines again.
 	const maxCrashes = 2 * 5
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -333,6 +333,7 @@
 // Innocent requests must not be refused. If requests do not wait as Suspected
 // asks, one more upstream dies before the count alone is sufficient.
 func TestPoisonStopsAndInnocentsAreSpared(t *testing.T) {
+	t.Parallel()
 	for _, hold := range []bool{false, true} {
 		worst, sum, innocents := 0, 0, 0
 		const seeds = 12
--- a/decide/quarantine/reports_test.go
+++ b/decide/quarantine/reports_test.go
@@ -52,6 +52,7 @@
 // Guards against keepers whose load grows with the square of the crashes, beside parts of prompts
 // that most requests have.
 func TestReportsAreBoundedWhileEnginesFailByTurns(t *testing.T) {
+	t.Parallel()
 	const (
 		window  = 1000 // ms
 		seconds = 14
--- a/decide/quarantine/simfleet_test.go
+++ b/decide/quarantine/simfleet_test.go
@@ -46,6 +46,8 @@
 	// process counts the starts of the node, and delivery holds what the keepers have of it.
 	process  int
 	delivery Delivery
+	// retryAt is when keepers that did not take a report are looked for, in ms, 0 for never.
+	retryAt int
 	// reviewAt is when the next review is due, in ms, 0 for none.
 	reviewAt int
 	// frozenUntil is the time until which the node stands still, in ms.
@@ -239,6 +241,7 @@
 	}, func() {
 		if n.process == process {
 			n.delivery.Failed(at(f.now), keeper)
+			n.retryAt = f.now + 1
 		}
 	})
 }
@@ -256,8 +259,16 @@
 // retryReports sends a node's evidence to keepers that did not take an earlier report.
 func (f *simFleet) retryReports(i int) {
 	n := f.nodes[i]
+	if n.retryAt == 0 || n.retryAt > f.now {
+		return
+	}
+	n.retryAt = 0
 	for _, k := range f.keepersOf(i) {
-		if due, _ := n.delivery.Retry(at(f.now), []string{string(f.nodes[k].VM)}); due {
+		due, next := n.delivery.Retry(at(f.now), []string{string(f.nodes[k].VM)})
+		if at := int(next.Sub(t0).Milliseconds()) + 1; !next.IsZero() && (n.retryAt == 0 || at < n.retryAt) {
+			n.retryAt = at
+		}
+		if due {
 			f.reportTo(i, k, Report{Service: simService})
 		}
 	}
