Tests of responses whose upstream ends the connection within the head

Cause: operators of similar systems report clients that got a 200 with an empty or short body, framed as whole, after an engine had closed in the middle of its head.

--- a/adapter/orders/orders_test.go
+++ b/adapter/orders/orders_test.go
@@ -298,3 +298,29 @@
 		server.Close()
 	}
 }
+
+// Guards against an order whose outcome counts as known although the engine ended the connection
+// within its response.
+func TestOrderWhoseResponseIsCutIsLost(t *testing.T) {
+	for _, reply := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n" + `{"engine":"e","applied":true,"fence":333}`,
+		"HTTP/1.1 409 Conflict\r\nContent-Length: 22\r\n\r\n" + `{"code":"stale_fence"}`,
+	} {
+		for n := range len(reply) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = conn.Write([]byte(reply[:n]))
+				_ = conn.Close()
+			}))
+			s := order.Send{Engine: "e", Order: engineapi.Order{Fence: 3, Model: "m"}}
+			if result := Send(t.Context(), server.Listener.Addr().String(), s); result != order.Lost {
+				t.Errorf("cut at byte %d of %q: got %v", n, reply, result)
+			}
+			server.Close()
+		}
+	}
+}
