Detours: the end of a peer's process does not complete a response

Cause: a response without a length ends with its connection. Through a peer, that was the peer's connection to the node. If the peer's process is killed, the kernel ends it in order, so callers could get a 200 with a short body, framed as whole, and streams that end between two events. Found by reading, after a report of short answers from operators of similar systems; no caller here has reported it. Change: the upstream's bytes come in frames, and an empty frame tells that the upstream has ended in order. Both nodes agree on frames as the detour begins; nodes of earlier releases get and send plain bytes.

--- a/adapter/detour/client.go
+++ b/adapter/detour/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -41,10 +42,12 @@
 	// r holds the bytes that were read with the peer's answer, and then those of the
 	// connection.
 	r *bufio.Reader
+	// upstream reads the upstream's bytes from r.
+	upstream io.Reader
 }
 
 // Read implements net.Conn.
-func (c *detourConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+func (c *detourConn) Read(p []byte) (int, error) { return c.upstream.Read(p) }
 
 // SingleExchange implements upconn.SingleExchange.
 func (c *detourConn) SingleExchange() {}
@@ -61,7 +64,7 @@
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
 	c := &detourConn{TCPConn: conn.(*net.TCPConn)}
-	answer, err := c.request(openRequest{Upstream: t.ID.Upstream, Address: t.Address, TTLMs: ttl.Milliseconds()})
+	answer, err := c.request(openRequest{Upstream: t.ID.Upstream, Address: t.Address, TTLMs: ttl.Milliseconds(), Framed: true})
 	if !stop() {
 		err = context.Cause(ctx)
 	}
@@ -69,6 +72,10 @@
 		_ = conn.Close() // nothing was sent to the upstream
 		return nil, openAnswer{}, &OpenError{Peer: peer, result: answer.Result, linksLost: answer.LinksLost, Cause: err}
 	}
+	c.upstream = c.r
+	if answer.Framed {
+		c.upstream = &frameReader{r: c.r}
+	}
 	return c, answer, nil
 }
 
--- a/adapter/detour/protocol.go
+++ b/adapter/detour/protocol.go
@@ -6,7 +6,8 @@
 //
 // A detour begins on the port on which nodes serve their peers, with the byte preface, which
 // begins no JSON-RPC message. Then both sides send one message each, encoded like those. After
-// an answer with the result connected, all bytes are the upstream's and its client's.
+// an answer with the result connected, all bytes are the upstream's and its client's. Those of the
+// upstream come in frames if both nodes know them.
 package detour
 
 import (
@@ -28,6 +29,8 @@
 	Address  string       `json:"address"`
 	// TTLMs is the longest time in milliseconds for which the connection is needed.
 	TTLMs int64 `json:"ttl_ms"`
+	// Framed asks for the upstream's bytes in frames.
+	Framed bool `json:"framed,omitempty"`
 }
 
 // result is the outcome of an openRequest.
@@ -56,6 +59,9 @@
 	Stopping bool `json:"stopping,omitempty"`
 	// Open is the number of connections that the node has open for others.
 	Open int `json:"open,omitempty"`
+	// Framed is true if the upstream's bytes come in frames. A node of an earlier release
+	// sends them as they are.
+	Framed bool `json:"framed,omitempty"`
 }
 
 // codec encodes the messages.
--- a/adapter/detour/server.go
+++ b/adapter/detour/server.go
@@ -91,7 +91,7 @@
 		return
 	}
 	end := time.Now().Add(min(time.Duration(req.TTLMs)*time.Millisecond, maxTTL))
-	pipe(conn, r, up, end)
+	pipe(conn, r, up, end, req.Framed)
 }
 
 // answer writes the answer and reports whether it was written.
@@ -101,7 +101,7 @@
 		s.Log.Info().Str("event", "detour_declined").Str("upstream", string(req.Upstream)).Str("address", req.Address).
 			Str("from", conn.RemoteAddr().String()).Str("result", string(r)).Int64("open", s.open.Load()).Send()
 	}
-	return codec.WriteObject(conn, openAnswer{Result: r, LinksLost: s.LinksLost(), Stopping: s.stopping.Load(), Open: int(s.open.Load())}) == nil
+	return codec.WriteObject(conn, openAnswer{Result: r, LinksLost: s.LinksLost(), Stopping: s.stopping.Load(), Open: int(s.open.Load()), Framed: req.Framed}) == nil
 }
 
 // connect connects to the upstream of a request. The connection is nil unless the result is
@@ -189,8 +189,9 @@
 	return controls
 }
 
-// pipe passes bytes both ways until one side ends or the time end. r reads from peer.
-func pipe(peer *net.TCPConn, r *bufio.Reader, up upconn.NetConn, end time.Time) {
+// pipe passes bytes both ways until one side ends or the time end. r reads from peer. framed
+// reports whether the peer expects frames.
+func pipe(peer *net.TCPConn, r *bufio.Reader, up upconn.NetConn, end time.Time, framed bool) {
 	if peer.SetDeadline(end) != nil || up.SetDeadline(end) != nil {
 		_ = up.Close() // nothing was sent on it
 		return
@@ -202,7 +203,7 @@
 		// The upstream notices that its client is gone.
 		once.Do(func() { _ = up.Close() })
 	})
-	if !copyBytes(peer, up) {
+	if !copyResponse(peer, up, framed) {
 		// A response that was cut off must not look like one that has ended.
 		_ = peer.SetLinger(0) // fails only if the connection is already closed
 	}
@@ -211,6 +212,16 @@
 	pending.Wait()
 }
 
+// copyResponse passes the upstream's bytes on to peer. It reports whether they ended in order and
+// the peer was told so.
+func copyResponse(peer, up net.Conn, framed bool) bool {
+	if !framed {
+		return copyBytes(peer, up)
+	}
+	frames := &frameWriter{w: peer}
+	return copyBytes(frames, up) && frames.end() == nil
+}
+
 // copyBytes passes bytes on until the source ends or either side fails. It reports whether
 // the source ended in order.
 func copyBytes(to io.Writer, from io.Reader) bool {
