Nodes that are gone do not delay a change of the configuration

Cause: the list of nodes keeps those that were replaced by others, and a node calls three peers, so it knows of few that they are gone. While the store turns most nodes away, a node that it would serve waited for its place in the whole list, 100 ms for each entry, and asked entries at random meanwhile. Change: each node verifies the members of its own zone, one call a minute. Members that do not answer count neither in its turn at the store nor for random questions. As sources they are tried as before.

--- a/decide/roster/model_test.go
+++ b/decide/roster/model_test.go
@@ -25,6 +25,8 @@
 	randomPollInterval = 200 * time.Millisecond
 	// callTimeout bounds a call that returns without waiting for a change.
 	callTimeout = 1200 * time.Millisecond
+	// verifyPause is the time between two verifications of peers.
+	verifyPause = 200 * time.Millisecond
 )
 
 // slowPeerDelay is the delay of each answer of a slow node to its peers.
@@ -168,6 +170,9 @@
 				continue
 			}
 			sim.probeStore(n)
+			if sim.now%verifyPause == 0 {
+				sim.verify(n)
+			}
 			for i := range n.followers {
 				sim.advance(n, i)
 			}
@@ -180,9 +185,7 @@
 	l := n.followers[i]
 	if l.disconnected && sim.now-l.polledAt >= randomPollInterval {
 		l.polledAt = sim.now
-		if p := sim.nodes[sim.rand.IntN(len(sim.nodes))]; reaches(n, p) {
-			l.version = max(l.version, p.followers[i].version)
-		}
+		sim.pollRandom(n, i)
 	}
 	if !l.inCall && sim.now >= l.nextCallAt {
 		if l.searchingSince == 0 {
@@ -199,6 +202,26 @@
 	}
 }
 
+// pollRandom lets follower i of a node poll a random peer.
+func (sim *simulation) pollRandom(n *node, i int) {
+	present := n.roster.Present()
+	if len(present) == 0 {
+		return
+	}
+	p := sim.nodeOf(present[sim.rand.IntN(len(present))])
+	n.roster.Verified(sim.clock(), p.member.Name, reaches(n, p))
+	if reaches(n, p) {
+		n.followers[i].version = max(n.followers[i].version, p.followers[i].version)
+	}
+}
+
+// verify lets a node verify a peer.
+func (sim *simulation) verify(n *node) {
+	if m, found := n.roster.NextToVerify(sim.clock()); found {
+		n.roster.Verified(sim.clock(), m.Name, reaches(n, sim.nodeOf(m)))
+	}
+}
+
 // probeStore checks the outcome of the last probe of a node and sends the next one.
 func (sim *simulation) probeStore(n *node) {
 	answered := n.fault.reachesStore() || n.fault == storeRejects || n.fault == collectionRejected
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -77,9 +78,13 @@
 	// is this node's index in it, or -1 if the node is not listed.
 	ranked    []Member
 	selfIndex int
-	// zoneMembers holds the members of this node's zone, ordered by name.
+	// zoneMembers holds the members of this node's zone, ordered by name, and zoneSizes the
+	// number of members of each zone.
 	zoneMembers []Member
+	zoneSizes   map[ids.Zone]int
 	backoffs    map[ids.VM]*peerBackoff
+	// verified holds the results of the latest verifications of peers.
+	verified map[ids.VM]*verification
 	// zoneIndex is this node's index in its zone.
 	zoneIndex int
 	// storeUnresponsive is true while the store does not answer this node's probes.
@@ -94,7 +99,7 @@
 
 // New returns the Roster of the node named self, without any members yet.
 func New(self ids.VM, zone ids.Zone) *Roster {
-	return &Roster{self: self, zone: zone, backoffs: make(map[ids.VM]*peerBackoff)}
+	return &Roster{self: self, zone: zone, backoffs: make(map[ids.VM]*peerBackoff), verified: make(map[ids.VM]*verification)}
 }
 
 // Selector returns a Selector that chooses sources by this Roster. Each collection that
@@ -112,7 +117,9 @@
 		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
 	index := make(map[ids.VM]int, len(members))
-	for _, zone := range byZone {
+	r.zoneSizes = make(map[ids.Zone]int, len(byZone))
+	for name, zone := range byZone {
+		r.zoneSizes[name] = len(zone)
 		slices.SortFunc(zone, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 		for i, m := range zone {
 			index[m.Name] = i
@@ -124,11 +131,12 @@
 		return cmp.Or(cmp.Compare(index[a.Name], index[b.Name]), cmp.Compare(a.Zone, b.Zone))
 	})
 	r.selfIndex = slices.IndexFunc(r.ranked, func(m Member) bool { return m.Name == r.self })
-	for name := range r.backoffs {
-		if _, listed := index[name]; !listed {
-			delete(r.backoffs, name)
-		}
+	unlisted := func(name ids.VM) bool {
+		_, listed := index[name]
+		return !listed
 	}
+	maps.DeleteFunc(r.backoffs, func(name ids.VM, _ *peerBackoff) bool { return unlisted(name) })
+	maps.DeleteFunc(r.verified, func(name ids.VM, _ *verification) bool { return unlisted(name) })
 	r.zoneIndex = index[r.self]
 	r.ready = r.ready || r.selfIndex >= 0
 }
@@ -144,6 +152,12 @@
 	return slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == r.self || m.PeerAddress == "" })
 }
 
+// Present returns the members that have a peer address and are not known to be gone, without this
+// node.
+func (r *Roster) Present() []Member {
+	return slices.DeleteFunc(r.Others(), func(m Member) bool { return r.isGone(m.Name) })
+}
+
 // WatchWait returns how long this node's watch of the store waits for a change, where
 // alone is the wait of a node that watches by itself. The first watcher waits that long
 // and so detects a broken connection soonest. The second and third wait two and three
@@ -202,12 +216,33 @@
 	return peers, false
 }
 
-// rank returns this node's index among all members, or their number if it is not listed.
+// rank returns this node's turn among the nodes that still exist: the first of each zone, then the
+// second of each, and so on. Which nodes of its own zone are gone is known by verification. The
+// other zones count as if as many of their nodes had gone.
 func (r *Roster) rank() int {
-	if r.selfIndex < 0 {
-		return len(r.ranked)
+	index := 0
+	for _, m := range r.zoneMembers {
+		if m.Name == r.self {
+			break
+		}
+		if !r.isGone(m.Name) {
+			index++
+		}
 	}
-	return r.selfIndex
+	rank := 0
+	for zone, size := range r.zoneSizes {
+		rank += min(size, index)
+		if zone < r.zone && size > index {
+			rank++
+		}
+	}
+	return rank
+}
+
+// isGone reports whether a member did not answer when it was last called.
+func (r *Roster) isGone(name ids.VM) bool {
+	v, b := r.verified[name], r.backoffs[name]
+	return v != nil && !v.answered || b != nil && b.delay > 0
 }
 
 // backoffOf returns the backoff of a peer and creates it if needed.
@@ -229,7 +264,12 @@
 }
 
 // MarkReachable records that a peer answered, which ends its backoff.
-func (r *Roster) MarkReachable(name ids.VM) { delete(r.backoffs, name) }
+func (r *Roster) MarkReachable(name ids.VM) {
+	delete(r.backoffs, name)
+	if v := r.verified[name]; v != nil {
+		v.answered, v.delay = true, 0
+	}
+}
 
 // SetStoreUnresponsive records whether the store has stopped answering this node. While
 // it has, the node polls its peers. changed is true if the state differs from before.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -440,6 +440,7 @@
 	go n.followUpstreams(ctx)
 	go n.upstreams.expire(ctx)
 	go n.membership.run(ctx)
+	go n.verifyPeers(ctx)
 	go n.probe.run(ctx)
 	go n.verdicts.run(ctx, n.sendVerdict)
 	n.crashes.start(ctx)
--- a/node/entry/fleet.go
+++ b/node/entry/fleet.go
@@ -223,6 +223,32 @@
 	return f.roster.Others()
 }
 
+// present returns all nodes except this one that are not known to be gone, or all of them if none
+// has answered lately.
+func (f *fleet) present() []roster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if present := f.roster.Present(); len(present) > 0 {
+		return present
+	}
+	return f.roster.Others()
+}
+
+// nextToVerify returns a node of which is to be found out whether it still exists, or false if
+// there is none.
+func (f *fleet) nextToVerify() (roster.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.NextToVerify(f.now())
+}
+
+// recordVerified records whether a peer has answered, and reports whether that changed.
+func (f *fleet) recordVerified(name ids.VM, answered bool) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Verified(f.now(), name, answered)
+}
+
 // keepers returns the nodes that may issue the permits for an upstream, in the order of
 // backpressure.Keepers.
 func (f *fleet) keepers(id ids.Instance) []roster.Member {
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -8,9 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/backoff"
-	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/roster"
@@ -169,32 +167,17 @@
 	if peer == "" {
 		return
 	}
-	req := m.node.upstreams.updateRequest(name)
-	req.ConfigVersion, req.ConfigEpoch = m.node.configs.version()
-	req.Want, req.Epoch = "", m.node.epoch.Load()
-	req.Members = m.node.fleet.memberListVersion()
-	askedAt := boottime.Now()
-	update, err := relay.Fetch(ctx, peer, req)
+	err := m.node.fetchUpdate(ctx, name, peer, "")
 	if err != nil {
 		m.log.Debug().Str("event", "peer_silent").Err(err).Send()
-		return
-	}
-	if update.Members != nil {
-		m.node.fleet.setMembers(update.Members, update.MembersRevision)
-	}
-	if update.Config != nil {
-		m.node.configs.apply(update.Config, update.ConfigEpoch, fromPeer(name, &update, askedAt))
-	}
-	m.node.ObserveEpoch(update.Epoch)
-	if update.Revision.After(req.Revision) {
-		m.node.upstreams.merge(name, update, askedAt)
 	}
+	m.node.recordAnswer(ctx, name, err)
 }
 
-// pickPeer returns the name and address of a random peer, or empty strings if
-// none is known. Seed peers have an address only.
+// pickPeer returns the name and address of a random peer that is not known to be gone, or empty
+// strings if there is none. Seed peers have an address only.
 func (m *membership) pickPeer() (ids.VM, string) {
-	all := m.node.fleet.others()
+	all := m.node.fleet.present()
 	for _, seed := range m.settings.SeedPeers {
 		if seed != m.settings.PeerAddr {
 			all = append(all, roster.Member{PeerAddress: seed})
