Test of permits no longer depends on the speed of the machine

Cause: TestPermitsAreIssuedByOneNode failed at times beside load: a keeper that is alive took more than the 20 ms that a call to a keeper may take, so it counted as silent and the next one issued the permit, as intended. What the test guards against, permits of two nodes at the same time, is about keepers that are gone. Change: the bound is a field, with the same value in the product. The tests set 10 s; keepers that are gone refuse connections there, so no wait is cut short.

--- a/node/entry/permits.go
+++ b/node/entry/permits.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// keeperTimeout bounds a call to a keeper.
+	// keeperTimeout is the usual bound of a call to a keeper.
 	keeperTimeout = 20 * time.Millisecond
 	// keeperSilence is how long a keeper that did not answer is not asked again.
 	keeperSilence = time.Second
@@ -38,6 +38,8 @@
 	// not known. notify makes it known to this node.
 	limit  func(ids.Instance) float64
 	notify func(backpressure.LimitNotice)
+	// timeout bounds a call to a keeper.
+	timeout time.Duration
 
 	mu     sync.Mutex
 	issuer *backpressure.Issuer
@@ -49,7 +51,7 @@
 // newPermits returns a source of permits that has issued none.
 func newPermits(self ids.VM, keepers func(ids.Instance) []roster.Member, limit func(ids.Instance) float64, notify func(backpressure.LimitNotice)) *permits {
 	return &permits{
-		self: self, keepers: keepers, limit: limit, notify: notify,
+		self: self, keepers: keepers, limit: limit, notify: notify, timeout: keeperTimeout,
 		issuer: backpressure.NewIssuer(), silentUntil: make(map[ids.VM]time.Time),
 	}
 }
@@ -98,7 +100,7 @@
 		return backpressure.PermitReply{}, &NoKeeperError{r.Upstream}
 	}
 	r.Hops++
-	callCtx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	reply, err := relay.AcquirePermit(callCtx, keeper.PeerAddress, r)
 	if err != nil && ctx.Err() == nil {
--- a/node/entry/permits_test.go
+++ b/node/entry/permits_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"mimosaarch.example/adapter/relay"
 	"mimosaarch.example/core/ids"
@@ -44,6 +45,10 @@
 	return p.answer(ctx, r)
 }
 
+// permitTestTimeout is the bound of a call to a keeper in these tests. Keepers that are gone refuse
+// connections, so only one that the test's own machine delays would exceed the usual bound.
+const permitTestTimeout = 10 * time.Second
+
 // newPermitFleet returns the permits of four nodes, the first keeper of the upstream at the
 // beginning. Nodes in gone are listed but do not listen.
 func newPermitFleet(t *testing.T, gone ...int) []*permits {
@@ -77,7 +82,11 @@
 	for _, i := range gone {
 		members[i].PeerAddress = "127.0.0.1:1"
 	}
-	return append(fleet, newPermits("asker", list, limit, noNotice))
+	fleet = append(fleet, newPermits("asker", list, limit, noNotice))
+	for _, p := range fleet {
+		p.timeout = permitTestTimeout
+	}
+	return fleet
 }
 
 // answeredBy returns how many requests a node has answered as the keeper.
