--- a/adapter/detour/frames.go
+++ b/adapter/detour/frames.go
@@ -18,7 +18,7 @@
 // frameWriter writes bytes in frames.
 type frameWriter struct {
 	w io.Writer
-	// frame is the memory of the present frame.
+	// frame is the buffer of the frame that is written, used again for the next one.
 	frame []byte
 }
 
