Verification of peers: nothing to do until one is due

Change: the time of the next verification is kept; in the simulation only the test of replaced nodes verifies.

--- a/decide/roster/replaced_test.go
+++ b/decide/roster/replaced_test.go
@@ -29,6 +29,7 @@
 		members = append(members, Member{Name: ids.VM(fmt.Sprintf("%s-%06d", zone, r.IntN(1_000_000))), Zone: ids.Zone(zone), PeerAddress: fmt.Sprint(i)})
 	}
 	sim := newSimulation(members, seed)
+	sim.verifies = true
 	for _, n := range sim.nodes[living:] {
 		n.fault = frozen // calls to it hang, and it makes none
 	}
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -83,8 +83,10 @@
 	zoneMembers []Member
 	zoneSizes   map[ids.Zone]int
 	backoffs    map[ids.VM]*peerBackoff
-	// verified holds the results of the latest verifications of peers.
+	// verified holds the results of the latest verifications of peers. None is due before
+	// verifyAt.
 	verified map[ids.VM]*verification
+	verifyAt time.Time
 	// zoneIndex is this node's index in its zone.
 	zoneIndex int
 	// storeUnresponsive is true while the store does not answer this node's probes.
@@ -137,6 +139,7 @@
 	}
 	maps.DeleteFunc(r.backoffs, func(name ids.VM, _ *peerBackoff) bool { return unlisted(name) })
 	maps.DeleteFunc(r.verified, func(name ids.VM, _ *verification) bool { return unlisted(name) })
+	r.verifyAt = time.Time{}
 	r.zoneIndex = index[r.self]
 	r.ready = r.ready || r.selfIndex >= 0
 }
