The list of nodes is ranked without sorting it twice

Change: the members of the zones, which are sorted anyway, are taken in turn. The order is the same.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -118,32 +118,44 @@
 	for _, m := range members {
 		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
-	index := make(map[ids.VM]int, len(members))
 	r.zoneSizes = make(map[ids.Zone]int, len(byZone))
+	listed := make(map[ids.VM]bool, len(members))
+	r.zoneIndex = 0
 	for name, zone := range byZone {
 		r.zoneSizes[name] = len(zone)
 		slices.SortFunc(zone, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 		for i, m := range zone {
-			index[m.Name] = i
+			listed[m.Name] = true
+			if m.Name == r.self {
+				r.zoneIndex = i
+			}
 		}
 	}
 	r.zoneMembers = byZone[r.zone]
-	r.ranked = slices.Clone(members)
-	slices.SortFunc(r.ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(index[a.Name], index[b.Name]), cmp.Compare(a.Zone, b.Zone))
-	})
+	r.ranked = ranked(byZone)
 	r.selfIndex = slices.IndexFunc(r.ranked, func(m Member) bool { return m.Name == r.self })
-	unlisted := func(name ids.VM) bool {
-		_, listed := index[name]
-		return !listed
-	}
-	maps.DeleteFunc(r.backoffs, func(name ids.VM, _ *peerBackoff) bool { return unlisted(name) })
-	maps.DeleteFunc(r.verified, func(name ids.VM, _ *verification) bool { return unlisted(name) })
+	maps.DeleteFunc(r.backoffs, func(name ids.VM, _ *peerBackoff) bool { return !listed[name] })
+	maps.DeleteFunc(r.verified, func(name ids.VM, _ *verification) bool { return !listed[name] })
 	r.verifyAt = time.Time{}
-	r.zoneIndex = index[r.self]
 	r.ready = r.ready || r.selfIndex >= 0
 }
 
+// ranked returns the members of all zones in the order of Roster.ranked.
+func ranked(byZone map[ids.Zone][]Member) []Member {
+	zones := slices.Sorted(maps.Keys(byZone))
+	var all []Member
+	for i, more := 0, true; more; i++ {
+		more = false
+		for _, zone := range zones {
+			if members := byZone[zone]; i < len(members) {
+				all = append(all, members[i])
+				more = true
+			}
+		}
+	}
+	return all
+}
+
 // ForceReady makes the node use its current list even if its own entry is missing.
 func (r *Roster) ForceReady() { r.ready = true }
 
