--- a/node/entry/restored_orders_test.go
+++ b/node/entry/restored_orders_test.go
@@ -55,13 +55,13 @@
 type simNode struct {
 	*Node
 	source *sharedSource[routing.Config]
-	// clientEpoch is the epoch that the client of the store knows, since the point from which
-	// the node follows the configuration, and listed whether there is one.
+	// clientEpoch is the epoch that the client of the store knows.
 	clientEpoch int64
-	since       revision.Revision
-	listed      bool
-	// pending is the response to the call under way, of which from is the starting point, and
-	// superseded is true if the client learns of a later epoch meanwhile.
+	// listed is true once the node follows the configuration, from the revision since.
+	listed bool
+	since  revision.Revision
+	// pending is the response to the call under way, a list or a watch from the revision from.
+	// superseded is true if the client learns of a later epoch before it arrives.
 	pending    *simAnswer
 	from       revision.Revision
 	superseded bool
