Logs tell which service, window and lender a retry came from

A record of repeated sends beyond the retry budget could not be traced: the line of a retry named no service and nothing of the window that granted it, a node's share after its start was in no line, and a loan named neither lender nor borrower.

retry and retry_denied name the service, the retries in the node's window and its limit; retry_share tells the node's share whenever the number of nodes changes; retries_borrowed and retries_lent name the other nodes. Decisions do not change.

--- a/adapter/forward/loans.go
+++ b/adapter/forward/loans.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/retry"
@@ -15,9 +17,9 @@
 // Loans borrows retries from other nodes.
 type Loans interface {
 	// Borrow asks other nodes for retries. It returns how many retries were granted, 0 if
-	// no node has answered, and how many nodes were asked. It must be safe for concurrent
+	// no node has answered, and the nodes that were asked. It must be safe for concurrent
 	// use.
-	Borrow(ctx context.Context, r retry.LoanRequest) (granted, asked int)
+	Borrow(ctx context.Context, r retry.LoanRequest) (granted int, lenders []ids.VM)
 }
 
 // borrowTimeout is how long a request waits for a loan. Two nodes are asked, 20 ms each.
@@ -159,12 +161,16 @@
 	p.mu.Lock()
 	p.budget(service).Borrowed(sent, claim, granted)
 	p.mu.Unlock()
-	if lenders == 0 {
+	if len(lenders) == 0 {
 		return
 	}
+	asked := zerolog.Arr()
+	for _, lender := range lenders {
+		asked.Str(string(lender))
+	}
 	p.opts.Metrics.Add("retry_budget.borrowed."+claim.Kind.String(), int64(granted))
 	p.opts.Log.Info().Str("event", "retries_borrowed").Str("service", string(service)).Stringer("kind", claim.Kind).Int("class", claim.Class).
-		Int("asked", retries).Int("granted", granted).Int("lenders", lenders).Dur("took_ms", answered.Sub(sent)).Send()
+		Int("asked", retries).Int("granted", granted).Array("lenders", asked).Dur("took_ms", answered.Sub(sent)).Send()
 }
 
 // lend grants another node retries of a service, and returns how many.
@@ -174,7 +180,7 @@
 	p.mu.Unlock()
 	if granted > 0 {
 		p.opts.Metrics.Add("retry_budget.lent."+r.Kind.String(), int64(granted))
-		p.opts.Log.Info().Str("event", "retries_lent").Str("service", string(r.Service)).Stringer("kind", r.Kind).Int("class", r.Class).
+		p.opts.Log.Info().Str("event", "retries_lent").Str("service", string(r.Service)).Str("borrower", string(r.Borrower)).Stringer("kind", r.Kind).Int("class", r.Class).
 			Int("asked", r.Retries).Int("granted", granted).Send()
 	}
 	return granted
--- a/adapter/forward/loans_test.go
+++ b/adapter/forward/loans_test.go
@@ -27,7 +27,7 @@
 	asked   []retry.LoanRequest
 }
 
-func (f *fakeLoans) Borrow(_ context.Context, r retry.LoanRequest) (granted, asked int) {
+func (f *fakeLoans) Borrow(_ context.Context, r retry.LoanRequest) (granted int, lenders []ids.VM) {
 	f.mu.Lock()
 	f.asked = append(f.asked, r)
 	granted = min(r.Retries, f.left)
@@ -36,7 +36,7 @@
 	if f.release != nil {
 		<-f.release
 	}
-	return granted, 1
+	return granted, []ids.VM{"lender"}
 }
 
 // requests returns the requests for loans so far.
@@ -91,7 +91,7 @@
 			if asked := loans.requests(); len(asked) != 1 || asked[0] != want {
 				t.Errorf("asked for %+v, want %+v", asked, want)
 			}
-			if line := r.lines.find("retry", "r1"); line["kind"] != test.kind.String() || line["borrowed"] != true {
+			if line := r.lines.find("retry", "r1"); line["kind"] != test.kind.String() || line["borrowed"] != true || line["service"] != "model" || line["budget_limit"] == nil {
 				t.Errorf("line of the retry: %v", line)
 			}
 		})
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -73,6 +73,8 @@
 	for _, b := range p.budgets {
 		p.applyBudget(b)
 	}
+	ratio, slack := p.opts.Budget.nodeWindowLimit(n)
+	p.opts.Log.Info().Str("event", "retry_share").Int("nodes", n).Float64("per_request", ratio).Float64("slack", slack).Bool("loans", p.loansOn()).Send()
 }
 
 // applyBudget sets this node's share of the fleet's limits on a retry budget.
@@ -116,6 +118,13 @@
 	return p.budget(service).Hold(p.opts.Now(), reason, claim)
 }
 
+// retryUsage returns the state of the retry budget of a service.
+func (p *picker) retryUsage(service ids.Service) retry.Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(service).Usage(p.opts.Now())
+}
+
 // renewRetry reports whether a retry that was taken before a wait may be used now.
 func (p *picker) renewRetry(service ids.Service, held retry.Holding) bool {
 	p.mu.Lock()
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
@@ -145,15 +147,28 @@
 // was granted.
 func (x *exchange) recordRetry(failed *failure, claim retry.Claim, grant retry.Grant) {
 	x.count("retry." + string(failed.reason))
-	x.log("retry").Str("reason", string(failed.reason)).Str("phase", failed.phase.String()).
+	line := x.log("retry").Str("reason", string(failed.reason)).Str("service", string(x.service)).Str("phase", failed.phase.String()).
 		Str("detail", failed.Error()).Int("sends", x.sends).
-		Stringer("kind", claim.Kind).Int("class", claim.Class).Bool("borrowed", grant == retry.Borrowed).Send()
+		Stringer("kind", claim.Kind).Int("class", claim.Class).Bool("borrowed", grant == retry.Borrowed)
+	x.addBudgetUsage(line).Send()
 }
 
 // recordRetryDenied logs that there was no retry for a failed attempt.
 func (x *exchange) recordRetryDenied(failed *failure, claim retry.Claim) {
-	x.log("retry_denied").Str("reason", string(failed.reason)).Str("service", string(x.service)).
-		Stringer("kind", claim.Kind).Int("class", claim.Class).Int("sends", x.sends).Send()
+	x.logRetryDenied(failed.reason, claim)
+}
+
+// logRetryDenied logs that there was no retry for a claim.
+func (x *exchange) logRetryDenied(reason outcome.Reason, claim retry.Claim) {
+	line := x.log("retry_denied").Str("reason", string(reason)).Str("service", string(x.service)).
+		Stringer("kind", claim.Kind).Int("class", claim.Class).Int("sends", x.sends)
+	x.addBudgetUsage(line).Send()
+}
+
+// addBudgetUsage adds the state of the retry budget that decides on the request to a log line.
+func (x *exchange) addBudgetUsage(line *zerolog.Event) *zerolog.Event {
+	usage := x.server.picker.retryUsage(x.service)
+	return line.Int("budget_used", usage.Used).Float64("budget_limit", usage.Limit)
 }
 
 // sendPlain sends the request to one upstream and reads the complete response.
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -146,8 +146,7 @@
 	if x.renewRetry(ctx) || ctx.Err() != nil {
 		return true
 	}
-	x.log("retry_denied").Str("reason", string(outcome.UpstreamBusy)).Str("service", string(x.service)).
-		Stringer("kind", x.retryClaim().Kind).Int("class", x.class).Int("sends", x.sends).Send()
+	x.logRetryDenied(outcome.UpstreamBusy, x.retryClaim())
 	x.giveUp(outcome.RetryBudget, detail, busyRetryAfter)
 	return false
 }
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -186,6 +186,20 @@
 	return false
 }
 
+// Usage describes the window of a budget.
+type Usage struct {
+	// Used counts the retries of the window, including those lent to other nodes.
+	Used int
+	// Limit is how many retries the window allows in all, 0 if LimitWindow was not called.
+	Limit float64
+}
+
+// Usage returns the state of the window.
+func (b *Budget) Usage(now time.Time) Usage {
+	limit, used := b.windowState(now)
+	return Usage{Used: int(used), Limit: limit}
+}
+
 // Stats returns a copy of the counters by reason.
 func (b *Budget) Stats() map[outcome.Reason]Stats {
 	out := make(map[outcome.Reason]Stats, len(b.stats))
--- a/decide/retry/loan.go
+++ b/decide/retry/loan.go
@@ -19,6 +19,8 @@
 // LoanRequest asks another node for retries of a service.
 type LoanRequest struct {
 	Service ids.Service `json:"service"`
+	// Borrower is the node that asks. It is empty in requests of nodes with an earlier version.
+	Borrower ids.VM `json:"borrower,omitempty"`
 	// Retries is how many retries are asked for.
 	Retries int `json:"retries"`
 	// Kind and Class are those of the Claim for which the retries are.
--- a/node/entry/retry_loans.go
+++ b/node/entry/retry_loans.go
@@ -39,8 +39,9 @@
 
 // Borrow implements forward.Loans. It asks up to retry.MaxLenders nodes one after another
 // until they have granted all retries.
-func (l *retryLoans) Borrow(ctx context.Context, r retry.LoanRequest) (granted, asked int) {
-	for asked < retry.MaxLenders && granted < r.Retries && ctx.Err() == nil {
+func (l *retryLoans) Borrow(ctx context.Context, r retry.LoanRequest) (granted int, lenders []ids.VM) {
+	r.Borrower = l.self
+	for len(lenders) < retry.MaxLenders && granted < r.Retries && ctx.Err() == nil {
 		lender, found := l.next(r)
 		if !found {
 			break
@@ -48,14 +49,14 @@
 		rest := r
 		rest.Retries = r.Retries - granted
 		granted += l.ask(ctx, lender, rest)
-		asked++
+		lenders = append(lenders, lender.Name)
 	}
-	if granted == 0 && asked > 0 {
+	if granted == 0 && len(lenders) > 0 {
 		l.mu.Lock()
 		l.lenders.Unmet(boottime.Now(), r.Service, r.Claim())
 		l.mu.Unlock()
 	}
-	return granted, asked
+	return granted, lenders
 }
 
 // next returns the node to ask next.
--- a/node/entry/retry_loans_test.go
+++ b/node/entry/retry_loans_test.go
@@ -63,17 +63,17 @@
 // more than it lacks.
 func TestNodeBorrowsFromItsZoneFirst(t *testing.T) {
 	loans, peers := newLendingFleet(t, 3, 5, 5, 5)
-	want := retry.LoanRequest{Service: "model", Retries: 4, Kind: retry.UnansweredStream, Class: 1}
-	if granted, asked := loans.Borrow(t.Context(), want); granted != 4 || asked != 2 {
-		t.Errorf("%d retries of %d lenders, want 4 of 2", granted, asked)
+	want := retry.LoanRequest{Service: "model", Borrower: "self", Retries: 4, Kind: retry.UnansweredStream, Class: 1}
+	if granted, lenders := loans.Borrow(t.Context(), want); granted != 4 || len(lenders) != 2 {
+		t.Errorf("%d retries of %d lenders, want 4 of 2", granted, len(lenders))
 	}
 	rest := want
 	rest.Retries = 1
 	if !slices.Equal(peers[0].asked, []retry.LoanRequest{want}) || !slices.Equal(peers[1].asked, []retry.LoanRequest{rest}) {
 		t.Errorf("asked for %+v and %+v", peers[0].asked, peers[1].asked)
 	}
-	if granted, asked := loans.Borrow(t.Context(), retry.LoanRequest{Service: "model", Retries: 9}); granted != 4 || asked != 2 {
-		t.Errorf("%d retries of %d lenders, want 4 of both peers of the zone", granted, asked)
+	if granted, lenders := loans.Borrow(t.Context(), retry.LoanRequest{Service: "model", Retries: 9}); granted != 4 || len(lenders) != 2 {
+		t.Errorf("%d retries of %d lenders, want 4 of both peers of the zone", granted, len(lenders))
 	}
 	if far := len(peers[2].asked) + len(peers[3].asked); far != 0 {
 		t.Errorf("%d requests to other zones", far)
@@ -86,13 +86,13 @@
 	loans, peers := newLendingFleet(t, -1, 0, 7, 7)
 	loans.timeout = 200 * time.Millisecond
 	ask := retry.LoanRequest{Service: "model", Retries: 1}
-	if granted, asked := loans.Borrow(t.Context(), ask); granted != 0 || asked != 2 {
-		t.Fatalf("%d retries of %d lenders, want none of 2", granted, asked)
+	if granted, lenders := loans.Borrow(t.Context(), ask); granted != 0 || len(lenders) != 2 {
+		t.Fatalf("%d retries of %d lenders, want none of 2", granted, len(lenders))
 	}
 	loans.timeout = 5 * time.Second
 	ask.Kind = retry.BrokenStream
-	if granted, asked := loans.Borrow(t.Context(), ask); granted != 1 || asked != 2 {
-		t.Errorf("%d retries of %d lenders, want 1 of the 2 that answer", granted, asked)
+	if granted, lenders := loans.Borrow(t.Context(), ask); granted != 1 || len(lenders) != 2 {
+		t.Errorf("%d retries of %d lenders, want 1 of the 2 that answer", granted, len(lenders))
 	}
 	if n := len(peers[1].asked); n != 2 {
 		t.Errorf("the peer that answers was asked %d times, want once for each claim", n)
