Test of the retry budget over processes that start anew, which fails

A process starts with a whole share of the slack while its predecessor's retries still count for ten seconds. The test plays planned stops, kills, a start of all nodes and added nodes with the shares that adapter/forward sets, and counts all retries in every window of ten seconds.

--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -62,3 +62,120 @@
 	}
 	return n
 }
+
+// Guards against processes that start with a whole share of the slack while the retries of their
+// predecessors are in the window: planned stops, kills, added nodes, and all nodes at once.
+func TestStartsKeepTheBudgetInEveryWindow(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		slack        float64
+		nodes, added int
+		// starts returns the nodes whose processes start anew in a step of 100 ms, if demand
+		// began at 0.
+		starts func(step int) []int
+	}{
+		{"planned stops", 362, 35, 0, func(step int) []int {
+			if step%8 != 0 || step < 0 || step >= 56 {
+				return nil
+			}
+			return []int{step / 8 * 5, step/8*5 + 1, step/8*5 + 2, step/8*5 + 3, step/8*5 + 4}
+		}},
+		{"kills in series", 362, 35, 0, func(step int) []int {
+			if step%25 != 0 || step < 0 || step > 75 {
+				return nil
+			}
+			return []int{1, 3, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23, 25, 27}
+		}},
+		{"all nodes at once", 200, 9, 0, func(step int) []int {
+			if step != 30 {
+				return nil
+			}
+			return []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
+		}},
+		{"added nodes", 200, 9, 4, func(int) []int { return nil }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newBudgetFleet(Budget{Ratio: 0.2, Slack: test.slack, Window: 10 * time.Second}, test.nodes)
+			f.run(200, 0)
+			for step := range 200 {
+				for _, i := range test.starts(step) {
+					f.start(i, test.nodes)
+				}
+				if step == 20 && test.added > 0 {
+					f.add(test.added)
+				}
+				f.run(1, 1)
+			}
+			f.check(t)
+		})
+	}
+}
+
+// budgetFleet is a fleet that shares a retry budget, in steps of 100 ms. Each node has a request
+// and, in steps of demand, all retries that its budget grants.
+type budgetFleet struct {
+	budget        Budget
+	began, now    time.Time
+	pickers       []*picker
+	firsts, sends []time.Duration
+	// listed is the number of nodes that all nodes know from listedAt on.
+	listed   int
+	listedAt time.Time
+}
+
+// newBudgetFleet returns a fleet of nodes that have just started.
+func newBudgetFleet(b Budget, nodes int) *budgetFleet {
+	f := &budgetFleet{budget: b, now: time.Unix(1000, 0), began: time.Unix(1000, 0), pickers: make([]*picker, nodes), listed: nodes}
+	for i := range nodes {
+		f.start(i, nodes)
+	}
+	return f
+}
+
+// start replaces the process of a node, which knows the number of nodes.
+func (f *budgetFleet) start(i, nodes int) {
+	f.pickers[i] = newPicker(Options{Budget: f.budget, Loans: &fakeLoans{}, Now: func() time.Time { return f.now }}, nil)
+	f.pickers[i].setNodes(nodes)
+}
+
+// add adds nodes. Those that were there hear of them five seconds later, at the next read of the
+// list.
+func (f *budgetFleet) add(n int) {
+	f.listed, f.listedAt = len(f.pickers)+n, f.now.Add(5*time.Second)
+	for range n {
+		f.pickers = append(f.pickers, nil)
+		f.start(len(f.pickers)-1, f.listed)
+	}
+}
+
+// run plays steps in which each node gets a request, with demand for retries if demand is not 0.
+func (f *budgetFleet) run(steps, demand int) {
+	for range steps {
+		f.now = f.now.Add(100 * time.Millisecond)
+		at := f.now.Sub(f.began)
+		for _, p := range f.pickers {
+			if p.nodes != f.listed && !f.now.Before(f.listedAt) {
+				p.setNodes(f.listed)
+			}
+			p.recordFirstSend("s")
+			f.firsts = append(f.firsts, at)
+			for demand > 0 && p.allowRetry("s", outcome.UpstreamLost, retry.Claim{Kind: retry.BrokenStream}) != retry.Denied {
+				f.sends = append(f.sends, at)
+			}
+		}
+	}
+}
+
+// check fails if the fleet exceeded its budget in a window, or hardly used it.
+func (f *budgetFleet) check(t *testing.T) {
+	t.Helper()
+	for end := f.budget.Window; end <= f.now.Sub(f.began); end += 100 * time.Millisecond {
+		requests, retries := within(f.firsts, end-f.budget.Window, f.budget.Window), within(f.sends, end-f.budget.Window, f.budget.Window)
+		if limit := f.budget.Ratio*float64(requests) + f.budget.Slack; float64(retries) > limit {
+			t.Fatalf("%d retries for %d requests in the window to %v, allowed %.0f", retries, requests, end, limit)
+		}
+	}
+	if len(f.sends) < int(f.budget.Slack) {
+		t.Errorf("only %d retries in all", len(f.sends))
+	}
+}
