--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -21,7 +21,8 @@
 //	total*T + 1.5*burst + one request per VM
 //
 // The last term is there because a bucket that is smaller than a request admits
-// one when it is full and then goes into debt.
+// one when it is full and then goes into debt. A VM that restarts begins with full
+// buckets, so each restart adds its share of the burst.
 //
 // Two alternatives are worse. With an equal share for each VM, an account whose
 // connections reach only a few VMs gets a fraction of its rate. With demand shares
