A new node waits as long for the list of nodes as crash evidence does

Two constants told how long a list takes from the nodes that read it to the others: 1 s for retry budgets and 2 s for crash evidence.

--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -32,9 +32,6 @@
 	// next read of the list. Nodes that start together join within 0.3 s of
 	// each other.
 	listDelayAfterJoin = 500 * time.Millisecond
-	// listRelayTime is how long the list takes at most from a node that watches the store to the
-	// others.
-	listRelayTime = time.Second
 	// joinRetryMin is the delay after a failed attempt to write this node's
 	// entry. It doubles with each further failure, up to joinRetryMax.
 	joinRetryMin = 500 * time.Millisecond
@@ -87,7 +84,7 @@
 func (m *membership) run(ctx context.Context) {
 	m.startedAt = time.Now()
 	m.succession = retry.NewSuccession(boottime.Now(), retry.SuccessionOptions{
-		FirstStart: m.settings.FirstStart, ListSpread: listInterval + listRelayTime, FirstListSpread: startupPeriod,
+		FirstStart: m.settings.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: startupPeriod,
 	})
 	// Callers may connect at once, and the number of nodes determines this
 	// node's share of upstream capacity and of the retry budget.
