Handed over windows of impossible times are refused; proofs of the retry budget

A window numbered near the largest int64 would have overflowed as it was adopted, and adopted nothing. It is refused now, and its process waits.

--- a/decide/retry/handover.go
+++ b/decide/retry/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"mimosaarch.example/core/ids"
@@ -14,7 +15,7 @@
 	// HeldUntilMs is the time since the start of the VM, in milliseconds, before which the
 	// process itself granted nothing.
 	HeldUntilMs int64 `json:"held_until_ms"`
-	// Services holds the services with retries or requests in their windows.
+	// Services holds the budgets of the services to which the process has sent requests.
 	Services map[ids.Service]HandedBudget `json:"services"`
 }
 
@@ -54,7 +55,7 @@
 func (h *Handover) Check() error {
 	for name, budget := range h.Services {
 		for _, w := range [...]HandedWindow{budget.Retries, budget.Requests} {
-			if len(w.Counts) != slotCount || w.Newest < 0 {
+			if len(w.Counts) != slotCount || w.Newest < 0 || w.Newest > math.MaxInt64-int64(slotCount) {
 				return &HandoverError{name, fmt.Sprintf("window of %d buckets up to %d", len(w.Counts), w.Newest)}
 			}
 			for _, n := range w.Counts {
--- a/decide/retry/handover_test.go
+++ b/decide/retry/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 		{"too long", window(slotCount + 1), true},
 		{"negative count", window(slotCount, -1), true},
 		{"huge count", window(slotCount, maxHandedCount+1), true},
+		{"time too late", HandedWindow{Newest: math.MaxInt64, Counts: make([]int, slotCount)}, true},
 		{"negative time", HandedWindow{Newest: -1, Counts: make([]int, slotCount)}, true},
 	} {
 		h := &Handover{Services: map[ids.Service]HandedBudget{"s": {Retries: test.retries, Requests: window(slotCount)}}}
--- a/decide/retry/succession.go
+++ b/decide/retry/succession.go
@@ -19,8 +19,9 @@
 type Succession struct {
 	startedAt time.Time
 	options   SuccessionOptions
-	joining   bool
-	joined    bool
+	// joining is true from the first attempt to write the entry on, and joined once it was
+	// written.
+	joining, joined bool
 }
 
 // SuccessionOptions configures a Succession.
