At the first start of a fleet retries are held until the list was read again

Nodes that start together write their entries within 0.3 s and read the list again 0.5 s after their own, so 0.7 s after its entry was written each knows the others.

Services whose windows are empty are no longer handed over, as the entries of removed nodes stay in the list.

--- a/adapter/forward/succession.go
+++ b/adapter/forward/succession.go
@@ -47,7 +47,9 @@
 	h := &retry.Handover{HeldUntilMs: p.retriesHeldUntil.Add(time.Millisecond).UnixMilli(), Services: make(map[ids.Service]retry.HandedBudget)}
 	p.setHold(never)
 	for service, b := range p.budgets {
-		h.Services[service] = b.HandOver(p.opts.Now())
+		if handed, used := b.HandOver(p.opts.Now()); used {
+			h.Services[service] = handed
+		}
 	}
 	return h
 }
--- a/decide/retry/handover.go
+++ b/decide/retry/handover.go
@@ -15,7 +15,7 @@
 	// HeldUntilMs is the time since the start of the VM, in milliseconds, before which the
 	// process itself granted nothing.
 	HeldUntilMs int64 `json:"held_until_ms"`
-	// Services holds the budgets of the services to which the process has sent requests.
+	// Services holds the budgets of the services with retries or requests in their windows.
 	Services map[ids.Service]HandedBudget `json:"services"`
 }
 
@@ -68,10 +68,11 @@
 	return nil
 }
 
-// HandOver returns the windows for the successor of this process. It has to grant nothing
-// afterwards, see SetHold.
-func (b *Budget) HandOver(now time.Time) HandedBudget {
-	return HandedBudget{Retries: b.windowRetries.record(now), Requests: b.windowFirstAttempts.record(now)}
+// HandOver returns the windows for the successor of this process, and whether they hold anything.
+// The budget has to grant nothing afterwards, see SetHold.
+func (b *Budget) HandOver(now time.Time) (handed HandedBudget, used bool) {
+	handed = HandedBudget{Retries: b.windowRetries.record(now), Requests: b.windowFirstAttempts.record(now)}
+	return handed, b.windowRetries.sum+b.windowFirstAttempts.sum > 0
 }
 
 // Adopt continues the windows of the predecessor, which have passed Handover.Check. What this
--- a/decide/retry/succession.go
+++ b/decide/retry/succession.go
@@ -30,7 +30,7 @@
 	// granted retries before.
 	FirstStart bool
 	// ListSpread is how long it takes at most until all nodes know a node that has joined.
-	// FirstListSpread is the same from the start of a fleet whose nodes start together.
+	// FirstListSpread is the same in a fleet whose nodes start together.
 	ListSpread, FirstListSpread time.Duration
 }
 
@@ -70,7 +70,7 @@
 	case replaced:
 		return s.startedAt.Add(StartHold), true
 	case s.options.FirstStart:
-		return s.startedAt.Add(s.options.FirstListSpread), true
+		return now.Add(s.options.FirstListSpread), true
 	}
 	return longest, true
 }
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -84,7 +84,7 @@
 func (m *membership) run(ctx context.Context) {
 	m.startedAt = time.Now()
 	m.succession = retry.NewSuccession(boottime.Now(), retry.SuccessionOptions{
-		FirstStart: m.settings.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: startupPeriod,
+		FirstStart: m.settings.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: listDelayAfterJoin + peerFetchInterval,
 	})
 	// Callers may connect at once, and the number of nodes determines this
 	// node's share of upstream capacity and of the retry budget.
