Successors grant what a predecessor without notice has left

A fleet whose processes were all killed in a calm had no retries for 10.5 s: nobody had used the budget, but no successor could know.

A process grants 0.6 of its limit unless it has given notice in its entry in the list of nodes, and its successor grants the other 0.4 until the predecessor's retries have left the window. It gives notice at 0.3, so it grants all while it needs all and the store answers. A successor that finds a notice in force, or a predecessor that had itself just started, grants nothing as before. Records count as written at the start of the VM if that has restarted since.

TestStartsKeepTheBudgetInEveryWindow and TestRestartedNodesKeepTheSumOfAllLimits play notices, and notices that cannot be written; TestNodesKilledInACalmHaveRetriesAtOnce is new. In TestRestartedNodeContinuesItsRetryBudget the process after one that was not stopped as planned retries now, and the next one does not.

--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -93,16 +93,22 @@
 		slack          float64
 		nodes, added   int
 		stopped, ended starts
+		// storeAway is true if no process can write its entry again after its start.
+		storeAway bool
 	}{
-		{"planned stops", 362, 35, 0, inTurn, none},
-		{"kills in series", 362, 35, 0, none, inSeries},
-		{"planned stops and kills", 362, 35, 0, inTurn, inSeries},
-		{"all nodes stopped at once", 200, 9, 0, atOnce, none},
-		{"all nodes killed at once", 200, 9, 0, none, atOnce},
-		{"added nodes", 200, 9, 4, none, none},
+		{"planned stops", 362, 35, 0, inTurn, none, false},
+		{"kills in series", 362, 35, 0, none, inSeries, false},
+		{"kills in series without notices", 362, 35, 0, none, inSeries, true},
+		{"planned stops and kills", 362, 35, 0, inTurn, inSeries, false},
+		{"planned stops and kills without notices", 362, 35, 0, inTurn, inSeries, true},
+		{"all nodes stopped at once", 200, 9, 0, atOnce, none, false},
+		{"all nodes killed at once", 200, 9, 0, none, atOnce, false},
+		{"all nodes killed at once without notices", 362, 35, 0, none, atOnce, true},
+		{"added nodes", 200, 9, 4, none, none, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newBudgetFleet(Budget{Ratio: 0.2, Slack: test.slack, Window: 10 * time.Second}, test.nodes)
+			f.storeAway = test.storeAway
 			f.run(200, 0)
 			for step := range 200 {
 				for _, i := range test.stopped(step) {
@@ -134,58 +140,77 @@
 type budgetFleet struct {
 	budget        Budget
 	began, now    time.Time
-	pickers       []*picker
+	nodes         []*budgetNode
 	firsts, sends []time.Duration
 	// listed is the number of nodes that all nodes know from listedAt on.
 	listed   int
 	listedAt time.Time
+	// storeAway is true while no entry can be written.
+	storeAway bool
 }
 
-// newBudgetFleet returns a fleet of nodes that have just started.
+// budgetNode is a node with its process and its entry in the list of nodes.
+type budgetNode struct {
+	*picker
+	succession *retry.Succession
+	entry      *retry.Record
+}
+
+// newBudgetFleet returns a fleet of nodes that have just started for the first time.
 func newBudgetFleet(b Budget, nodes int) *budgetFleet {
-	f := &budgetFleet{budget: b, now: time.Unix(1000, 0), began: time.Unix(1000, 0), pickers: make([]*picker, nodes), listed: nodes}
-	for i := range nodes {
-		f.start(i)
+	f := &budgetFleet{budget: b, now: time.Unix(1000, 0), began: time.Unix(1000, 0), listed: nodes}
+	for range nodes {
+		f.nodes = append(f.nodes, &budgetNode{})
+		f.start(f.nodes[len(f.nodes)-1], true)
 	}
 	return f
 }
 
-// start starts the first process of a node, which knows the number of nodes.
-func (f *budgetFleet) start(i int) {
-	f.pickers[i] = newPicker(Options{Budget: f.budget, Loans: &fakeLoans{}, Now: func() time.Time { return f.now }}, nil)
-	f.pickers[i].setNodes(f.listed)
+// start starts a process of a node, which knows the number of nodes.
+func (f *budgetFleet) start(n *budgetNode, first bool) {
+	n.succession = retry.NewSuccession(f.now, retry.SuccessionOptions{FirstStart: first, ListSpread: listSpread})
+	n.picker = newPicker(Options{Budget: f.budget, Loans: &fakeLoans{}, Now: func() time.Time { return f.now }, OnRetryNotice: func() {
+		if !f.storeAway {
+			n.write(f.now, n.succession.Notice(f.now))
+		}
+	}}, nil)
+	n.setNodes(f.listed)
+	previous := n.entry
+	terms, reason := n.succession.Joining(f.now, previous != nil, previous)
+	if reason == "handed_over" && n.adoptRetries(previous) != nil {
+		return
+	}
+	n.write(f.now, terms)
+}
+
+// write writes the entry of a process with terms, which are in force from then on.
+func (n *budgetNode) write(now time.Time, t retry.Terms) {
+	r := retry.NewRecord(now, t)
+	n.entry = &r
+	n.succession.Joined(t)
+	n.setRetryTerms(t)
 }
 
 // restart replaces the process of a node, which stops as planned or is killed.
 func (f *budgetFleet) restart(i int, planned bool) {
-	var h *retry.Handover
+	n := f.nodes[i]
 	if planned {
-		h = f.pickers[i].handOverRetries()
+		r := retry.NewRecord(f.now, n.succession.Terms())
+		r.Services, r.HasStopped = n.handOverRetries(), true
+		n.entry = &r
 	}
-	f.start(i)
-	if planned && f.pickers[i].adoptRetries(h) != nil {
-		return
-	}
-	from, _ := f.succession().Joined(f.now, true, h)
-	f.pickers[i].holdRetries(from)
-}
-
-// succession returns the succession of a process that starts now.
-func (f *budgetFleet) succession() *retry.Succession {
-	return retry.NewSuccession(f.now, retry.SuccessionOptions{ListSpread: listSpread})
+	f.start(n, false)
 }
 
 // listSpread is how long it takes until all nodes know a node that has joined.
 const listSpread = 5 * time.Second
 
 // add adds nodes. Those that were there hear of them after listSpread.
-func (f *budgetFleet) add(n int) {
-	f.listed, f.listedAt = len(f.pickers)+n, f.now.Add(listSpread)
-	for range n {
-		f.pickers = append(f.pickers, nil)
-		f.start(len(f.pickers) - 1)
-		from, _ := f.succession().Joined(f.now, false, nil)
-		f.pickers[len(f.pickers)-1].holdRetries(from)
+func (f *budgetFleet) add(count int) {
+	f.listed, f.listedAt = len(f.nodes)+count, f.now.Add(listSpread)
+	for range count {
+		f.nodes = append(f.nodes, &budgetNode{})
+		f.start(f.nodes[len(f.nodes)-1], false)
 	}
 }
 
@@ -194,8 +219,8 @@
 	for range steps {
 		f.now = f.now.Add(100 * time.Millisecond)
 		at := f.now.Sub(f.began)
-		for _, p := range f.pickers {
-			if p.nodes != f.listed && !f.now.Before(f.listedAt) {
+		for _, p := range f.nodes {
+			if p.picker.nodes != f.listed && !f.now.Before(f.listedAt) {
 				p.setNodes(f.listed)
 			}
 			p.recordFirstSend("s")
@@ -220,3 +245,18 @@
 		t.Errorf("only %d retries in all", len(f.sends))
 	}
 }
+
+// Guards against a fleet without retries after all its processes were killed in a calm.
+func TestNodesKilledInACalmHaveRetriesAtOnce(t *testing.T) {
+	f := newBudgetFleet(Budget{Ratio: 0.2, Slack: 362, Window: 10 * time.Second}, 35)
+	f.run(200, 0)
+	for i := range f.nodes {
+		f.restart(i, false)
+	}
+	f.run(30, 1)
+	if len(f.sends) < 100 {
+		t.Errorf("%d retries within 3 s of the start, want 100 of some 1,000 in 10 s", len(f.sends))
+	}
+	f.run(200, 1)
+	f.check(t)
+}
--- a/adapter/forward/loans.go
+++ b/adapter/forward/loans.go
@@ -177,6 +177,7 @@
 func (p *picker) lend(r retry.LoanRequest) int {
 	p.mu.Lock()
 	granted := p.budget(r.Service).Lend(p.opts.Now(), r.Claim(), r.Retries)
+	p.noticeRetries(r.Service)
 	p.mu.Unlock()
 	if granted > 0 {
 		p.opts.Metrics.Add("retry_budget.lent."+r.Kind.String(), int64(granted))
@@ -217,12 +218,12 @@
 	}
 }
 
-// mayBorrow reports whether the node may ask others for retries: all nodes do, or it grants none
-// itself yet.
+// mayBorrow reports whether the node may ask others for retries: all nodes do, or it grants
+// little itself as it has just started.
 func (p *picker) mayBorrow() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loansOn() || p.opts.Loans != nil && p.nodes > 1 && p.opts.Now().Before(p.retriesHeldUntil)
+	return p.loansOn() || p.opts.Loans != nil && p.nodes > 1 && p.retryTerms != nil && p.retryTerms.IsStarting(p.opts.Now())
 }
 
 // loans reports whether nodes lend each other retries at all times.
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -139,6 +139,9 @@
 	// Loans borrows retries from other nodes, where the node's share of Budget is small. It
 	// may be nil: then the node uses its own share only.
 	Loans Loans
+	// OnRetryNotice is called when the node is about to use more retries than it grants without a
+	// notice, see retry.Succession. It must not block. It may be nil.
+	OnRetryNotice func()
 	// OnRestart is called with the new instance of an upstream whose report shows a later
 	// start than the directory knows. It must be safe for concurrent use.
 	OnRestart func(ids.Instance)
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -33,15 +33,15 @@
 
 	mu    sync.Mutex
 	nodes int
-	// retriesHeldUntil is the time before which the node grants and lends no retries.
-	retriesHeldUntil time.Time
-	conditions       *condition.Table
-	backpressure     *backpressure.Table
-	chains           *chain.Picker
-	retryAfters      *retryafter.Estimator
-	replicas         *replica.Picker
-	budgets          map[ids.Service]*retry.Budget
-	borrower         *borrower
+	// retryTerms determine which part of its limits the node grants and lends, nil for all.
+	retryTerms   *retry.Terms
+	conditions   *condition.Table
+	backpressure *backpressure.Table
+	chains       *chain.Picker
+	retryAfters  *retryafter.Estimator
+	replicas     *replica.Picker
+	budgets      map[ids.Service]*retry.Budget
+	borrower     *borrower
 }
 
 // newPicker returns a picker for a node that does not know the number of nodes yet.
@@ -85,7 +85,9 @@
 	b.SetPolicy(fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond})
 	b.LimitWindow(p.opts.Budget.nodeWindowLimit(p.nodes))
 	b.SetLoans(p.loansOn())
-	b.SetHold(p.retriesHeldUntil)
+	if p.retryTerms != nil {
+		b.SetTerms(*p.retryTerms)
+	}
 }
 
 // budget returns the retry budget of a service, and creates it if there is none.
@@ -111,6 +113,7 @@
 func (p *picker) allowRetry(service ids.Service, reason outcome.Reason, claim retry.Claim) retry.Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.noticeRetries(service)
 	return p.budget(service).Take(p.opts.Now(), reason, claim)
 }
 
@@ -118,6 +121,7 @@
 func (p *picker) holdRetry(service ids.Service, reason outcome.Reason, claim retry.Claim) retry.Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.noticeRetries(service)
 	return p.budget(service).Hold(p.opts.Now(), reason, claim)
 }
 
--- a/adapter/forward/succession.go
+++ b/adapter/forward/succession.go
@@ -1,67 +1,66 @@
 package forward
 
 import (
-	"time"
-
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/retry"
 )
 
-// never is later than all times of the node's clock.
-var never = time.Unix(1<<40, 0)
-
-// HoldRetries makes the node grant and lend no retries before a time, except borrowed ones. See
-// retry.Succession.
-func (s *Server) HoldRetries(until time.Time) { s.picker.holdRetries(until) }
-
-// HoldAllRetries is HoldRetries until it is decided for how long.
-func (s *Server) HoldAllRetries() { s.picker.holdRetries(never) }
+// SetRetryTerms sets which part of its limits on retries the node grants and lends, all of them
+// before the first call. See retry.Succession.
+func (s *Server) SetRetryTerms(t retry.Terms) {
+	s.picker.mu.Lock()
+	defer s.picker.mu.Unlock()
+	s.picker.setRetryTerms(t)
+}
 
 // HandOverRetries returns the windows of all retry budgets for the process that takes over. The
 // node grants and lends no retries afterwards.
-func (s *Server) HandOverRetries() *retry.Handover { return s.picker.handOverRetries() }
-
-// AdoptRetries continues the retry budgets of the process before. The error is a
-// *retry.HandoverError, and nothing is adopted then.
-func (s *Server) AdoptRetries(h *retry.Handover) error { return s.picker.adoptRetries(h) }
-
-// holdRetries sets the time before which the node grants and lends no retries.
-func (p *picker) holdRetries(until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setHold(until)
+func (s *Server) HandOverRetries() map[ids.Service]retry.HandedBudget {
+	return s.picker.handOverRetries()
 }
 
-// setHold is holdRetries for a caller that holds mu.
-func (p *picker) setHold(until time.Time) {
-	p.retriesHeldUntil = until
+// AdoptRetries continues the retry budgets that the process before has handed over. The error is a
+// *retry.RecordError, and nothing is adopted then.
+func (s *Server) AdoptRetries(r *retry.Record) error { return s.picker.adoptRetries(r) }
+
+// setRetryTerms is SetRetryTerms for a caller that holds mu.
+func (p *picker) setRetryTerms(t retry.Terms) {
+	p.retryTerms = &t
 	for _, b := range p.budgets {
 		p.applyBudget(b)
 	}
 }
 
+// noticeRetries calls Options.OnRetryNotice if the budget of a service wants notice to be given. The
+// caller holds mu.
+func (p *picker) noticeRetries(service ids.Service) {
+	if p.opts.OnRetryNotice != nil && p.budget(service).WantsNotice(p.opts.Now()) {
+		p.opts.OnRetryNotice()
+	}
+}
+
 // handOverRetries returns the windows of all retry budgets, and ends their grants.
-func (p *picker) handOverRetries() *retry.Handover {
+func (p *picker) handOverRetries() map[ids.Service]retry.HandedBudget {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := &retry.Handover{HeldUntilMs: p.retriesHeldUntil.Add(time.Millisecond).UnixMilli(), Services: make(map[ids.Service]retry.HandedBudget)}
-	p.setHold(never)
+	p.setRetryTerms(retry.Terms{HeldUntil: retry.Never})
+	services := make(map[ids.Service]retry.HandedBudget)
 	for service, b := range p.budgets {
 		if handed, used := b.HandOver(p.opts.Now()); used {
-			h.Services[service] = handed
+			services[service] = handed
 		}
 	}
-	return h
+	return services
 }
 
 // adoptRetries adds the windows of the process before to the retry budgets.
-func (p *picker) adoptRetries(h *retry.Handover) error {
-	if err := h.Check(); err != nil {
+func (p *picker) adoptRetries(r *retry.Record) error {
+	if err := r.Check(); err != nil {
 		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for service, windows := range h.Services {
+	for service, windows := range r.Services {
 		p.budget(service).Adopt(p.opts.Now(), windows)
 	}
 	return nil
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -68,8 +68,8 @@
 	windowLimited                      bool
 	windowRatio, windowSlack           float64
 	windowFirstAttempts, windowRetries window
-	// heldUntil is the time before which nothing is granted or lent.
-	heldUntil time.Time
+	// terms determine the part of the limit that is granted and lent, nil for all of it.
+	terms *Terms
 	// loansEnabled reports whether SetLoans enabled loans. reserve applies then, and
 	// borrowed holds the retries that other nodes have lent.
 	loansEnabled bool
@@ -99,12 +99,24 @@
 	b.windowLimited, b.windowRatio, b.windowSlack = true, max(ratio, 0), max(slack, 0)
 }
 
-// SetHold sets the time before which the budget grants and lends nothing, except retries that
-// were borrowed. See Succession.
-func (b *Budget) SetHold(until time.Time) { b.heldUntil = until }
+// SetTerms sets which part of the limit of the window is granted and lent, all of it before the
+// first call. Borrowed retries are not affected. See Succession.
+func (b *Budget) SetTerms(t Terms) { b.terms = &t }
 
-// held reports whether nothing is granted or lent now.
-func (b *Budget) held(now time.Time) bool { return now.Before(b.heldUntil) }
+// part returns the part of the limit of the window that is granted and lent.
+func (b *Budget) part(now time.Time) float64 {
+	if b.terms == nil {
+		return 1
+	}
+	return b.terms.part(now)
+}
+
+// WantsNotice reports whether the process should give notice that it grants its whole limit, since
+// it has used a large part of what it grants without.
+func (b *Budget) WantsNotice(now time.Time) bool {
+	limit, used := b.windowState(now)
+	return b.terms != nil && limit > 0 && b.terms.wantNotice(now, used/limit)
+}
 
 // RecordFirst counts the first attempt of a request.
 func (b *Budget) RecordFirst(now time.Time) {
@@ -126,9 +138,6 @@
 // ownCovers reports whether the node's own budget has a retry for the claim.
 func (b *Budget) ownCovers(now time.Time, claim Claim) bool {
 	b.decay(now)
-	if b.held(now) {
-		return false
-	}
 	if b.lends() {
 		return b.windowAllows(now, b.reserve.fraction(claim))
 	}
@@ -148,7 +157,7 @@
 		return true
 	}
 	limit, used := b.windowState(now)
-	return used+1 <= limit*fraction
+	return used+1 <= limit*min(fraction, b.part(now))
 }
 
 // windowState returns the limit set by LimitWindow and the retries that count towards
@@ -206,18 +215,15 @@
 type Usage struct {
 	// Used counts the retries of the window, including those lent to other nodes.
 	Used int
-	// Limit is how many retries the window allows in all, 0 if LimitWindow was not called or
-	// the budget grants nothing yet.
+	// Limit is how many retries the window allows in all under the present Terms, 0 if
+	// LimitWindow was not called.
 	Limit float64
 }
 
 // Usage returns the state of the window.
 func (b *Budget) Usage(now time.Time) Usage {
 	limit, used := b.windowState(now)
-	if b.held(now) {
-		limit = 0
-	}
-	return Usage{Used: int(used), Limit: limit}
+	return Usage{Used: int(used), Limit: limit * b.part(now)}
 }
 
 // Stats returns a copy of the counters by reason.
--- a/decide/retry/loan.go
+++ b/decide/retry/loan.go
@@ -72,20 +72,22 @@
 //
 // The processes of one node keep its limit together. A successor with the windows of its
 // predecessor (Adopt) is the same process to the proof: nothing is granted between HandOver and
-// Adopt. Any other grants nothing for StartHold from its start, and what its predecessor has
-// granted is used up to LoanValidity after that, so that none of it is used in a BudgetWindow in
-// which the successor's own grants are.
+// Adopt. For any other, what its predecessor has granted is used up to LoanValidity after its
+// start, so that within StartHold from then it may share a BudgetWindow with the successor's
+// own grants. These are at most startPart of the limit, and only if the predecessor's are at most
+// usualPart: the predecessor gives notice before it grants more, the notice holds until StartHold
+// after that, and it was not in its first StartHold itself. Else the successor grants nothing.
 func (b *Budget) SetLoans(enabled bool) { b.loansEnabled = enabled }
 
 // lends reports whether loans are in force.
 func (b *Budget) lends() bool { return b.loansEnabled && b.windowLimited }
 
 // Lend grants another node up to n retries for a claim and returns how many, 0 if
-// LimitWindow was not called or the budget is held. The borrower may use them for LoanValidity
+// LimitWindow was not called. The borrower may use them for LoanValidity
 // from its request. They count at the end of that time. Where loans are not enabled, nodes whose
 // own budgets are held may ask all the same.
 func (b *Budget) Lend(now time.Time, claim Claim, n int) int {
-	if !b.windowLimited || b.held(now) {
+	if !b.windowLimited {
 		return 0
 	}
 	b.decay(now)
@@ -101,6 +103,7 @@
 // spare returns how many retries the budget may lend for a claim.
 func (b *Budget) spare(now time.Time, claim Claim) float64 {
 	limit, used := b.windowState(now)
+	limit *= b.part(now)
 	if b.loansEnabled {
 		return min((limit-used)*lendFraction, limit*b.reserve.fraction(claim)-used)
 	}
--- a/decide/retry/play_test.go
+++ b/decide/retry/play_test.go
@@ -19,6 +19,8 @@
 	lenderTime     = 20 * time.Millisecond
 	resumeDelay    = 150 * time.Millisecond
 	streamPatience = 2 * time.Second
+	// noticeChance is the chance that a notice is written in a step.
+	noticeChance = 0.1
 )
 
 // play is a fleet whose nodes share one retry limit, without a network.
@@ -66,7 +68,8 @@
 	needs       []*need
 	call        *message
 	silentUntil time.Time
-	heldUntil   time.Time
+	succession  *Succession
+	entry       *Record
 	life        int
 }
 
@@ -89,11 +92,11 @@
 func (p *play) restart(now time.Time, i int) {
 	n := p.nodes[i]
 	p.lives = append(p.lives, life{from: now})
-	budget, heldUntil := p.newBudget(), time.Time{}
-	if n.budget != nil && p.succeed {
-		heldUntil = p.succession(now, n, budget)
+	if p.succeed && n.budget != nil && p.rng.IntN(2) == 0 {
+		n.stop(now)
 	}
-	*n = playNode{name: n.name, budget: budget, heldUntil: heldUntil, lenders: NewLenders(zoneOf(i), p.rng.Uint64()), life: len(p.lives) - 1}
+	budget := p.newBudget()
+	*n = playNode{name: n.name, entry: n.entry, budget: budget, lenders: NewLenders(zoneOf(i), p.rng.Uint64()), life: len(p.lives) - 1}
 	var others []Lender
 	for j, other := range p.nodes {
 		if j != i {
@@ -101,20 +104,35 @@
 		}
 	}
 	n.lenders.Set(others)
+	if p.succeed {
+		n.join(now)
+	}
+}
+
+// stop lets the process of a node hand over its window.
+func (n *playNode) stop(now time.Time) {
+	r := NewRecord(now, n.succession.Terms())
+	handed, _ := n.budget.HandOver(now)
+	r.Services, r.HasStopped = map[ids.Service]HandedBudget{"s": handed}, true
+	n.entry = &r
 }
 
-// succession gives a new budget what the process of a node hands over if it stops as planned, and
-// returns the time before which the budget grants nothing.
-func (p *play) succession(now time.Time, n *playNode, budget *Budget) (heldUntil time.Time) {
-	var h *Handover
-	if p.rng.IntN(2) == 0 {
-		h = &Handover{HeldUntilMs: n.heldUntil.Add(time.Millisecond).UnixMilli()}
-		handed, _ := n.budget.HandOver(now)
-		budget.Adopt(now, handed)
+// join lets a process that has started continue after the one before.
+func (n *playNode) join(now time.Time) {
+	n.succession = NewSuccession(now, SuccessionOptions{FirstStart: n.entry == nil})
+	terms, reason := n.succession.Joining(now, n.entry != nil, n.entry)
+	if reason == "handed_over" {
+		n.budget.Adopt(now, n.entry.Services["s"])
 	}
-	heldUntil, _ = NewSuccession(now, SuccessionOptions{}).Joined(now, true, h)
-	budget.SetHold(heldUntil)
-	return heldUntil
+	n.write(now, terms)
+}
+
+// write writes the entry of a process with terms, which are in force from then on.
+func (n *playNode) write(now time.Time, t Terms) {
+	r := NewRecord(now, t)
+	n.entry = &r
+	n.succession.Joined(t)
+	n.budget.SetTerms(t)
 }
 
 // zoneOf returns the zone of a node, one of three.
@@ -145,6 +163,9 @@
 			if p.load.Float64() < p.demand(at, i)*playStep.Seconds() {
 				n.needs = append(n.needs, &need{claim: p.claim(), arrived: now, askUntil: now.Add(borrowTime)})
 			}
+			if p.succeed && n.budget.WantsNotice(now) && p.rng.Float64() < noticeChance {
+				n.write(now, n.succession.Notice(now))
+			}
 			p.serveNeeds(now, n)
 			p.borrow(now, i)
 			p.lives[n.life].to = now
--- a/decide/retry/succession.go
+++ b/decide/retry/succession.go
@@ -2,26 +2,78 @@
 
 import "time"
 
-// StartHold is how long a process grants no retries after the last moment at which another
-// process may have granted those that it would grant. They stay in a window for BudgetWindow,
-// and lent ones may be used for LoanValidity first.
+// StartHold is how long after the end of a process its retries may be in a BudgetWindow: they stay
+// in it for BudgetWindow, and lent ones may be used for LoanValidity first.
 const StartHold = BudgetWindow + LoanValidity
 
-// Succession decides from when on a process that has started grants retries.
+const (
+	// startPart is the part of its limit that a process grants until its predecessor's retries
+	// have left the window, if that ended without notice and has granted no more than the rest.
+	startPart = 0.4
+	// usualPart is the part that other processes grant without a notice in their entries. It
+	// leaves startPart to their successors.
+	usualPart = 1 - startPart
+	// noticeFraction is the fraction of the limit from which on the process gives notice, half
+	// of usualPart, so that the notice is written before that is used up.
+	noticeFraction = usualPart / 2
+	// fullGrant is how long a process grants its whole limit after a notice, and fullRenewal how
+	// long before the end of that time it gives the next one.
+	fullGrant   = 20 * time.Second
+	fullRenewal = 10 * time.Second
+)
+
+// Terms are the times that determine which part of its limit a process grants.
+type Terms struct {
+	// HeldUntil is the time before which it grants nothing, and StartingUntil that before which
+	// it grants startPart.
+	HeldUntil, StartingUntil time.Time
+	// FullUntil is the time before which it grants its whole limit. Later it grants usualPart.
+	FullUntil time.Time
+}
+
+// Never is later than all times of a node's clock.
+var Never = time.Unix(1<<40, 0)
+
+// part returns the part of its limit that the process grants.
+func (t Terms) part(now time.Time) float64 {
+	switch {
+	case now.Before(t.HeldUntil):
+		return 0
+	case now.Before(t.StartingUntil):
+		return startPart
+	case now.Before(t.FullUntil):
+		return 1
+	}
+	return usualPart
+}
+
+// IsStarting reports whether the process grants less than usual because it has just started.
+func (t Terms) IsStarting(now time.Time) bool {
+	return now.Before(t.HeldUntil) || now.Before(t.StartingUntil)
+}
+
+// wantNotice reports whether the process should give notice, if it has used a fraction of its
+// limit.
+func (t Terms) wantNotice(now time.Time, used float64) bool {
+	return used > noticeFraction && !t.IsStarting(now) && now.Add(fullRenewal).After(t.FullUntil)
+}
+
+// Succession decides which part of its limit a process that has started grants.
 //
 // The retries that a service receives are limited over all processes, also those that have
 // ended. A process gets requests that another one got before: its predecessor on the node, or
 // those nodes that were there before a new one. They may have granted all retries that these
-// requests and the shares of the slack allow. If the predecessor stopped as planned it has
-// handed over its window, and the process continues it. Otherwise the process grants nothing
-// until such retries have left the window, and borrows meanwhile: of a predecessor that
-// was killed nobody knows what it has granted, least of all if others were killed with it.
+// requests and the shares of the slack allow. A predecessor that has stopped as planned has
+// handed over its windows, and the process continues them. Of any other it is known what its
+// entry tells: without a notice it has left startPart. What it may have granted else, nobody is
+// certain to know, least of all if all nodes are killed.
 type Succession struct {
 	startedAt time.Time
 	options   SuccessionOptions
-	// joining is true from the first attempt to write the entry on, and joined once it was
-	// written.
-	joining, joined bool
+	// joining is true from the first attempt to write the entry on, and decided once terms
+	// follow from the entry that was replaced.
+	joining, decided bool
+	terms            Terms
 }
 
 // SuccessionOptions configures a Succession.
@@ -34,43 +86,54 @@
 	ListSpread, FirstListSpread time.Duration
 }
 
-// NewSuccession returns the succession of a process that starts now.
+// NewSuccession returns the succession of a process that starts now and grants nothing yet.
 func NewSuccession(now time.Time, o SuccessionOptions) *Succession {
-	return &Succession{startedAt: now, options: o}
+	return &Succession{startedAt: now, options: o, terms: Terms{HeldUntil: Never}}
 }
 
-// Joining records that the process begins to add its entry to the list of nodes. An entry that
-// it reads later may be its own.
-func (s *Succession) Joining() { s.joining = true }
+// Terms returns the present terms.
+func (s *Succession) Terms() Terms { return s.terms }
 
-// Listed returns from when on the process grants retries if the list of nodes has an entry of
-// its node, and false if that does not follow because the entry may be its own.
-func (s *Succession) Listed() (from time.Time, decided bool) {
-	if s.joining {
-		return time.Time{}, false
+// Listed sets the terms of a process whose node the list of nodes has, written by an earlier
+// process, until the entry is replaced. It reports whether the terms have changed.
+func (s *Succession) Listed() bool {
+	if s.joining || s.terms.HeldUntil != Never {
+		return false
 	}
-	return s.startedAt.Add(StartHold), true
+	s.terms.HeldUntil = s.startedAt.Add(StartHold)
+	return true
 }
 
-// Joined returns from when on the process grants retries once its entry was written, and false
-// if it has been written before. replaced reports whether it replaced an entry of an earlier
-// process, and adopted is what that has handed over, nil if nothing.
-func (s *Succession) Joined(now time.Time, replaced bool, adopted *Handover) (from time.Time, decided bool) {
-	if s.joined {
-		return time.Time{}, false
-	}
-	s.joined = true
-	longest := now.Add(s.options.ListSpread + StartHold)
+// Joining returns the terms with which the process replaces an entry, and the reason for a log.
+// replaced is false if the list has no entry of the node. previous is what an entry of an earlier
+// process tells, nil if nothing. Joined has to be called once the entry was written.
+func (s *Succession) Joining(now time.Time, replaced bool, previous *Record) (t Terms, reason string) {
+	s.joining = true
+	held := Terms{HeldUntil: s.startedAt.Add(StartHold)}
 	switch {
-	case adopted != nil && adopted.heldUntil().After(longest):
-		// The VM has restarted, and with it the clock.
-		return longest, true
-	case adopted != nil:
-		return adopted.heldUntil(), true
-	case replaced:
-		return s.startedAt.Add(StartHold), true
-	case s.options.FirstStart:
-		return now.Add(s.options.FirstListSpread), true
+	case s.decided:
+		return s.terms, "joined_again"
+	case !replaced && s.options.FirstStart:
+		return Terms{HeldUntil: now.Add(s.options.FirstListSpread)}, "first_start"
+	case !replaced:
+		return Terms{HeldUntil: now.Add(s.options.ListSpread + StartHold)}, "new_node"
+	case previous == nil:
+		return held, "unknown_predecessor"
+	case previous.Stopped():
+		return previous.terms(now), "handed_over"
+	case previous.leavesNothing(now):
+		return held, "used_up"
 	}
-	return longest, true
+	return Terms{StartingUntil: s.startedAt.Add(StartHold)}, "restarted"
+}
+
+// Joined sets the terms of an entry that was written.
+func (s *Succession) Joined(t Terms) { s.decided, s.terms = true, t }
+
+// Notice returns the terms after a notice that is written now. Joined has to be called once it was
+// written.
+func (s *Succession) Notice(now time.Time) Terms {
+	t := s.terms
+	t.FullUntil = now.Add(fullGrant)
+	return t
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -41,26 +41,19 @@
 
 // Members is the list of the fleet's nodes in the platform's store.
 type Members interface {
-	// Join adds this node's entry to the list or replaces it.
-	Join(ctx context.Context, m roster.Member) (Joined, error)
-	// Leave adds what this process hands over to its entry, unless that was written again since
-	// a revision.
-	Leave(ctx context.Context, m roster.Member, at revision.Revision, h *retry.Handover) error
+	// Join adds this node's entry to the list or replaces it, and returns its revision. succeed
+	// returns the record that the entry gets. replaced is false if the list has no entry of the
+	// node, and previous is the record of that entry. It is nil if the entry has none that can be
+	// read, or comes from an earlier epoch of the store: a restored copy may have an entry of a
+	// process before the last one. succeed may be called more than once.
+	Join(ctx context.Context, m roster.Member, succeed func(replaced bool, previous *retry.Record) retry.Record) (revision.Revision, error)
+	// Update replaces the record of this node's entry, unless the entry was written again since a
+	// revision, and returns its new revision.
+	Update(ctx context.Context, m roster.Member, at revision.Revision, r retry.Record) (revision.Revision, error)
 	// List returns all entries. They may be a few seconds old.
 	List(ctx context.Context) (listwatch.List[roster.Member], error)
 }
 
-// Joined describes how an entry was written.
-type Joined struct {
-	// Replaced is true if the list had an entry of the node.
-	Replaced bool
-	// Handover is what the earlier process that wrote that entry has handed over. It is nil
-	// if that did not stop as planned, or if the entry comes from a restored copy of the store.
-	Handover *retry.Handover
-	// At is the revision of the new entry.
-	At revision.Revision
-}
-
 // Engines makes the calls to engines that are not callers' requests.
 type Engines interface {
 	forward.Engines
@@ -212,6 +205,8 @@
 		OnRestart: n.upstreams.recordRestart,
 		OnLeaving: n.recordLeaving,
 
+		OnRetryNotice: n.membership.noticeDue,
+
 		OnEngineLost: n.lossNotices.announce, OnEngineSilent: n.lossNotices.announceSilence,
 		Seed: settings.Seed,
 
@@ -259,7 +254,7 @@
 		OnRestart:         n.upstreams.recordRestart,
 	})
 	n.registerGauges()
-	n.server.HoldAllRetries()
+	n.server.SetRetryTerms(n.membership.succession.Terms())
 	return n
 }
 
@@ -459,6 +454,7 @@
 	go n.followUpstreams(ctx)
 	go n.upstreams.expire(ctx)
 	go n.membership.run(ctx)
+	go n.membership.giveNotices(ctx)
 	go n.verifyPeers(ctx)
 	go n.probe.run(ctx)
 	go n.verdicts.run(ctx, n.sendVerdict)
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,14 +53,18 @@
 	log      zerolog.Logger
 	rand     *rand.Rand
 
-	// succession decides from when on this process grants retries. heldForPredecessor is true
-	// once that follows from the entry of an earlier process.
-	succession         *retry.Succession
-	heldForPredecessor bool
+	// entryMu is locked while the entry is written. It protects succession, which decides which
+	// part of its limits on retries this process grants, and entryAt, the revision of the entry,
+	// zero before it was written.
+	entryMu    sync.Mutex
+	succession *retry.Succession
+	entryAt    revision.Revision
+	// noticeCh has an item if the process should give notice of its retries, and entryLost is set
+	// if the entry was written by another process.
+	noticeCh  chan struct{}
+	entryLost atomic.Bool
 
 	joined bool
-	// entryAt holds the revision of the entry once it was written.
-	entryAt atomic.Pointer[revision.Revision]
 	// joinedEpoch is the epoch of the store in which the entry was written.
 	joinedEpoch int64
 	startedAt   time.Time
@@ -73,7 +78,11 @@
 
 // newMembership returns a membership that has not joined yet.
 func newMembership(s Settings, members Members, n *Node, log zerolog.Logger) *membership {
-	return &membership{settings: s, members: members, node: n, log: log, rand: rand.New(rand.NewPCG(s.Seed, seedStream))}
+	m := &membership{settings: s, members: members, node: n, log: log, rand: rand.New(rand.NewPCG(s.Seed, seedStream)), noticeCh: make(chan struct{}, 1)}
+	m.succession = retry.NewSuccession(boottime.Now(), retry.SuccessionOptions{
+		FirstStart: s.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: listDelayAfterJoin + peerFetchInterval,
+	})
+	return m
 }
 
 // seedStream is the second half of the random source's seed. It makes the random
@@ -83,9 +92,6 @@
 // run reads the list of nodes once and then calls tick until ctx ends.
 func (m *membership) run(ctx context.Context) {
 	m.startedAt = time.Now()
-	m.succession = retry.NewSuccession(boottime.Now(), retry.SuccessionOptions{
-		FirstStart: m.settings.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: listDelayAfterJoin + peerFetchInterval,
-	})
 	// Callers may connect at once, and the number of nodes determines this
 	// node's share of upstream capacity and of the retry budget.
 	m.list(ctx)
@@ -125,14 +131,14 @@
 const rejoinSpread = time.Second
 
 // checkEntry makes the node write its entry again if the list of a later epoch than that
-// of its entry lacks it.
+// of its entry lacks it, or if an update has found another revision of it.
 func (m *membership) checkEntry(now time.Time) {
 	epoch, lacks := m.node.fleet.listLacks(m.settings.VM)
-	if !m.joined || epoch <= m.joinedEpoch {
+	if !m.joined || epoch <= m.joinedEpoch && !m.entryLost.Load() {
 		return
 	}
 	m.joinedEpoch = epoch
-	if !lacks {
+	if !m.entryLost.Swap(false) && !lacks {
 		return
 	}
 	m.joined, m.joinFailures = false, 0
@@ -147,8 +153,7 @@
 
 // join writes this node's entry to the list of nodes.
 func (m *membership) join(ctx context.Context) {
-	m.succession.Joining()
-	entry, err := m.members.Join(ctx, m.self())
+	err := m.writeEntry(ctx)
 	if err != nil {
 		m.log.Info().Str("event", "join_failed").Err(err).Send()
 		m.joinAt = time.Now().Add(backoff.Exponential(joinRetryMin, joinRetryMax, m.joinFailures))
@@ -156,8 +161,6 @@
 		return
 	}
 	m.joined, m.joinedEpoch = true, m.node.epoch.Load()
-	m.succeed(entry)
-	m.entryAt.Store(&entry.At)
 	m.listAt = time.Now().Add(listDelayAfterJoin)
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -21,7 +21,7 @@
 	storeList    = "store.list"
 	storeLease   = "store.lease"
 	storeJoin    = "store.join"
-	storeLeave   = "store.leave"
+	storeUpdate  = "store.update"
 	storeMembers = "store.members"
 )
 
@@ -118,17 +118,17 @@
 }
 
 // Join implements Members.
-func (t *timedMembers) Join(ctx context.Context, m roster.Member) (Joined, error) {
+func (t *timedMembers) Join(ctx context.Context, m roster.Member, succeed func(bool, *retry.Record) retry.Record) (revision.Revision, error) {
 	start := boottime.Now()
 	defer func() { t.observe(storeJoin, boottime.Now().Sub(start)) }()
-	return t.members.Join(ctx, m)
+	return t.members.Join(ctx, m, succeed)
 }
 
-// Leave implements Members.
-func (t *timedMembers) Leave(ctx context.Context, m roster.Member, at revision.Revision, h *retry.Handover) error {
+// Update implements Members.
+func (t *timedMembers) Update(ctx context.Context, m roster.Member, at revision.Revision, r retry.Record) (revision.Revision, error) {
 	start := boottime.Now()
-	defer func() { t.observe(storeLeave, boottime.Now().Sub(start)) }()
-	return t.members.Leave(ctx, m, at, h)
+	defer func() { t.observe(storeUpdate, boottime.Now().Sub(start)) }()
+	return t.members.Update(ctx, m, at, r)
 }
 
 // List implements Members.
