Origins of retry terms are typed; failed notices are written again after a pause

Reading the change anew: package entry compared the reason for a log with a literal, and checked the record that package retry decides on. Joining checks it and returns an Origin. Nodes whose notices a store does not take wait for 1 to 2 s each, so that they do not press on a store that is full.

--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -176,9 +176,9 @@
 	}}, nil)
 	n.setNodes(f.listed)
 	previous := n.entry
-	terms, reason := n.succession.Joining(f.now, previous != nil, previous)
-	if reason == "handed_over" && n.adoptRetries(previous) != nil {
-		return
+	terms, origin := n.succession.Joining(f.now, previous != nil, previous)
+	if origin == retry.HandedOver {
+		n.adoptRetries(previous.Services)
 	}
 	n.write(f.now, terms)
 }
@@ -196,7 +196,7 @@
 	n := f.nodes[i]
 	if planned {
 		r := retry.NewRecord(f.now, n.succession.Terms())
-		r.Services, r.HasStopped = n.handOverRetries(), true
+		r.Services, r.Stopped = n.handOverRetries(), true
 		n.entry = &r
 	}
 	f.start(n, false)
--- a/adapter/forward/succession.go
+++ b/adapter/forward/succession.go
@@ -19,9 +19,11 @@
 	return s.picker.handOverRetries()
 }
 
-// AdoptRetries continues the retry budgets that the process before has handed over. The error is a
-// *retry.RecordError, and nothing is adopted then.
-func (s *Server) AdoptRetries(r *retry.Record) error { return s.picker.adoptRetries(r) }
+// AdoptRetries continues the retry budgets that the process before has handed over, in a record that
+// has passed its Check.
+func (s *Server) AdoptRetries(services map[ids.Service]retry.HandedBudget) {
+	s.picker.adoptRetries(services)
+}
 
 // setRetryTerms is SetRetryTerms for a caller that holds mu.
 func (p *picker) setRetryTerms(t retry.Terms) {
@@ -54,14 +56,10 @@
 }
 
 // adoptRetries adds the windows of the process before to the retry budgets.
-func (p *picker) adoptRetries(r *retry.Record) error {
-	if err := r.Check(); err != nil {
-		return err
-	}
+func (p *picker) adoptRetries(services map[ids.Service]retry.HandedBudget) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for service, windows := range r.Services {
+	for service, windows := range services {
 		p.budget(service).Adopt(p.opts.Now(), windows)
 	}
-	return nil
 }
--- a/decide/retry/play_test.go
+++ b/decide/retry/play_test.go
@@ -113,15 +113,15 @@
 func (n *playNode) stop(now time.Time) {
 	r := NewRecord(now, n.succession.Terms())
 	handed, _ := n.budget.HandOver(now)
-	r.Services, r.HasStopped = map[ids.Service]HandedBudget{"s": handed}, true
+	r.Services, r.Stopped = map[ids.Service]HandedBudget{"s": handed}, true
 	n.entry = &r
 }
 
 // join lets a process that has started continue after the one before.
 func (n *playNode) join(now time.Time) {
 	n.succession = NewSuccession(now, SuccessionOptions{FirstStart: n.entry == nil})
-	terms, reason := n.succession.Joining(now, n.entry != nil, n.entry)
-	if reason == "handed_over" {
+	terms, origin := n.succession.Joining(now, n.entry != nil, n.entry)
+	if origin == HandedOver {
 		n.budget.Adopt(now, n.entry.Services["s"])
 	}
 	n.write(now, terms)
--- a/decide/retry/record.go
+++ b/decide/retry/record.go
@@ -22,8 +22,8 @@
 	// Services holds the budgets of the services with retries or requests in their windows,
 	// once the process has stopped as planned. It is nil before.
 	Services map[ids.Service]HandedBudget `json:"services,omitempty"`
-	// HasStopped is true once the process has stopped as planned.
-	HasStopped bool `json:"stopped,omitempty"`
+	// Stopped is true once the process has stopped as planned.
+	Stopped bool `json:"stopped,omitempty"`
 }
 
 // NewRecord returns the record that a process with the given terms writes now.
@@ -34,9 +34,6 @@
 // millis rounds a time up to milliseconds, 0 for times before the start of the VM.
 func millis(t time.Time) int64 { return max(t.Add(time.Millisecond-1).UnixMilli(), 0) }
 
-// Stopped reports whether the process has stopped as planned and has handed over its windows.
-func (r *Record) Stopped() bool { return r.HasStopped }
-
 // leavesNothing reports whether the process may have granted more than usualPart of its limit, or
 // less only because of what others had granted before.
 func (r *Record) leavesNothing(now time.Time) bool {
--- a/decide/retry/record_test.go
+++ b/decide/retry/record_test.go
@@ -96,7 +96,7 @@
 		return &r
 	}
 	stopped := record(Terms{StartingUntil: now.Add(time.Second)})
-	stopped.HasStopped = true
+	stopped.Stopped = true
 	for _, test := range []struct {
 		name     string
 		options  SuccessionOptions
@@ -109,6 +109,7 @@
 		{"restart during the first start", first, true, record(Terms{HeldUntil: now.Add(time.Second)}), [4]float64{0, 0, usualPart, usualPart}},
 		{"new node", o, false, nil, [4]float64{0, 0, 0, usualPart}},
 		{"unknown", o, true, nil, [4]float64{0, 0, usualPart, usualPart}},
+		{"malformed", o, true, &Record{Services: map[ids.Service]HandedBudget{"s": {}}}, [4]float64{0, 0, usualPart, usualPart}},
 		{"killed", o, true, record(Terms{}), [4]float64{startPart, startPart, usualPart, usualPart}},
 		{"killed long after a notice", o, true, record(Terms{FullUntil: now.Add(-StartHold)}), [4]float64{startPart, startPart, usualPart, usualPart}},
 		{"killed after a notice", o, true, record(Terms{FullUntil: now.Add(time.Second - StartHold)}), [4]float64{0, 0, usualPart, usualPart}},
--- a/decide/retry/succession.go
+++ b/decide/retry/succession.go
@@ -104,27 +104,48 @@
 	return true
 }
 
-// Joining returns the terms with which the process replaces an entry, and the reason for a log.
-// replaced is false if the list has no entry of the node. previous is what an entry of an earlier
-// process tells, nil if nothing. Joined has to be called once the entry was written.
-func (s *Succession) Joining(now time.Time, replaced bool, previous *Record) (t Terms, reason string) {
+// Origin is where the terms of a process come from.
+type Origin string
+
+// Origins of terms.
+const (
+	// FirstStart is the first start of the whole fleet, and NewNode a start on a new node.
+	FirstStart Origin = "first_start"
+	NewNode    Origin = "new_node"
+	// HandedOver is a predecessor that has stopped as planned, and LeftSome one that has ended
+	// otherwise without a notice in force.
+	HandedOver Origin = "handed_over"
+	LeftSome   Origin = "left_some"
+	// UsedUp is a predecessor that may have left nothing, and Unknown one of which nothing can
+	// be read.
+	UsedUp  Origin = "used_up"
+	Unknown Origin = "unknown_predecessor"
+	// JoinedBefore is an entry that this process has written before.
+	JoinedBefore Origin = "joined_before"
+)
+
+// Joining returns the terms with which the process replaces an entry, and their origin. replaced is
+// false if the list has no entry of the node. previous is what the entry tells, nil if nothing
+// that can be read. After HandedOver, the process has to continue the windows of previous. Joined
+// has to be called once the entry was written.
+func (s *Succession) Joining(now time.Time, replaced bool, previous *Record) (Terms, Origin) {
 	s.joining = true
 	held := Terms{HeldUntil: s.startedAt.Add(StartHold)}
 	switch {
 	case s.decided:
-		return s.terms, "joined_again"
+		return s.terms, JoinedBefore
 	case !replaced && s.options.FirstStart:
-		return Terms{HeldUntil: now.Add(s.options.FirstListSpread)}, "first_start"
+		return Terms{HeldUntil: now.Add(s.options.FirstListSpread)}, FirstStart
 	case !replaced:
-		return Terms{HeldUntil: now.Add(s.options.ListSpread + StartHold)}, "new_node"
-	case previous == nil:
-		return held, "unknown_predecessor"
-	case previous.Stopped():
-		return previous.terms(now), "handed_over"
+		return Terms{HeldUntil: now.Add(s.options.ListSpread + StartHold)}, NewNode
+	case previous == nil || previous.Check() != nil:
+		return held, Unknown
+	case previous.Stopped:
+		return previous.terms(now), HandedOver
 	case previous.leavesNothing(now):
-		return held, "used_up"
+		return held, UsedUp
 	}
-	return Terms{StartingUntil: s.startedAt.Add(StartHold)}, "restarted"
+	return Terms{StartingUntil: s.startedAt.Add(StartHold)}, LeftSome
 }
 
 // Joined sets the terms of an entry that was written.
--- a/node/entry/succession.go
+++ b/node/entry/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"mimosaarch.example/core/boottime"
@@ -13,8 +14,11 @@
 	// handoverTimeout bounds the write with which a process that stops hands over its retry
 	// budgets. It ends well before stopMargin.
 	handoverTimeout = 400 * time.Millisecond
-	// noticePause is the time after a notice before the next one.
-	noticePause = 200 * time.Millisecond
+	// noticePause is the time after a notice before the next one. After one that could not be
+	// written it is a random time between noticeRetryMin and twice that, since all nodes may
+	// give notice at once to a store that takes only so many writes.
+	noticePause    = 200 * time.Millisecond
+	noticeRetryMin = time.Second
 )
 
 // checkPredecessor looks for the entry of an earlier process of this node while this one has not
@@ -39,29 +43,23 @@
 	m.entryMu.Lock()
 	defer m.entryMu.Unlock()
 	var terms retry.Terms
-	var reason string
-	var adopted *retry.Record
+	var origin retry.Origin
+	var replacedRecord *retry.Record
 	at, err := m.members.Join(ctx, m.self(), func(replaced bool, previous *retry.Record) retry.Record {
-		if previous != nil && previous.Check() != nil {
-			previous = nil
-		}
-		adopted = previous
 		now := boottime.Now()
-		terms, reason = m.succession.Joining(now, replaced, previous)
+		replacedRecord = previous
+		terms, origin = m.succession.Joining(now, replaced, previous)
 		return retry.NewRecord(now, terms)
 	})
 	if err != nil {
 		return err
 	}
-	if reason == "handed_over" {
-		err = m.node.server.AdoptRetries(adopted)
-	}
-	if err != nil {
-		return err
+	if origin == retry.HandedOver {
+		m.node.server.AdoptRetries(replacedRecord.Services)
 	}
 	m.entryAt = at
 	m.succession.Joined(terms)
-	m.applyTerms(terms, reason)
+	m.applyTerms(terms, string(origin))
 	return nil
 }
 
@@ -90,17 +88,21 @@
 		case <-ctx.Done():
 			return
 		}
-		m.giveNotice(ctx)
-		every.Sleep(ctx, noticePause)
+		pause := noticePause
+		if !m.giveNotice(ctx) {
+			pause = noticeRetryMin + rand.N(noticeRetryMin)
+		}
+		every.Sleep(ctx, pause)
 	}
 }
 
-// giveNotice writes one notice. Until one is written the process goes on with a part of its limit.
-func (m *membership) giveNotice(ctx context.Context) {
+// giveNotice writes one notice, and reports whether the store has taken it. Until then the process
+// goes on with a part of its limit.
+func (m *membership) giveNotice(ctx context.Context) bool {
 	m.entryMu.Lock()
 	defer m.entryMu.Unlock()
 	if m.entryAt.IsZero() {
-		return
+		return false
 	}
 	now := boottime.Now()
 	terms := m.succession.Notice(now)
@@ -109,11 +111,12 @@
 		// The entry may have another revision.
 		m.entryLost.Store(true)
 		m.log.Info().Str("event", "notice_failed").Err(err).Send()
-		return
+		return false
 	}
 	m.entryAt = at
 	m.succession.Joined(terms)
 	m.applyTerms(terms, "notice")
+	return true
 }
 
 // handOver writes the retry budgets of this process to its entry, for the next process of the
@@ -130,7 +133,7 @@
 	defer cancel()
 	began := time.Now()
 	record := retry.NewRecord(boottime.Now(), m.succession.Terms())
-	record.Services, record.HasStopped = m.node.server.HandOverRetries(), true
+	record.Services, record.Stopped = m.node.server.HandOverRetries(), true
 	_, err := m.members.Update(callCtx, m.self(), m.entryAt, record)
 	m.log.Info().Str("event", "handed_over").Dur("took_ms", time.Since(began)).AnErr("error", err).Send()
 }
