--- a/adapter/forward/loans.go
+++ b/adapter/forward/loans.go
@@ -176,7 +176,11 @@
 // lend grants another node retries of a service, and returns how many.
 func (p *picker) lend(r retry.LoanRequest) int {
 	p.mu.Lock()
-	granted := p.budget(r.Service).Lend(p.opts.Now(), r.Claim(), r.Retries)
+	b, now := p.budget(r.Service), p.opts.Now()
+	granted := b.Lend(now, r.Claim(), r.Retries)
+	if granted < r.Retries && b.LendsMoreAfterNotice(now) && p.opts.OnRetryNotice != nil {
+		p.opts.OnRetryNotice()
+	}
 	p.noticeRetries(r.Service)
 	p.mu.Unlock()
 	if granted > 0 {
--- a/adapter/forward/loans_test.go
+++ b/adapter/forward/loans_test.go
@@ -179,6 +179,25 @@
 	}
 }
 
+// Guards against small shares of which a node lends nothing, as it keeps a part for its successor
+// until it gives notice, and gives none because it needs no retries itself.
+func TestLenderGivesNoticeForALoan(t *testing.T) {
+	r := newTestServer(t)
+	p := r.Server.picker
+	p.opts.Loans = &fakeLoans{}
+	notices := 0
+	p.opts.OnRetryNotice = func() {
+		notices++
+		p.setRetryTerms(retry.Terms{FullUntil: retry.Never})
+	}
+	r.SetNodes(30) // 3.2 retries for this node
+	r.SetRetryTerms(retry.Terms{})
+	ask := retry.LoanRequest{Service: "model", Retries: 1, Kind: retry.BrokenStream}
+	if first, second := r.LendRetries(ask).Granted, r.LendRetries(ask).Granted; first != 0 || second != 1 || notices != 1 {
+		t.Errorf("%d retries lent before and %d after %d notices", first, second, notices)
+	}
+}
+
 // Guards against loans in fleets whose shares are large enough.
 func TestLoansAreForSmallShares(t *testing.T) {
 	for _, test := range []struct {
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -103,6 +103,11 @@
 // first call. Borrowed retries are not affected. See Succession.
 func (b *Budget) SetTerms(t Terms) { b.terms = &t }
 
+// LendsMoreAfterNotice reports whether the budget may lend more once the process has given notice.
+func (b *Budget) LendsMoreAfterNotice(now time.Time) bool {
+	return b.terms != nil && !b.terms.IsStarting(now) && !now.Before(b.terms.FullUntil)
+}
+
 // part returns the part of the limit of the window that is granted and lent.
 func (b *Budget) part(now time.Time) float64 {
 	if b.terms == nil {
