A link of the scenarios keeps its port while it refuses connections

The stand-in of a link closed its listener to refuse connections, and the port was free for each other process until it listened again; a connection of a test beside it had taken it.

Change: a bound socket that does not listen holds the port meanwhile. The kernel gives such a port to no other process, and listening on it again works beside it.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	closed   bool
 	ln       net.Listener
+	held     *heldPort // nil while ln is open
 	pairs    map[*pair]struct{}
 	accepted int
 }
@@ -77,7 +78,8 @@
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
-	r.stopListening()
+	_ = r.stopListening()
+	r.releasePort()
 	r.resetAll()
 	r.server.Close()
 }
@@ -90,8 +92,8 @@
 }
 
 // Control sets the mode. The error is an *UnknownModeError, with which nothing
-// changes, or an *httpd.ListenError if the relay cannot listen again after ModeRefuse
-// or ModeRefuseNew.
+// changes, or an *httpd.ListenError if the relay cannot keep its port in ModeRefuse or
+// ModeRefuseNew, or listen again after them.
 func (r *Relay) Control(c Control) error {
 	if !c.valid() {
 		return &UnknownModeError{Mode: c.Mode}
@@ -101,16 +103,14 @@
 	case ModeCut:
 		r.resetAll()
 	case ModeRefuse:
-		r.stopListening()
+		err := r.stopListening()
 		r.resetAll()
+		return err
 	case ModeRefuseNew:
-		r.stopListening()
+		return r.stopListening()
 	case ModeSilenceOld:
 		r.silenceAll()
 	}
-	if c.Mode == ModeRefuse || c.Mode == ModeRefuseNew {
-		return nil
-	}
 	return r.listen()
 }
 
@@ -128,19 +128,43 @@
 	}
 	r.ln = ln
 	r.addr = ln.Addr().String()
+	r.releaseHeld()
 	go r.accept(ln)
 	return nil
 }
 
-// stopListening closes the listener, so that new connections are refused.
-func (r *Relay) stopListening() {
+// stopListening closes the listener, so that new connections are refused, and holds its port. The
+// error is an *httpd.ListenError. It does nothing if the listener is closed.
+func (r *Relay) stopListening() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ln == nil {
-		return
+		return nil
 	}
+	addr := r.ln.Addr().(*net.TCPAddr)
 	_ = r.ln.Close()
 	r.ln = nil
+	held, err := holdPort(addr)
+	if err != nil {
+		return &httpd.ListenError{Listen: r.addr, Err: err}
+	}
+	r.held = held
+	return nil
+}
+
+// releasePort gives a held port back.
+func (r *Relay) releasePort() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseHeld()
+}
+
+// releaseHeld is releasePort for callers that hold mu.
+func (r *Relay) releaseHeld() {
+	if r.held != nil {
+		r.held.release()
+		r.held = nil
+	}
 }
 
 // accept accepts and relays connections until the listener is closed.
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -108,6 +108,37 @@
 	dial(t, r)
 }
 
+// Guards against another process that is given the port of a link while the link refuses connections.
+func TestPortIsKeptWhileConnectionsAreRefused(t *testing.T) {
+	for _, mode := range []Mode{ModeRefuse, ModeRefuseNew} {
+		r := startEcho(t)
+		set(t, r, Control{Mode: ModeOpen})
+		old := dial(t, r)
+		set(t, r, Control{Mode: mode})
+		// A dial from the port fails if and only if the port is taken.
+		from := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port(t, r)}}
+		if c, err := from.Dial("tcp4", r.ControlAddr()); err == nil {
+			_ = c.Close()
+			t.Errorf("%s: another socket has the port", mode)
+		}
+		_ = old.Close()
+		set(t, r, Control{Mode: ModeOpen})
+		if got := exchange(dial(t, r), "again"); got != "again" {
+			t.Errorf("%s: a connection after that answers %q", mode, got)
+		}
+	}
+}
+
+// port returns the port of a relay.
+func port(t *testing.T, r *Relay) int {
+	t.Helper()
+	addr, err := net.ResolveTCPAddr("tcp4", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr.Port
+}
+
 // Guards against a process that has ended whose host takes connections, or whose last bytes are
 // lost.
 func TestRefuseNewLeavesOpenConnections(t *testing.T) {
