A node that is told of an engine's death reports the runs that it has lost there

Cause: a sound request that was lost at two crashes was quarantined (reason quarantined in e2e, beside a busy machine). Its node had found both deaths and reported them; another node had lost the bad request on the same engine, but its own dials only timed out, so it knew of no death and reported nothing, although the keepers' announcement named the death. It learned it from the store after the verdict. With the bad request unknown there, the sound one was the only explanation.

Change: the deaths that reports and verdicts name are attributed to the runs lost there, as deaths that the node finds itself are, so the node's answer reaches the keepers within their wait.

Result: TestNodeThatIsToldOfDeathsReportsTheRunsItHasLostThere fails before (nothing reported).

--- a/adapter/forward/crashes.go
+++ b/adapter/forward/crashes.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -115,16 +116,37 @@
 	defer c.unlock()
 	now := c.opts.Now()
 	c.expireLostRuns(now)
-	for id, at := range c.diedAt {
-		if now.Sub(at) > lostRunTTL {
-			delete(c.diedAt, id)
-		}
-	}
-	if _, known := c.diedAt[u.ID]; !known {
-		c.diedAt[u.ID] = now
+	c.noteDeath(now, u.ID, now)
+	c.blameLostRuns(now, u.ID, u.Service)
+}
+
+// noteDeath records when an upstream died, unless that is known already, and drops old deaths.
+func (c *crashTracker) noteDeath(now time.Time, id ids.Instance, at time.Time) {
+	maps.DeleteFunc(c.diedAt, func(_ ids.Instance, at time.Time) bool { return now.Sub(at) > lostRunTTL })
+	if _, known := c.diedAt[id]; !known {
+		c.diedAt[id] = at
 		c.opts.Metrics.Add("upstream.died", 1)
 	}
-	c.blameLostRuns(now, u.ID, u.Service)
+}
+
+// noteReportedDeaths attributes deaths that a peer has found to the runs lost there. This node may
+// find them only after the keepers have decided without its runs.
+func (c *crashTracker) noteReportedDeaths(now time.Time, service ids.Service, events []quarantine.Event) {
+	c.expireLostRuns(now)
+	for _, e := range events[:min(len(events), quarantine.DefaultMaxEvents)] {
+		started, err := strconv.ParseInt(e.Epoch, 10, 64)
+		if err != nil || e.Age > lostRunTTL {
+			continue
+		}
+		id := ids.Instance{Upstream: e.Upstream, StartedMs: started}
+		if _, known := c.diedAt[id]; known {
+			continue
+		}
+		c.noteDeath(now, id, now.Add(-max(e.Age, 0)))
+		if len(c.lostByUpstream[id]) > 0 {
+			c.blameLostRuns(now, id, service)
+		}
+	}
 }
 
 // blameLostRuns reports a death to the detector, with the runs lost on that upstream. The
@@ -265,7 +287,9 @@
 	c.mu.Lock()
 	defer c.unlock()
 	defer c.opts.Processor.Begin("crashes.add_report")()
-	c.decider.AddReport(c.opts.Now(), r)
+	now := c.opts.Now()
+	c.decider.AddReport(now, r)
+	c.noteReportedDeaths(now, r.Service, r.Events)
 }
 
 // addPeerVerdict applies a verdict received from a peer.
@@ -273,5 +297,7 @@
 	c.mu.Lock()
 	defer c.unlock()
 	defer c.opts.Processor.Begin("crashes.add_verdict")()
-	c.decider.AddVerdict(c.opts.Now(), v)
+	now := c.opts.Now()
+	c.decider.AddVerdict(now, v)
+	c.noteReportedDeaths(now, v.Service, v.Evidence)
 }
--- a/adapter/forward/crashes_test.go
+++ b/adapter/forward/crashes_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// Guards against a verdict on the requests that one node has lost, while others that have lost more
+// there do not know of the deaths.
+func TestNodeThatIsToldOfDeathsReportsTheRunsItHasLostThere(t *testing.T) {
+	e := newTestTracker()
+	e.lose("b", "u1")
+	e.lose("b", "u2")
+	e.addReport(quarantine.Report{Service: "s", Announced: true, Events: []quarantine.Event{
+		{Kind: quarantine.Blamed, Upstream: "u1", Epoch: "0", Fingerprint: "a"},
+		{Kind: quarantine.Blamed, Upstream: "u2", Epoch: "0", Fingerprint: "a"},
+		{Kind: quarantine.Blamed, Upstream: "u3", Epoch: "other", Fingerprint: "a"},
+	}})
+	e.lose("c", "u1")
+	reported := make(map[quarantine.Fingerprint]int)
+	for _, r := range e.decider.TakeReports(e.now.Add(time.Minute)) {
+		for _, event := range r.Events {
+			reported[event.Fingerprint]++
+		}
+	}
+	if want := map[quarantine.Fingerprint]int{"b": 2, "c": 1}; !cmp.Equal(reported, want) {
+		t.Errorf("reported %v, want %v", reported, want)
+	}
+}
+
 func TestRunsLostInAMassFailureAreNotBlamed(t *testing.T) {
 	e := newTestTracker()
 	e.lose("a", "u1")
