An engine has lived if an event shows it, not until its loss is found

A run whose loss was found 0.5 s after its first event counted as a success of the part, though the engine may have ended right after that event: the loss of a later stage is found only after a stall. A success clears all earlier deaths and halves those of the next 10 s. The same success came from a stream that was resumed after its last event.

Change: only an event that comes 0.5 s after the first one shows that the engine lived, and a stream on which the last engine wrote nothing shows nothing.

--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -307,9 +307,9 @@
 }
 
 // recordLostRun records that a connection broke while the request was running on these
-// upstreams, since began. started is true if an event of it had come, and firstEvent is when
-// the first one came from these upstreams, zero if none did.
-func (x *exchange) recordLostRun(began time.Time, started bool, firstEvent time.Time, upstreams ...ids.Instance) {
+// upstreams, since began. started is true if an event of it had come, and lived if these upstreams
+// have shown that the parts of the prompt crash none.
+func (x *exchange) recordLostRun(began time.Time, started, lived bool, upstreams ...ids.Instance) {
 	lost := zerolog.Arr()
 	for _, id := range upstreams {
 		lost.Str(id.String())
@@ -320,22 +320,12 @@
 	}
 	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Array("parts", parts).Str("service", string(x.service)).Bool("started", started).Array("upstreams", lost).Send()
 	r := &run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams, began: began, started: started}
-	if !x.partsLived(firstEvent) {
+	if !lived {
 		r.parts = x.partMarks
 	}
 	x.server.crashes.runLost(r)
 }
 
-// partsLived records that the parts of the prompt crash no upstreams, if the first event came
-// from the present ones long enough ago. It reports whether that is so.
-func (x *exchange) partsLived(firstEvent time.Time) bool {
-	if firstEvent.IsZero() || x.server.opts.Now().Sub(firstEvent) < quarantine.LivedTime {
-		return false
-	}
-	x.server.crashes.partsLived(firstEvent, x.service, x.partMarks)
-	return true
-}
-
 // quarantineDetail is the detail of a refusal because of quarantine.
 const quarantineDetail = "the request crashed the upstreams that ran it"
 
@@ -441,7 +431,10 @@
 	x.count("outcome.answered")
 	if status < statusServerError {
 		x.server.crashes.requestServed(x.service, x.fingerprint)
-		x.server.crashes.partsLived(cmp.Or(x.writingSince, x.sentAt), x.service, x.partMarks)
+		// A stream that was resumed after its last event has written nothing on this upstream.
+		if x.events == 0 || !x.writingSince.IsZero() {
+			x.server.crashes.partsLived(cmp.Or(x.writingSince, x.sentAt), x.service, x.partMarks)
+		}
 	}
 	x.server.opts.Metrics.ObserveDuration("request."+kindNames[x.route.Kind], took)
 	x.log("answered").Int("status", status).Str("route", x.route.Name).Str("service", string(x.service)).
--- a/adapter/forward/parts_test.go
+++ b/adapter/forward/parts_test.go
@@ -9,7 +9,10 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/core/ids"
+	"mimosaarch.example/decide/chain"
+	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
+	"mimosaarch.example/decide/routing"
 )
 
 func TestSharedPartsOfThePromptAreParsed(t *testing.T) {
@@ -49,7 +52,7 @@
 		x.req.Header.Set(testHeaders.PromptParts, "bad:40,own:1")
 		x.service, x.fingerprint = "plain", quarantine.Fingerprint(fmt.Sprint("request-", i))
 		x.setParts()
-		x.recordLostRun(r.opts.Now(), false, x.writingSince, u.ID)
+		x.recordLostRun(r.opts.Now(), false, false, u.ID)
 		r.crashes.upstreamDied(&u.Upstream)
 	}
 	x := &exchange{server: r.Server, req: &fasthttp.Request{}}
@@ -67,3 +70,45 @@
 		t.Error("a request without the part is refused")
 	}
 }
+
+// partExchange returns a stream with a part of its prompt that others share.
+func partExchange(r *testServer, fingerprint string) *exchange {
+	x := &exchange{server: r.Server, req: &fasthttp.Request{}, service: "plain", fingerprint: quarantine.Fingerprint(fingerprint)}
+	x.req.Header.Set(testHeaders.PromptParts, "bad:40,own"+fingerprint+":1")
+	x.setParts()
+	return x
+}
+
+// Guards against an engine that ends right after its first event, and whose loss is noticed so late
+// that it counts as a success of the parts of the prompt.
+func TestEngineThatIsFoundLostLateHasNotLived(t *testing.T) {
+	r := newTestServer(t)
+	for i, id := range []ids.Upstream{"a", "b", "c"} {
+		dead := &directory.Upstream{ID: instance(id), Service: "plain"}
+		w := &stallWatch{s: &stream{x: partExchange(r, fmt.Sprint(i))}, eventSeen: true}
+		found := r.opts.Now()
+		w.recordWriting(found.Add(-2 * quarantine.LivedTime))
+		w.recordBypassed(chain.Chain{{Engine: dead}}, nil)
+		r.crashes.upstreamDied(dead)
+	}
+	if !partExchange(r, "another").quarantined() {
+		t.Error("a part that crashed three engines is not refused")
+	}
+}
+
+// Guards against a response that was complete before the last engine wrote anything, and that
+// clears the parts of the prompt.
+func TestStreamResumedAfterItsLastEventClearsNoParts(t *testing.T) {
+	r := newTestServer(t)
+	for i, id := range []ids.Upstream{"a", "b", "c"} {
+		dead := &directory.Upstream{ID: instance(id), Service: "plain"}
+		x := partExchange(r, fmt.Sprint(i))
+		x.recordLostRun(r.opts.Now(), true, false, dead.ID)
+		r.crashes.upstreamDied(dead)
+		x.sentAt, x.events, x.route = r.opts.Now(), 5, &routing.Route{Kind: routing.Streaming}
+		x.recordAnswered(200, dead)
+	}
+	if !partExchange(r, "another").quarantined() {
+		t.Error("a part that crashed three engines is not refused")
+	}
+}
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -99,7 +99,7 @@
 	if !failed.lostWhileRunning() {
 		return
 	}
-	x.recordLostRun(x.sentAt, false, time.Time{}, u.ID)
+	x.recordLostRun(x.sentAt, false, false, u.ID)
 	x.server.connectionLost(u)
 }
 
--- a/adapter/forward/stall.go
+++ b/adapter/forward/stall.go
@@ -12,6 +12,7 @@
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/quarantine"
 )
 
 // Timeouts after which the engines of a stalled chain are probed. They are fractions of
@@ -82,7 +83,9 @@
 	// eventSeen is true once an event has come through the present chain, which proves
 	// that its engines run the request and are alive.
 	eventSeen bool
-	// livedRecorded is true once the parts of the prompt were recorded to crash no upstreams.
+	// livedRecorded is true once the parts of the prompt were recorded to crash no upstreams: an
+	// event came from the present chain quarantine.LivedTime after its first one. The time until
+	// a loss is found shows nothing, since the upstreams may have ended long before.
 	livedRecorded bool
 	// probeResult is the result of the latest probe since the last event, empty if there
 	// was none.
@@ -134,8 +137,9 @@
 	if x.writingSince.IsZero() {
 		x.writingSince = now
 	}
-	if !w.livedRecorded && len(x.partMarks) > 0 {
-		w.livedRecorded = x.partsLived(x.writingSince)
+	if !w.livedRecorded && len(x.partMarks) > 0 && now.Sub(x.writingSince) >= quarantine.LivedTime {
+		w.livedRecorded = true
+		x.server.crashes.partsLived(x.writingSince, x.service, x.partMarks)
 	}
 }
 
@@ -517,7 +521,7 @@
 	kept := present.Engines()
 	gone := slices.DeleteFunc(old.Engines(), func(id ids.Instance) bool { return slices.Contains(kept, id) })
 	if len(gone) > 0 {
-		w.s.x.recordLostRun(w.beganAt(), w.hasStarted(), w.s.x.writingSince, gone...)
+		w.s.x.recordLostRun(w.beganAt(), w.hasStarted(), w.livedRecorded, gone...)
 	}
 }
 
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -500,7 +500,7 @@
 		return
 	}
 	if ctx.Err() == nil && failed.lostWhileRunning() {
-		x.recordLostRun(w.beganAt(), w.hasStarted(), x.writingSince, c.Engines()...)
+		x.recordLostRun(w.beganAt(), w.hasStarted(), w.livedRecorded, c.Engines()...)
 	}
 	if ctx.Err() == nil && failed.connectionEnded() && s.leavesLostEngines() {
 		x.server.connectionLost(c[0].Engine)
