All stand-in servers end their connections at once when they are killed

Cause: the servers of the stand-ins of scenarios and the new listener of engines did the same, but the former still wrote responses while the connections were closed one after another.

Change: standin/killable is the listener of both; nothing is written once its close has begun.

--- a/standin/internal/httpd/server.go
+++ b/standin/internal/httpd/server.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/standin/killable"
 )
 
 // AnyPort is the default listen address: a free port on the loopback interface.
@@ -29,13 +31,10 @@
 
 // Server is an HTTP server. It is safe for concurrent use.
 type Server struct {
-	ln        net.Listener
+	ln        *killable.Listener
+	close     sync.Once
 	done      chan struct{}
 	serveDone chan struct{}
-
-	mu     sync.Mutex
-	closed bool
-	conns  map[*conn]struct{}
 }
 
 // Listen opens a listener on a TCP address; empty means AnyPort. The caller must then
@@ -50,10 +49,9 @@
 		return nil, &ListenError{Listen: listen, Err: err}
 	}
 	return &Server{
-		ln:        ln,
+		ln:        killable.New(ln),
 		done:      make(chan struct{}),
 		serveDone: make(chan struct{}),
-		conns:     make(map[*conn]struct{}),
 	}, nil
 }
 
@@ -67,7 +65,7 @@
 	}
 	go func() {
 		defer close(s.serveDone)
-		_ = srv.Serve((*listener)(s))
+		_ = srv.Serve(s.ln)
 	}()
 }
 
@@ -81,63 +79,11 @@
 // Close closes the listener and every connection, without a last response. It may be
 // called more than once, and from a handler.
 func (s *Server) Close() {
-	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
-		return
-	}
-	s.closed = true
-	open := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	_ = s.ln.Close()
-	for _, c := range open {
-		_ = c.Close()
-	}
-	close(s.done)
-	<-s.serveDone
-}
-
-// listener is the Server as a net.Listener that tracks the accepted connections.
-type listener Server
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.ln.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, server: (*Server)(l)}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		_ = raw.Close()
-		return nil, net.ErrClosed
-	}
-	l.conns[c] = struct{}{}
-	return c, nil
-}
-
-// Close implements net.Listener.
-func (l *listener) Close() error { return l.ln.Close() }
-
-// Addr implements net.Listener.
-func (l *listener) Addr() net.Addr { return l.ln.Addr() }
-
-// conn is a connection that removes itself from its Server on Close.
-type conn struct {
-	net.Conn
-	server *Server
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
-	return c.Conn.Close()
+	s.close.Do(func() {
+		_ = s.ln.Close()
+		close(s.done)
+		<-s.serveDone
+	})
 }
 
 // discardLogger discards all messages. The stand-ins cut connections on purpose, so
--- a/platform/standin/connections_test.go
+++ b/standin/killable/killable_test.go
@@ -1,4 +1,4 @@
-package standin
+package killable
 
 import (
 	"net"
@@ -11,17 +11,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newConnections(l)
+	killed := New(l)
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = client.Close() }()
-	conn, err := c.Accept()
+	conn, err := killed.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = c.Close()
+	_ = killed.Close()
 	if _, err := conn.Write([]byte("late")); err == nil {
 		t.Error("the server can write after the listener was closed")
 	}
