A relayed load report does not clear a crash that a request waits for

A report of the engine's load as of after the loss discards the possible crash. A report that a peer relays is dated by its age, so its date is late by the time that the digest travelled; on a busy machine a report from before the crash seemed to be from after it.

Change: within the second in which requests wait, only this node's own polls show that the engine lives.

Result: the new case of TestRequestLostTwiceWaitsForCrashConfirmation fails before ("send r attempt 3").

--- a/decide/router/crash.go
+++ b/decide/router/crash.go
@@ -98,10 +98,18 @@
 	return runs
 }
 
-// clearPossibleCrash discards a possible crash if the upstream has since reported
-// its load in the same epoch.
+// clearPossibleCrash discards a possible crash if the upstream has since reported its load in the
+// same epoch. A report that a peer relays is dated late by the time that it travelled, so it counts
+// only if it is dated after all requests have stopped waiting for a confirmation.
 func (u *upstream) clearPossibleCrash(l receivedLoad) {
-	if u.possibleCrash != nil && l.report.Epoch == u.possibleCrash.epoch && l.at.After(u.possibleCrash.at) {
+	if u.possibleCrash == nil || l.report.Epoch != u.possibleCrash.epoch {
+		return
+	}
+	since := u.possibleCrash.at
+	if l.relayed {
+		since = since.Add(lossMergeWindow)
+	}
+	if l.at.After(since) {
 		u.possibleCrash = nil
 	}
 }
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -398,6 +398,16 @@
 	if len(alive.text) == 0 {
 		t.Error("a request whose engines did not crash was not sent again")
 	}
+
+	// A report from before the loss that a slow peer relays is dated after it.
+	relayed := lose()
+	relayed.now = relayed.now.Add(crashCheckInterval)
+	relayed.relayedLoad("head-1", 0, 3, 0)
+	relayed.relayedLoad("head-2", 0, 3, 0)
+	for range 10 {
+		relayed.tick(crashCheckInterval)
+	}
+	relayed.expect(t)
 }
 
 // Refusals for lack of capacity must not use up the attempts of a request.
--- a/decide/router/script_test.go
+++ b/decide/router/script_test.go
@@ -84,9 +84,19 @@
 
 // load passes a load report of an engine with the given first and last layer.
 func (s *script) load(name string, first, last int) {
-	s.step(LoadReported{At: s.now, Report: engineapi.LoadReport{
+	s.step(LoadReported{At: s.now, Report: loadReport(name, first, last)})
+}
+
+// relayedLoad passes a load report in the digest of a peer.
+func (s *script) relayedLoad(name string, first, last int, age time.Duration) {
+	s.step(DigestReceived{VM: "vm-2", At: s.now, Digest: Digest{Loads: []LoadReport{{Report: loadReport(name, first, last), Age: age}}}})
+}
+
+// loadReport returns the load report of an engine that holds some layers.
+func loadReport(name string, first, last int) engineapi.LoadReport {
+	return engineapi.LoadReport{
 		Engine: name, Epoch: "e-" + name, Model: "drafts", First: first, Last: last, Slots: 8, TokensPerSecond: 100,
-	}})
+	}
 }
 
 // step passes one event.
