A node polls an engine that has lost its request, whichever node's turn it is

The nodes of a zone share the load polls, so a crash at an engine that another node polls was confirmed by nothing: the node waited for a second and went on. Traced: at head_a and head_e, which the other node polls, no confirmation came within 1.06 s; at the others within 35 ms.

Change: the loss of a connection has the engine polled at once. The answer confirms the crash, or shows that the engine lives, so sound requests wait no longer either.

Result: TestEnginesThatLoseRequestsArePolled.

--- a/decide/router/command.go
+++ b/decide/router/command.go
@@ -177,6 +177,10 @@
 	StepFinished DecisionStep = "finished"
 )
 
+// PollLoad asks for a load poll of an engine, even if another node of the zone polls it. Its
+// LoadReported or LoadPollFailed shows whether the engine has crashed.
+type PollLoad struct{ Upstream ids.Upstream }
+
 // RecordDecision adds a decision to the record of a request.
 type RecordDecision struct{ Decision Decision }
 
@@ -187,4 +191,5 @@
 func (Release) isCommand()        {}
 func (CancelStream) isCommand()   {}
 func (Settle) isCommand()         {}
+func (PollLoad) isCommand()       {}
 func (RecordDecision) isCommand() {}
--- a/decide/router/crash.go
+++ b/decide/router/crash.go
@@ -79,13 +79,16 @@
 }
 
 // suspectCrash records what was in flight at an upstream when its first
-// connection was lost.
+// connection was lost, and has an engine polled.
 func (r *Router) suspectCrash(id ids.Upstream) {
 	u := r.upstreams[id]
 	if u == nil || (u.possibleCrash != nil && r.now.Sub(u.possibleCrash.at) < lossMergeWindow) {
 		return
 	}
 	u.possibleCrash = &possibleCrash{epoch: u.epoch, at: r.now, running: u.runs()}
+	if u.isModel {
+		r.emit(PollLoad{Upstream: id})
+	}
 }
 
 // runs returns the requests that this VM has in flight at the upstream.
--- a/decide/router/router_test.go
+++ b/decide/router/router_test.go
@@ -410,6 +410,21 @@
 	relayed.expect(t)
 }
 
+// Guards against a crash that this node does not see because another node polls the engine.
+func TestEnginesThatLoseRequestsArePolled(t *testing.T) {
+	s := newScript()
+	s.step(newArrival("r", nil))
+	s.ended(outcome.MaybeSent, outcome.UpstreamLost)
+	lost := s.sent[0].Chain[0].ID
+	if !slices.Equal(s.polled, []ids.Upstream{lost}) {
+		t.Errorf("polled %v, want %s", s.polled, lost)
+	}
+	s.step(LoadPollFailed{Upstream: lost})
+	if deaths := s.router.services["drafts"].quarantine.Assess(s.now, s.router.requests["r"].fingerprint()).Deaths; deaths != 1 {
+		t.Errorf("%d crashes are known after the poll failed, want 1", deaths)
+	}
+}
+
 // Refusals for lack of capacity must not use up the attempts of a request.
 func TestBusyIsNoFailure(t *testing.T) {
 	s := newScript()
--- a/decide/router/script_test.go
+++ b/decide/router/script_test.go
@@ -27,6 +27,8 @@
 	text   []string
 	// sent holds every Send, in order.
 	sent []Send
+	// polled holds the engines of every PollLoad, in order.
+	polled []ids.Upstream
 }
 
 // newScript returns a script whose Router knows two engines for each half of the
@@ -143,6 +145,8 @@
 			line = fmt.Sprintf("finish %s %s %s", c.ID, c.Err.Outcome, c.Err.Reason)
 		}
 		s.text = append(s.text, line)
+	case PollLoad:
+		s.polled = append(s.polled, c.Upstream)
 	}
 }
 
--- a/node/commands.go
+++ b/node/commands.go
@@ -22,6 +22,8 @@
 		n.cancelStream(c)
 	case router.Claim, router.Release, router.Settle:
 		n.submitClaim(c)
+	case router.PollLoad:
+		n.polls.pollAlso(c.Upstream)
 	case router.SendDigest:
 		n.deliverDigest(c)
 	case router.ReportStatus:
--- a/node/polls.go
+++ b/node/polls.go
@@ -28,8 +28,9 @@
 	// revision of that list.
 	engines  map[ids.Upstream]platformapi.VM
 	revision int64
-	// pending marks the engines with a poll in progress.
-	pending map[ids.Upstream]bool
+	// pending marks the engines with a poll in progress, and extra those that are to be polled
+	// once although another node polls them.
+	pending, extra map[ids.Upstream]bool
 }
 
 // newFleetPoller creates the poller of a node.
@@ -39,6 +40,7 @@
 		poller:  upstream.NewPoller(pollTimeout),
 		engines: make(map[ids.Upstream]platformapi.VM),
 		pending: make(map[ids.Upstream]bool),
+		extra:   make(map[ids.Upstream]bool),
 	}
 }
 
@@ -134,21 +136,53 @@
 	p.poller.Retain(addresses)
 }
 
-// pollLoads starts a load poll for each engine assigned to this node that has
+// pollLoads starts a load poll for each engine assigned to this node, or in extra, that has
 // no poll in progress.
 func (p *fleetPoller) pollLoads() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, vm := range p.engines {
-		if p.pending[id] || !p.isAssigned(id, vm) {
-			continue
-		}
-		if err := p.node.pool.Go(func() { p.pollEngine(id, vm.Address) }); err == nil {
-			p.pending[id] = true
+		if p.extra[id] || p.isAssigned(id, vm) {
+			p.startPoll(id)
 		}
 	}
 }
 
+// pollAlso has an engine polled at once, or when the poll in progress has ended.
+func (p *fleetPoller) pollAlso(id ids.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extra[id] = true
+	p.startPoll(id)
+}
+
+// startPoll starts a load poll of an engine unless one is in progress. If the pool is full, an
+// engine in extra stays there until the next interval. The caller must hold mu.
+func (p *fleetPoller) startPoll(id ids.Upstream) {
+	vm, known := p.engines[id]
+	if !known {
+		delete(p.extra, id)
+		return
+	}
+	if p.pending[id] {
+		return
+	}
+	if err := p.node.pool.Go(func() { p.pollEngine(id, vm.Address) }); err == nil {
+		p.pending[id] = true
+		delete(p.extra, id)
+	}
+}
+
+// pollEnded records the end of a load poll, and starts the next one if one is wanted.
+func (p *fleetPoller) pollEnded(id ids.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, id)
+	if p.extra[id] {
+		p.startPoll(id)
+	}
+}
+
 // isAssigned reports whether this node polls the engine. The other nodes
 // receive its load reports from this one.
 func (p *fleetPoller) isAssigned(id ids.Upstream, vm platformapi.VM) bool {
@@ -162,9 +196,7 @@
 	defer cancel()
 	reported, err := p.fetch(ctx, address)
 	report := reported.Report
-	p.mu.Lock()
-	delete(p.pending, id)
-	p.mu.Unlock()
+	p.pollEnded(id)
 	if err != nil || report.Engine != string(id) {
 		p.node.telemetry.CountError("load_poll")
 		p.node.postEvent(router.LoadPollFailed{Upstream: id})
