--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -168,7 +168,7 @@
 
 // start starts a process of a node, which knows the number of nodes.
 func (f *budgetFleet) start(n *budgetNode, first bool) {
-	n.succession = retry.NewSuccession(f.now, retry.SuccessionOptions{FirstStart: first, ListSpread: listSpread})
+	n.succession = retry.NewSuccession(f.now, retry.SuccessionOptions{FirstStart: first, JoinSpread: joinSpread})
 	n.picker = newPicker(Options{Budget: f.budget, Loans: &fakeLoans{}, Now: func() time.Time { return f.now }, OnRetryNotice: func() {
 		if !f.storeAway {
 			n.write(f.now, n.succession.Notice(f.now))
@@ -202,12 +202,12 @@
 	f.start(n, false)
 }
 
-// listSpread is how long it takes until all nodes know a node that has joined.
-const listSpread = 5 * time.Second
+// joinSpread is how long it takes until all nodes know a node that has joined.
+const joinSpread = 5 * time.Second
 
-// add adds nodes. Those that were there hear of them after listSpread.
+// add adds nodes. Those that were there hear of them after joinSpread.
 func (f *budgetFleet) add(count int) {
-	f.listed, f.listedAt = len(f.nodes)+count, f.now.Add(listSpread)
+	f.listed, f.listedAt = len(f.nodes)+count, f.now.Add(joinSpread)
 	for range count {
 		f.nodes = append(f.nodes, &budgetNode{})
 		f.start(f.nodes[len(f.nodes)-1], false)
--- a/adapter/relay/crash_report_test.go
+++ b/adapter/relay/crash_report_test.go
@@ -141,7 +141,8 @@
 		t.Errorf("%v %s", err, diff)
 	}
 	for n := range packed {
-		if _, err := packed[:n].Unpack(); !errors.Is(err, ErrPackedReport) {
+		var fault *PackedReportError
+		if _, err := packed[:n].Unpack(); !errors.As(err, &fault) || fault.Bytes != n {
 			t.Fatalf("%d of %d bytes: error is %v", n, len(packed), err)
 		}
 	}
--- a/adapter/relay/packed_report.go
+++ b/adapter/relay/packed_report.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -128,13 +128,31 @@
 	return true
 }
 
-// ErrPackedReport reports that a packed report is malformed or has another version.
-var ErrPackedReport = errors.New("packed report is malformed or of an unknown version")
+// PackedReportError reports that a packed report of some bytes is malformed, or has another Version
+// than reportVersion.
+type PackedReportError struct {
+	Version byte
+	Bytes   int
+}
+
+// Error implements error.
+func (e *PackedReportError) Error() string {
+	return fmt.Sprintf("packed report of %d bytes and version %d is malformed or of an unknown version", e.Bytes, e.Version)
+}
+
+// fault returns the error of a report that cannot be decoded.
+func (p PackedReport) fault() error {
+	e := &PackedReportError{Bytes: len(p)}
+	if len(p) > 0 {
+		e.Version = p[0]
+	}
+	return e
+}
 
-// Unpack decodes the report. The error is ErrPackedReport.
+// Unpack decodes the report. The error is a *PackedReportError.
 func (p PackedReport) Unpack() (quarantine.Report, error) {
 	if len(p) < 2 || p[0] != reportVersion {
-		return quarantine.Report{}, ErrPackedReport
+		return quarantine.Report{}, p.fault()
 	}
 	r := reportReader{in: p[2:]}
 	report := quarantine.Report{Announced: p[1]&flagAnnounced != 0, Service: ids.Service(r.text()), From: ids.VM(r.text())}
@@ -162,7 +180,7 @@
 		report.Events[i] = e
 	}
 	if r.malformed {
-		return quarantine.Report{}, ErrPackedReport
+		return quarantine.Report{}, p.fault()
 	}
 	return report, nil
 }
--- a/decide/retry/record_test.go
+++ b/decide/retry/record_test.go
@@ -88,7 +88,7 @@
 // Guards against a process that takes its own entry for that of a predecessor, one that forgets its
 // terms when its entry is written again, and one that grants what others may have granted.
 func TestTermsFollowFromTheEntryThatIsReplaced(t *testing.T) {
-	now, o := time.Unix(1000, 0), SuccessionOptions{ListSpread: 6 * time.Second, FirstListSpread: time.Second}
+	now, o := time.Unix(1000, 0), SuccessionOptions{JoinSpread: 6 * time.Second, FirstJoinSpread: time.Second}
 	first := o
 	first.FirstStart = true
 	record := func(t Terms) *Record {
--- a/decide/retry/succession.go
+++ b/decide/retry/succession.go
@@ -81,9 +81,9 @@
 	// FirstStart is true if the whole fleet starts for the first time, so that no process has
 	// granted retries before.
 	FirstStart bool
-	// ListSpread is how long it takes at most until all nodes know a node that has joined.
-	// FirstListSpread is the same in a fleet whose nodes start together.
-	ListSpread, FirstListSpread time.Duration
+	// JoinSpread is how long it takes at most until all nodes know a node that has joined.
+	// FirstJoinSpread is the same in a fleet whose nodes start together.
+	JoinSpread, FirstJoinSpread time.Duration
 }
 
 // NewSuccession returns the succession of a process that starts now and grants nothing yet.
@@ -135,9 +135,9 @@
 	case s.decided:
 		return s.terms, JoinedBefore
 	case !replaced && s.options.FirstStart:
-		return Terms{HeldUntil: now.Add(s.options.FirstListSpread)}, FirstStart
+		return Terms{HeldUntil: now.Add(s.options.FirstJoinSpread)}, FirstStart
 	case !replaced:
-		return Terms{HeldUntil: now.Add(s.options.ListSpread + StartHold)}, NewNode
+		return Terms{HeldUntil: now.Add(s.options.JoinSpread + StartHold)}, NewNode
 	case previous == nil || previous.Check() != nil:
 		return held, Unknown
 	case previous.Stopped:
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -80,7 +80,7 @@
 func newMembership(s Settings, members Members, n *Node, log zerolog.Logger) *membership {
 	m := &membership{settings: s, members: members, node: n, log: log, rand: rand.New(rand.NewPCG(s.Seed, seedStream)), noticeCh: make(chan struct{}, 1)}
 	m.succession = retry.NewSuccession(boottime.Now(), retry.SuccessionOptions{
-		FirstStart: s.FirstStart, ListSpread: listInterval + listSpread, FirstListSpread: listDelayAfterJoin + peerFetchInterval,
+		FirstStart: s.FirstStart, JoinSpread: listInterval + listSpread, FirstJoinSpread: listDelayAfterJoin + peerFetchInterval,
 	})
 	return m
 }
--- a/node/entry/succession.go
+++ b/node/entry/succession.go
@@ -67,6 +67,7 @@
 func (m *membership) applyTerms(t retry.Terms, reason string) {
 	now := boottime.Now()
 	m.node.server.SetRetryTerms(t)
+	m.node.metrics.Add("retry_terms."+reason, 1)
 	m.log.Info().Str("event", "retry_terms").Str("reason", reason).Dur("held_ms", max(t.HeldUntil.Sub(now), 0)).
 		Dur("starting_ms", max(t.StartingUntil.Sub(now), 0)).Dur("full_ms", max(t.FullUntil.Sub(now), 0)).Send()
 }
@@ -110,6 +111,7 @@
 	if err != nil {
 		// The entry may have another revision.
 		m.entryLost.Store(true)
+		m.node.metrics.Add("retry_terms.notice_failed", 1)
 		m.log.Info().Str("event", "notice_failed").Err(err).Send()
 		return false
 	}
@@ -135,5 +137,8 @@
 	record := retry.NewRecord(boottime.Now(), m.succession.Terms())
 	record.Services, record.Stopped = m.node.server.HandOverRetries(), true
 	_, err := m.members.Update(callCtx, m.self(), m.entryAt, record)
+	if err != nil {
+		m.node.metrics.Add("retry_terms.handover_failed", 1)
+	}
 	m.log.Info().Str("event", "handed_over").Dur("took_ms", time.Since(began)).AnErr("error", err).Send()
 }
