A retry counts when it is sent, whatever its request has waited for

Cause: the limit on retries holds over each ten seconds of sends, and the window counted most retries when they were granted. Only requests that wait for capacity moved theirs. One that waits for the decision on a suspect (up to a second) or for a connection did not, and a stream that is resumed after events kept no record of its retry at all. So a burst that is granted at once and sent late is followed, ten seconds after the grant, by the next one.

Change: each retry is renewed right before its request is written. Renew ends a retry that has left the window.

TestRetryIsRenewedWhenItIsSent guards the send.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -11,6 +11,7 @@
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/retry"
 )
 
 // maxInlineBodyBytes is the largest request body that is written before the response is
@@ -87,6 +88,11 @@
 		}
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
 	}
+	// The request may have waited since its retry was granted, for a decision on it or a connection.
+	if !x.renewRetry(ctx) {
+		x.server.pool.Put(conn, 0)
+		return nil, &failure{phase: outcome.NotSent, reason: outcome.RetryBudget, cause: &RetryEndedError{x.service}}
+	}
 	// Other requests may have been refused while this one waited for the connection.
 	if err := x.server.checkHeld(c); err != nil {
 		x.server.pool.Put(conn, 0)
@@ -100,6 +106,7 @@
 		x.server.pool.Put(conn, 0)
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
 	}
+	x.held = retry.Holding{}
 	if x.sends++; x.sends == 1 {
 		x.server.opts.Metrics.ObserveDuration("request.until_sent", x.server.opts.Now().Sub(x.arrived))
 	}
--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -1,11 +1,18 @@
 package forward
 
 import (
+	"errors"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/retry"
+	"mimosaarch.example/decide/routing"
 )
 
 // Guards against nodes that together exceed the retry budget in a window, such as 344 retries
@@ -147,6 +154,16 @@
 	listedAt time.Time
 	// storeAway is true while no entry can be written.
 	storeAway bool
+	// wait is how long a request waits after its retry was granted.
+	wait    time.Duration
+	waiting []waitingRetry
+}
+
+// waitingRetry is a request that waits until it is sent again.
+type waitingRetry struct {
+	node *budgetNode
+	held retry.Holding
+	at   time.Time
 }
 
 // budgetNode is a node with its process and its entry in the list of nodes.
@@ -225,10 +242,26 @@
 			}
 			p.recordFirstSend("s")
 			f.firsts = append(f.firsts, at)
-			for demand > 0 && p.allowRetry("s", outcome.UpstreamLost, retry.Claim{Kind: retry.BrokenStream}) != retry.Denied {
-				f.sends = append(f.sends, at)
+			for demand > 0 {
+				held := p.holdRetry("s", outcome.UpstreamLost, retry.Claim{Kind: retry.BrokenStream})
+				if held.Grant == retry.Denied {
+					break
+				}
+				f.waiting = append(f.waiting, waitingRetry{p, held, f.now.Add(f.wait)})
 			}
 		}
+		f.send(at)
+	}
+}
+
+// send sends the requests whose wait is over.
+func (f *budgetFleet) send(at time.Duration) {
+	for len(f.waiting) > 0 && !f.waiting[0].at.After(f.now) {
+		w := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		if w.node.renewRetry("s", &w.held) {
+			f.sends = append(f.sends, at)
+		}
 	}
 }
 
@@ -260,3 +293,29 @@
 	f.run(200, 1)
 	f.check(t)
 }
+
+// Guards against retries that are granted at once, are sent after a wait, and are followed by the
+// grants of the next window.
+func TestRetriesSentAfterAWaitKeepTheBudgetInEveryWindow(t *testing.T) {
+	f := newBudgetFleet(Budget{Ratio: 0.2, Slack: 362, Window: 10 * time.Second}, 35)
+	f.run(200, 0)
+	f.wait = time.Second
+	f.run(10, 1)
+	f.wait = 0
+	f.run(190, 1)
+	f.check(t)
+}
+
+// Guards against a request that is sent, after a wait for a connection, with a loan that has ended.
+func TestRetryIsRenewedWhenItIsSent(t *testing.T) {
+	u := newFakeUpstream(t, "u", "plain", func(conn net.Conn, req *fasthttp.Request) bool { return reply(conn, req, 200, "fine") })
+	r := newTestServer(t, u)
+	r.SetNodes(1000)
+	x := &exchange{server: r.Server, service: "plain", route: &routing.Route{}, req: &fasthttp.Request{}, sends: 1}
+	x.held = retry.Holding{Grant: retry.Borrowed, Until: boottime.Now()}
+	_, failed := x.begin(t.Context(), chain.Chain{{Engine: &u.Upstream}}, nil, nil)
+	var ended *RetryEndedError
+	if failed == nil || failed.phase != outcome.NotSent || !errors.As(failed.cause, &ended) {
+		t.Errorf("a request whose loan has ended is sent: %+v", failed)
+	}
+}
--- a/adapter/forward/loans.go
+++ b/adapter/forward/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -204,11 +205,19 @@
 	return held
 }
 
+// RetryEndedError reports a request whose retry is not valid any more when it is to be sent.
+type RetryEndedError struct{ Service ids.Service }
+
+// Error implements error.
+func (e *RetryEndedError) Error() string {
+	return fmt.Sprintf("the loan of a retry for service %q has ended, and no other retry is left", e.Service)
+}
+
 // renewRetry makes sure, after a wait, that the request may use a retry if it has been sent
 // before. If the loan of its retry has ended, it takes another one. It reports whether the
 // request has a retry or needs none.
 func (x *exchange) renewRetry(ctx context.Context) bool {
-	if x.held.Grant == retry.Denied || x.server.picker.renewRetry(x.service, x.held) {
+	if x.held.Grant == retry.Denied || x.server.picker.renewRetry(x.service, &x.held) {
 		return true
 	}
 	x.held = x.server.picker.takeRetry(ctx, x.service, outcome.UpstreamBusy, x.retryClaim())
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -133,7 +133,7 @@
 }
 
 // renewRetry reports whether a retry that was taken before a wait may be used now.
-func (p *picker) renewRetry(service ids.Service, held retry.Holding) bool {
+func (p *picker) renewRetry(service ids.Service, held *retry.Holding) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.budget(service).Renew(p.opts.Now(), held)
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -198,11 +198,11 @@
 		return false
 	}
 	claim := x.retryClaim()
-	grant := x.server.picker.takeRetry(ctx, x.service, failed.reason, claim).Grant
-	if grant == retry.Denied {
+	x.held = x.server.picker.takeRetry(ctx, x.service, failed.reason, claim)
+	if x.held.Grant == retry.Denied {
 		x.recordRetryDenied(failed, claim)
 	}
-	for ; grant == retry.Denied; grant = x.server.picker.takeRetry(ctx, x.service, failed.reason, claim).Grant {
+	for ; x.held.Grant == retry.Denied; x.held = x.server.picker.takeRetry(ctx, x.service, failed.reason, claim) {
 		s.waitToResume(ctx)
 		if ctx.Err() != nil {
 			return true
@@ -211,7 +211,7 @@
 			return false
 		}
 	}
-	x.recordRetry(failed, claim, grant)
+	x.recordRetry(failed, claim, x.held.Grant)
 	return true
 }
 
@@ -509,6 +509,8 @@
 	switch {
 	case errors.As(failed.cause, &held):
 		// The next choice leaves out the engine that asks for no request.
+	case failed.reason == outcome.RetryBudget:
+		// The engine has not been asked.
 	case failed.phase == outcome.NotSent:
 		s.avoidRefusing(c[0].Engine.ID, failed.reason)
 	case failed.phase == outcome.Refused && failed.faultyStage == "":
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -41,7 +41,7 @@
 // Holding is a retry that a request has taken.
 type Holding struct {
 	Grant Grant
-	// At is when it was taken.
+	// At is when it was taken or last renewed.
 	At time.Time
 	// Until is the end of the validity of a borrowed retry.
 	Until time.Time
@@ -186,8 +186,7 @@
 	return b.Hold(now, reason, claim).Grant
 }
 
-// Hold is Take for a request that may wait before it is sent. It has to call Renew after
-// the wait.
+// Hold is Take for a request that may wait before it is sent. It has to call Renew when it is sent.
 func (b *Budget) Hold(now time.Time, reason outcome.Reason, claim Claim) Holding {
 	h := Holding{At: now}
 	if until, found := b.takeBorrowed(now, claim); found {
@@ -201,16 +200,17 @@
 	return h
 }
 
-// Renew reports whether a retry that was taken before a wait, shorter than BudgetWindow, may
-// be used now. An own retry counts as of now from then on: it would otherwise leave the window
-// BudgetWindow after it was taken, and in a BudgetWindow that begins after that and before its
-// use the node could use its limit and this retry. A borrowed one ends with its loan.
-func (b *Budget) Renew(now time.Time, h Holding) bool {
-	switch h.Grant {
-	case Own:
+// Renew reports whether a retry that was taken before a wait may be used now. An own retry counts as
+// of now from then on: it would otherwise leave the window BudgetWindow after it was taken, and in a
+// BudgetWindow that begins after that and before its use the node could use its limit and this retry.
+// It ends once it has left the window, and a borrowed one with its loan.
+func (b *Budget) Renew(now time.Time, h *Holding) bool {
+	switch {
+	case h.Grant == Own && now.Sub(h.At) < BudgetWindow:
 		b.windowRetries.move(h.At, now)
+		h.At = now
 		return true
-	case Borrowed:
+	case h.Grant == Borrowed:
 		return now.Before(h.Until)
 	}
 	return false
--- a/decide/retry/loan_test.go
+++ b/decide/retry/loan_test.go
@@ -170,7 +170,7 @@
 		}
 	}
 	for range 10 {
-		if !b.Renew(sentAt, Holding{Grant: Own, At: grantedAt}) {
+		if !b.Renew(sentAt, &Holding{Grant: Own, At: grantedAt}) {
 			t.Fatal("an own retry is not valid after a wait")
 		}
 	}
@@ -182,7 +182,7 @@
 	borrower := newLoanBudget(0)
 	borrower.Borrowed(grantedAt, claim, 1)
 	held := borrower.Hold(grantedAt, outcome.UpstreamBusy, claim)
-	if held.Grant != Borrowed || !borrower.Renew(sentAt, held) || borrower.Renew(grantedAt.Add(LoanValidity), held) {
+	if held.Grant != Borrowed || !borrower.Renew(sentAt, &held) || borrower.Renew(grantedAt.Add(LoanValidity), &held) {
 		t.Errorf("a loan that ends after %v is not valid until then", held.Until.Sub(grantedAt))
 	}
 }
