Shares of the retry budget grow only when the retries of removed nodes have left the window

When nodes leave the list, the others divided the slack among fewer at once, and got the callers of those that left, while the retries of those were still in the window. The same after the store was restored from a copy that lacks nodes.

Change: retry.Sharers follows the list upwards at once and downwards after 10.5 s; until then requests allow fewer retries by the same share.

TestSharersAreTheMostNodesListedWithinTheHold checks random lists.

--- a/adapter/forward/budget_test.go
+++ b/adapter/forward/budget_test.go
@@ -29,7 +29,7 @@
 	b := Budget{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}
 	var budgets []*retry.Budget
 	for range nodes {
-		p := newPicker(Options{Budget: b}, nil)
+		p := newPicker(Options{Budget: b, Now: func() time.Time { return time.Unix(1000, 0) }}, nil)
 		p.setNodes(nodes)
 		budgets = append(budgets, p.budget("s"))
 	}
@@ -71,7 +71,8 @@
 }
 
 // Guards against processes that start with a whole share of the slack while the retries of their
-// predecessors are in the window: planned stops, kills, added nodes, and all nodes at once.
+// predecessors are in the window: planned stops, kills, added nodes, and all nodes at once. Nodes
+// that are removed leave their retries in the window too.
 func TestStartsKeepTheBudgetInEveryWindow(t *testing.T) {
 	// starts returns the nodes whose processes start anew in a step of 100 ms, if demand began
 	// at 0.
@@ -96,9 +97,11 @@
 		return consecutive(0, 9)
 	}
 	for _, test := range []struct {
-		name           string
-		slack          float64
-		nodes, added   int
+		name  string
+		slack float64
+		nodes int
+		// added nodes start 2 s after the begin of demand, or leave if the number is negative.
+		added          int
 		stopped, ended starts
 		// storeAway is true if no process can write its entry again after its start.
 		storeAway bool
@@ -112,6 +115,8 @@
 		{"all nodes killed at once", 200, 9, 0, none, atOnce, false},
 		{"all nodes killed at once without notices", 362, 35, 0, none, atOnce, true},
 		{"added nodes", 200, 9, 4, none, none, false},
+		{"removed nodes", 362, 35, -12, none, none, false},
+		{"nodes removed beside kills", 362, 35, -12, none, inSeries, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newBudgetFleet(Budget{Ratio: 0.2, Slack: test.slack, Window: 10 * time.Second}, test.nodes)
@@ -122,10 +127,12 @@
 					f.restart(i, true)
 				}
 				for _, i := range test.ended(step) {
-					f.restart(i, false)
+					f.restart(i%len(f.nodes), false)
 				}
 				if step == 20 && test.added > 0 {
 					f.add(test.added)
+				} else if step == 20 && test.added < 0 {
+					f.remove(-test.added)
 				}
 				f.run(1, 1)
 			}
@@ -152,6 +159,8 @@
 	// listed is the number of nodes that all nodes know from listedAt on.
 	listed   int
 	listedAt time.Time
+	// left is the number of nodes that have left.
+	left int
 	// storeAway is true while no entry can be written.
 	storeAway bool
 	// wait is how long a request waits after its retry was granted.
@@ -231,11 +240,22 @@
 	}
 }
 
-// run plays steps in which each node gets a request, with demand for retries if demand is not 0.
+// remove ends the processes of the last nodes. All others hear of it at once.
+func (f *budgetFleet) remove(count int) {
+	f.nodes, f.left = f.nodes[:len(f.nodes)-count], count
+	f.listed, f.listedAt = len(f.nodes), f.now
+}
+
+// run plays steps in which each node gets a request, and those of the nodes that have left as well,
+// with demand for retries if demand is not 0.
 func (f *budgetFleet) run(steps, demand int) {
 	for range steps {
 		f.now = f.now.Add(100 * time.Millisecond)
 		at := f.now.Sub(f.began)
+		for i := range f.left {
+			f.nodes[i].recordFirstSend("s")
+			f.firsts = append(f.firsts, at)
+		}
 		for _, p := range f.nodes {
 			if p.picker.nodes != f.listed && !f.now.Before(f.listedAt) {
 				p.setNodes(f.listed)
--- a/adapter/forward/picker.go
+++ b/adapter/forward/picker.go
@@ -31,8 +31,11 @@
 	// onAnswer is called with each upstream that answers, without mu.
 	onAnswer func(ids.Instance)
 
-	mu    sync.Mutex
-	nodes int
+	mu sync.Mutex
+	// nodes is the number of nodes in the list, and sharedAmong that by which the limits on
+	// retries are divided, of sharers.
+	nodes, sharedAmong int
+	sharers            retry.Sharers
 	// retryTerms determine which part of its limits the node grants and lends, nil for all.
 	retryTerms   *retry.Terms
 	conditions   *condition.Table
@@ -69,29 +72,50 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.nodes = n
+	p.sharers.SetListed(p.opts.Now(), n)
 	p.chains.SetNodeCount(n)
 	p.replicas.SetNodeCount(n)
 	p.backpressure.SetNodeCount(n)
+	p.applyBudgets(p.sharers.Count(p.opts.Now()))
+}
+
+// applyBudgets sets this node's share of the fleet's limits on all retry budgets.
+func (p *picker) applyBudgets(sharers int) {
+	p.sharedAmong = sharers
 	for _, b := range p.budgets {
 		p.applyBudget(b)
 	}
-	ratio, slack := p.opts.Budget.nodeWindowLimit(n)
-	p.opts.Log.Info().Str("event", "retry_share").Int("nodes", n).Float64("per_request", ratio).Float64("slack", slack).Bool("loans", p.loansOn()).Send()
+	ratio, slack := p.windowLimit()
+	p.opts.Log.Info().Str("event", "retry_share").Int("nodes", p.nodes).Int("sharers", sharers).Float64("per_request", ratio).Float64("slack", slack).Bool("loans", p.loansOn()).Send()
 }
 
 // applyBudget sets this node's share of the fleet's limits on a retry budget.
 func (p *picker) applyBudget(b *retry.Budget) {
-	ratio, perSecond := p.opts.Budget.nodeAllowance(p.nodes)
+	ratio, perSecond := p.opts.Budget.nodeAllowance(p.sharedAmong)
 	b.SetPolicy(fleet.RetryPolicy{BudgetRatio: ratio, BudgetMin: perSecond})
-	b.LimitWindow(p.opts.Budget.nodeWindowLimit(p.nodes))
+	b.LimitWindow(p.windowLimit())
 	b.SetLoans(p.loansOn())
 	if p.retryTerms != nil {
 		b.SetTerms(*p.retryTerms)
 	}
 }
 
+// windowLimit returns the limit of this node within any retry.BudgetWindow: retries per request, and
+// further ones. The requests of nodes that have left come to the others, while the retries that were
+// granted for earlier ones are still in the window.
+func (p *picker) windowLimit() (ratio, slack float64) {
+	ratio, slack = p.opts.Budget.nodeWindowLimit(p.sharedAmong)
+	if p.nodes < p.sharedAmong {
+		ratio *= float64(p.nodes) / float64(p.sharedAmong)
+	}
+	return ratio, slack
+}
+
 // budget returns the retry budget of a service, and creates it if there is none.
 func (p *picker) budget(service ids.Service) *retry.Budget {
+	if n := p.sharers.Count(p.opts.Now()); n != p.sharedAmong {
+		p.applyBudgets(n)
+	}
 	b := p.budgets[service]
 	if b == nil {
 		b = retry.NewBudget(fleet.RetryPolicy{})
