--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -68,8 +68,6 @@
 	windowLimited                      bool
 	windowRatio, windowSlack           float64
 	windowFirstAttempts, windowRetries window
-	// securedDemand is the part of the requests of a BudgetWindow that the next one brings at least.
-	securedDemand float64
 	// terms determine the part of the limit that is granted and lent, nil for all of it.
 	terms *Terms
 	// loansEnabled reports whether SetLoans enabled loans. reserve applies then, and
@@ -81,7 +79,7 @@
 
 // NewBudget returns a Budget with the given policy.
 func NewBudget(policy fleet.RetryPolicy) *Budget {
-	b := &Budget{stats: make(map[outcome.Reason]Stats), reserve: loanReserve, securedDemand: securedDemand}
+	b := &Budget{stats: make(map[outcome.Reason]Stats), reserve: loanReserve}
 	b.SetPolicy(policy)
 	return b
 }
@@ -167,30 +165,12 @@
 	return used+1 <= limit*min(fraction, b.part(now))
 }
 
-// windowState returns the limit set by LimitWindow, without the credit that leaves the window before
-// the retries that use it, and the retries that count towards it, including those lent to other nodes.
+// windowState returns the limit set by LimitWindow and the retries that count towards
+// it, including those lent to other nodes.
 func (b *Budget) windowState(now time.Time) (limit, used float64) {
 	b.windowFirstAttempts.advance(now)
 	b.windowRetries.advance(now)
-	limit = b.windowRatio*float64(b.windowFirstAttempts.sum) + b.windowSlack - b.fleetingCredit()
-	return limit, float64(b.windowRetries.sum)
-}
-
-// securedDemand is Budget.securedDemand of a new Budget.
-const securedDemand = 0.4
-
-// fleetingCredit returns by how much the requests of the window allow more retries now than at some
-// time within the next BudgetWindow: the requests leave the window as it moves on, and
-// the retries that have been granted for them later stay. Of those that come instead, securedDemand
-// is counted on.
-func (b *Budget) fleetingCredit() float64 {
-	expected := b.securedDemand * float64(b.windowFirstAttempts.sum) / float64(bucketCount)
-	var credit, most float64
-	for i := 1 - bucketCount; i <= 0; i++ {
-		credit += b.windowRatio*(float64(b.windowFirstAttempts.at(i))-expected) - float64(b.windowRetries.at(i))
-		most = max(most, credit)
-	}
-	return most
+	return b.windowRatio*float64(b.windowFirstAttempts.sum) + b.windowSlack, float64(b.windowRetries.sum)
 }
 
 // Allow consumes one retry if the budget permits one of the given kind, and reports
--- a/decide/retry/window.go
+++ b/decide/retry/window.go
@@ -41,11 +41,6 @@
 	w.newestBucket = max(w.newestBucket, current)
 }
 
-// at returns the count of a bucket, counted from the current one.
-func (w *window) at(bucket int) int {
-	return w.counts[(w.newestBucket+int64(bucket))%int64(slotCount)]
-}
-
 // add counts one event at now.
 func (w *window) add(now time.Time) { w.addAt(now, now, 1) }
 
