A link waits for the end of its listener before it holds the port

A process that is being started has the listener open from fork to exec, so the port is taken for a moment after Close.

Change: taking the port is tried again for up to a second.

Result: TestPortIsHeldOnceItsListenerHasEnded fails before.

--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -129,6 +129,21 @@
 	}
 }
 
+// Guards against a link that fails to refuse connections while this process starts others, which have
+// its listener open from fork to exec.
+func TestPortIsHeldOnceItsListenerHasEnded(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { _ = l.Close() })
+	h, err := holdPort(l.Addr().(*net.TCPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.release()
+}
+
 // port returns the port of a relay.
 func port(t *testing.T, r *Relay) int {
 	t.Helper()
--- a/standin/link/port.go
+++ b/standin/link/port.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 )
 
 // heldPort keeps the port of a closed listener: connections to it are refused, and no other process
@@ -24,12 +25,21 @@
 	}
 	sa := &syscall.SockaddrInet4{Port: addr.Port}
 	copy(sa.Addr[:], addr.IP.To4())
-	if err := syscall.Bind(fd, sa); err != nil {
-		h.release()
-		return nil, err
+	for end := time.Now().Add(holdTimeout); ; time.Sleep(time.Millisecond) {
+		err := syscall.Bind(fd, sa)
+		if err == nil {
+			return h, nil
+		}
+		if err != syscall.EADDRINUSE || time.Now().After(end) {
+			h.release()
+			return nil, err
+		}
 	}
-	return h, nil
 }
 
+// holdTimeout limits the wait for the end of the listener: a process that this one starts has it open
+// from fork to exec.
+const holdTimeout = time.Second
+
 // release gives the port back.
 func (h *heldPort) release() { _ = syscall.Close(h.fd) }
