--- a/decide/quarantine/parts.go
+++ b/decide/quarantine/parts.go
@@ -13,8 +13,8 @@
 //     that is sent again after each crash is no evidence against the parts that it shares
 //     with others.
 //   - One upstream more is needed, as many requests are refused with it.
-//   - A request with the part that began to write and whose engine lived for LivedTime has
-//     succeeded as of its first event. That clears the part of earlier deaths and excuses it of
+//   - A request with the part that had an event LivedTime after its first one has
+//     succeeded as of the first. That clears the part of earlier deaths and excuses it of
 //     those within successMemory after, since the part may have turned bad only then.
 //   - Requests are no rivals of a part, since each of them is blamed for the deaths of its
 //     own runs only.
@@ -30,7 +30,7 @@
 	maxVia = 4
 )
 
-// LivedTime is how long an engine has to live after the first event of a run for the run to
+// LivedTime is how long after the first event of a run another one has to come for the run to
 // count as a success of the parts of its prompt.
 const LivedTime = 500 * time.Millisecond
 
--- a/decide/retry/loan.go
+++ b/decide/retry/loan.go
@@ -77,6 +77,11 @@
 // own grants. These are at most startPart of the limit, and only if the predecessor's are at most
 // usualPart: the predecessor gives notice before it grants more, the notice holds until StartHold
 // after that, and it was not in its first StartHold itself. Else the successor grants nothing.
+//
+// A node that leaves keeps its part of the fleet's limits until its retries have left all windows
+// (Sharers). A send that is late after Renew, by the network or a process that stands still, is not
+// covered, nor are requests that move to another node after retries were granted for them; the part of
+// the fleet's limit that no node gets is left for these.
 func (b *Budget) SetLoans(enabled bool) { b.loansEnabled = enabled }
 
 // lends reports whether loans are in force.
