Connections at internal ports are bounded

Cause: idle or half-sent connections to the ports for readiness checks, peers, metrics and operators stayed open without end, up to all descriptors of the process; the balancer's checks then failed. limits.maxFds was not read. fasthttp's bound of 64 connections answered 503 beyond it, so 64 idle ones kept out health checks.

Change: connlimit bounds a listener's open connections. One beyond the bound replaces the one that has sent nothing for longest, or else the one on which nothing has arrived for longest, so checks always get through. The bounds are parts of limits.maxFds, which is read and checked. Requests to these ports have a timeout and a small body; a message of a peer has at most 8 MB; connections for peers are bounded by the descriptors too.

TestOperatorPortAnswersBesideIdleConnections: 503 before.

--- a/adapter/detour/listener.go
+++ b/adapter/detour/listener.go
@@ -56,7 +56,7 @@
 		_ = conn.Close() // nothing was sent on it
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && first[0] == preface {
+	if tcp, ok := conn.(tcpConn); ok && first[0] == preface {
 		s.serve(tcp)
 		return
 	}
--- a/adapter/detour/server.go
+++ b/adapter/detour/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -44,7 +45,9 @@
 	LinksLost func() bool
 	// View returns the directory. Only its upstreams are connected to.
 	View func() *directory.View
-	Log  zerolog.Logger
+	// MaxOpen lowers the bound of the connections that are open for others. 0 leaves it at maxOpen.
+	MaxOpen int
+	Log     zerolog.Logger
 	// Count adds to a counter.
 	Count func(name string, n int64)
 
@@ -65,8 +68,18 @@
 // Close refuses new connections. Those that are open live on.
 func (s *Server) Close() { s.closed.Store(true) }
 
+// tcpConn is the connection of a peer.
+type tcpConn interface {
+	net.Conn
+	// SetLinger is that of *net.TCPConn.
+	SetLinger(sec int) error
+}
+
+// limit returns the most connections that are open for others.
+func (s *Server) limit() int64 { return int64(min(cmp.Or(s.MaxOpen, maxOpen), maxOpen)) }
+
 // serve serves a connection whose preface was read.
-func (s *Server) serve(conn *net.TCPConn) {
+func (s *Server) serve(conn tcpConn) {
 	defer func() { _ = conn.Close() }() // the peer sees the end either way
 	if conn.SetDeadline(time.Now().Add(openTimeout)) != nil {
 		return
@@ -77,7 +90,7 @@
 		s.Count("detour.malformed", 1)
 		return
 	}
-	if s.open.Add(1) > maxOpen || s.closed.Load() {
+	if s.open.Add(1) > s.limit() || s.closed.Load() {
 		s.open.Add(-1)
 		s.answer(conn, req, busy)
 		return
@@ -191,7 +204,7 @@
 
 // pipe passes bytes both ways until one side ends or the time end. r reads from peer. framed
 // reports whether the peer expects frames.
-func pipe(peer *net.TCPConn, r *bufio.Reader, up upconn.NetConn, end time.Time, framed bool) {
+func pipe(peer tcpConn, r *bufio.Reader, up upconn.NetConn, end time.Time, framed bool) {
 	if peer.SetDeadline(end) != nil || up.SetDeadline(end) != nil {
 		_ = up.Close() // nothing was sent on it
 		return
--- a/adapter/relay/turns.go
+++ b/adapter/relay/turns.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"runtime"
 	"sync"
@@ -35,6 +36,18 @@
 	runtime.Gosched()
 }
 
+// maxMessageBytes is the longest message that a node reads from a peer that calls it. Lists and
+// configurations are in responses.
+const maxMessageBytes = 8 << 20
+
+// MessageTooLargeError is returned for a message of more than maxMessageBytes.
+type MessageTooLargeError struct{ Size uint64 }
+
+// Error implements error.
+func (e *MessageTooLargeError) Error() string {
+	return fmt.Sprintf("message of %d bytes, at most %d are read", e.Size, maxMessageBytes)
+}
+
 // turnCodec is the codec of jsonrpc2.VarintObjectCodec, with large messages decoded in turns.
 type turnCodec struct {
 	jsonrpc2.VarintObjectCodec
@@ -48,6 +61,9 @@
 	if err != nil {
 		return err
 	}
+	if size > maxMessageBytes {
+		return &MessageTooLargeError{Size: size}
+	}
 	message := io.LimitReader(stream, int64(size))
 	if size < largeMessage {
 		return json.NewDecoder(message).Decode(v)
--- a/node/entry/detours.go
+++ b/node/entry/detours.go
@@ -31,6 +31,7 @@
 		Dial:      dialer.DialDirect,
 		LinksLost: dialer.LinksLost,
 		View:      n.upstreams.view.Load,
+		MaxOpen:   part(n.settings.MaxSockets, detourSocketFraction),
 		Log:       n.log,
 		Count:     n.metrics.Add,
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -102,6 +102,8 @@
 	EnginesCheckFence bool
 	// Placement configures the placement of layers on engines.
 	Placement placement.Options
+	// MaxSockets is the most sockets that the process may have open, 0 for no bound.
+	MaxSockets int
 	// LoadExchangeNodes is the number of nodes from which on they exchange the load of
 	// engines, load.MinNodes if it is 0. The soak sets it, because its fleets are small.
 	LoadExchangeNodes int
@@ -442,7 +444,7 @@
 		n.serveMetrics(l.metrics)
 	}
 	// These servers return when stop closes their listeners.
-	peers := n.detours.server.Listen(l.peers)
+	peers := n.detours.server.Listen(n.boundConnections(l.peers, part(n.settings.MaxSockets, peerSocketFraction)))
 	go func() { _ = relay.Serve(ctx, peers, n, n.processor) }()
 	if l.datagrams != nil {
 		n.handleDatagrams(l.datagrams)
--- a/node/operator.go
+++ b/node/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/connlimit"
 	"mimosaarch.example/core/ids"
 )
 
@@ -24,11 +25,13 @@
 )
 
 // Limits of the operator port. operatorTimeout applies to reading a request and
-// to writing a response, statusTimeout to collecting the status.
+// to writing a response, statusTimeout to collecting the status. A connection beyond
+// operatorConnections replaces an idle one, so that health checks always get one.
 const (
 	operatorTimeout     = 5 * time.Second
 	statusTimeout       = 2 * time.Second
 	operatorConnections = 64
+	operatorBodyBytes   = 1 << 10
 )
 
 // operatorServer serves health checks, metrics, the status and explanations.
@@ -45,15 +48,18 @@
 	if err != nil {
 		return nil, err
 	}
+	listener = connlimit.New(listener, operatorConnections, nil)
 	if n.identity != nil {
 		listener = tls.NewListener(listener, n.identity.Server)
 	}
 	o := &operatorServer{node: n, listener: listener}
 	o.server = &fasthttp.Server{
-		Handler:               o.handle,
-		ReadTimeout:           operatorTimeout,
-		WriteTimeout:          operatorTimeout,
-		Concurrency:           operatorConnections,
+		Handler:      o.handle,
+		ReadTimeout:  operatorTimeout,
+		WriteTimeout: operatorTimeout,
+		// A replaced connection may still be closing.
+		Concurrency:           2 * operatorConnections,
+		MaxRequestBodySize:    operatorBodyBytes,
 		NoDefaultServerHeader: true,
 	}
 	return o, nil
