Callers' bodies, responses and connections count in one account

Cause: callers outside the limits ended a process, which ran out of memory. Each connection was bounded, their sum was not: the buffer of a body had the announced size before a byte had come, long bodies were copied for each attempt, responses were held whole until they were read, an idle connection cost 16 KB, released requests kept large buffers, and callers could take all descriptors. With none left, other callers got no answer.

Change: decide/intake counts what connections hold and decides who gives way: the one without progress for longest, or if all make progress the newest body, so that the first are completed. A quarter of the bytes is for connections that hold little, so crowds of long bodies never reach usual requests. Requests that are served keep what they hold. Buffers grow with the bytes that arrive (core/segment), attempts send them without a copy, the kernel's receive buffer is set and counted for long bodies and behind full read buffers. Callers' connections and those to upstreams are bounded by parts of the descriptors; idle ones go first. A refusal is 503 with Retry-After, of a request that was never passed on; a response without room ends with 502 and no retry; a request without a free connection blames no upstream. The limits come from limits.memoryMb and limits.maxFds; without these nothing is refused. A text that a caller chooses takes at most 128 bytes of a log line.

--- a/adapter/forward/affinity.go
+++ b/adapter/forward/affinity.go
@@ -19,6 +19,6 @@
 		return
 	}
 	p.opts.Metrics.Add("affinity.shared", 1)
-	p.opts.Log.Info().Str("event", "prefix_shared").Str("request", id).Str("service", string(r.Service)).Str("upstream", c[0].Engine.ID.String()).
+	p.opts.Log.Info().Str("event", "prefix_shared").Str("request", logged(id)).Str("service", string(r.Service)).Str("upstream", c[0].Engine.ID.String()).
 		Float64("saved_ms", saved).Send()
 }
--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/retry"
@@ -82,6 +83,10 @@
 	a := &attempt{x: x, u: u}
 	x.phase = phaseConnect
 	conn, err := x.server.pool.Get(ctx, target(u))
+	var limit *upconn.LimitError
+	if errors.As(err, &limit) {
+		return nil, &failure{phase: outcome.NotSent, reason: outcome.NodeFull, cause: err}
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			x.server.picker.connectFailed(u, err)
@@ -124,17 +129,15 @@
 // send writes the head and the body. A long body is written in its own goroutine,
 // because the upstream may respond before it has read all of it.
 func (a *attempt) send(head []byte) error {
-	body := a.x.req.Body()
-	if len(body) <= maxInlineBodyBytes {
-		return a.conn.Write(append(head, body...), writeTimeout)
+	body := a.x.body
+	if body.Len() <= maxInlineBodyBytes {
+		return a.conn.Write(body.AppendTo(head), writeTimeout)
 	}
 	if err := a.conn.Write(head, writeTimeout); err != nil {
 		return err
 	}
-	// The request's memory is reused once the exchange ends.
-	body = append([]byte(nil), body...)
 	a.bodyErr = make(chan error, 1)
-	go func() { a.bodyErr <- a.conn.Write(body, writeTimeout) }()
+	go func() { a.bodyErr <- a.conn.WriteParts(body.Parts(), writeTimeout) }()
 	return nil
 }
 
@@ -152,7 +155,7 @@
 			return a.checkRefusal(a.recordRequests())
 		}
 		a.x.count("upstream.foreign_answer")
-		if _, err := resp.Body(); err != nil {
+		if err := resp.Discard(); err != nil {
 			return a.readFailed(err)
 		}
 	}
@@ -178,7 +181,7 @@
 	}
 	f := &failure{phase: outcome.Refused, reason: reason, cause: &StatusError{status}, rest: rest}
 	f.faultyStage = string(head.Peek(a.x.server.opts.Headers.FaultyStage))
-	if _, err := a.resp.Body(); err == nil {
+	if err := a.resp.Discard(); err == nil {
 		a.release()
 	} else {
 		a.discard()
@@ -206,7 +209,10 @@
 	f := &failure{phase: outcome.MaybeSent, reason: outcome.UpstreamLost, cause: err}
 	var silent *upconn.ReadTimeoutError
 	var framing *upconn.FramingError
+	var shed *ShedError
 	switch {
+	case errors.As(err, &shed):
+		f.phase, f.reason = outcome.Started, outcome.NodeFull
 	case errors.As(err, &silent):
 		f.reason = outcome.UpstreamStalled
 	case errors.As(err, &framing):
@@ -216,6 +222,21 @@
 	return f
 }
 
+// readBody reads the whole body of the response. On an error the connection is closed.
+func (a *attempt) readBody() (*segment.Buffer, *failure) {
+	body, err := a.resp.ReadAll(a.x.caller.reserve)
+	if err != nil {
+		a.x.dropResponse(body)
+		return nil, a.readFailed(err)
+	}
+	return body, nil
+}
+
+// dropResponse gives back the memory of a response that is not passed on.
+func (x *exchange) dropResponse(body *segment.Buffer) {
+	x.server.gate.release(x.caller, body.Held())
+}
+
 // bodyWritten reports whether the whole request body has been written.
 func (a *attempt) bodyWritten() bool {
 	if a.bodyErr == nil {
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -14,6 +14,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/segment"
+	"mimosaarch.example/decide/intake"
 	"mimosaarch.example/decide/routing"
 )
 
@@ -62,8 +65,19 @@
 	closeAfter bool
 	// requestRead is true once a request was read on the connection.
 	requestRead atomic.Bool
+	// interrupted is set once the connection is revoked.
+	interrupted atomic.Bool
+	// hold is what the connection holds of the node's memory.
+	hold *intake.Conn
+	// bufferBytes is the size of a read buffer larger than the usual one, 0 for the usual one.
+	bufferBytes int64
+	// receiveBuffer is the size of the kernel's receive buffer, 0 while the kernel chooses it.
+	receiveBuffer int
 }
 
+// reserve waits until the connection may hold n more bytes. The error is a *ShedError.
+func (c *callerConn) reserve(n int64) error { return c.server.gate.reserve(c, n) }
+
 // limits returns the limits of the current configuration, with defaults for those that
 // are not set.
 func (c *callerConn) limits() routing.Limits {
@@ -90,17 +104,53 @@
 
 // serve answers requests until the connection ends.
 func (c *callerConn) serve(ctx context.Context) {
-	c.r = bufio.NewReaderSize(c.conn, c.limits().MaxHeaderBytes)
+	c.r = c.newReadBuffer()
 	for c.awaitRequest() {
 		c.idle.Store(false)
 		keep := c.serveOne(ctx)
 		c.idle.Store(true)
-		if !keep {
+		if !keep || !c.endRequest() {
 			return
 		}
 	}
 }
 
+// maxKeptOutputBytes is the largest output buffer that a connection without a request keeps.
+const maxKeptOutputBytes = 16 << 10
+
+// endRequest gives back what the last request has held. It reports whether the connection stays
+// open.
+func (c *callerConn) endRequest() bool {
+	c.shrinkBuffer()
+	if cap(c.out) > maxKeptOutputBytes {
+		c.out = nil
+	}
+	if c.receiveBuffer != 0 && c.receiveBuffer != receiveBytes {
+		c.setReceiveBuffer(receiveBytes)
+	}
+	c.server.gate.keepOnly(c, c.bufferBytes)
+	return c.server.gate.enter(c, intake.Waiting)
+}
+
+// interrupt ends reads and writes in progress, since the connection is revoked.
+func (c *callerConn) interrupt() {
+	c.interrupted.Store(true)
+	// A connection that is closed already needs no deadline.
+	_ = c.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// setReadDeadline sets the deadline of reads, unless the connection is revoked. The error is then
+// a *ShedError.
+func (c *callerConn) setReadDeadline(at time.Time) error {
+	if err := c.conn.SetReadDeadline(at); err != nil {
+		return err
+	}
+	if !c.interrupted.Load() {
+		return nil
+	}
+	return c.server.gate.revoked(c)
+}
+
 // awaitRequest waits for the first byte of a request. It returns false if the
 // connection is to be closed instead.
 func (c *callerConn) awaitRequest() bool {
@@ -117,7 +167,7 @@
 			idle = drainRequestTimeout
 		}
 	}
-	if c.conn.SetReadDeadline(time.Now().Add(idle)) != nil {
+	if c.setReadDeadline(time.Now().Add(idle)) != nil {
 		return false
 	}
 	if c.requestRead.Load() && closing {
@@ -138,18 +188,34 @@
 // serveOne reads and answers one request. It reports whether the connection stays open.
 func (c *callerConn) serveOne(ctx context.Context) bool {
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	if status, err := c.readRequest(req); err != nil {
-		c.refuseUnreadable(status, err)
+	defer releaseRequest(req)
+	body, status, err := c.readRequest(req)
+	if err != nil {
+		c.refuseUnreadable(req, status, err)
+		return false
+	}
+	if !c.server.gate.enter(c, intake.Serving) {
+		shed := c.server.gate.revoked(c)
+		c.refuseUnreadable(req, bodyErrorStatus(shed), shed)
 		return false
 	}
 	c.recordRead()
 	c.closeAfter = req.Header.ConnectionClose() || !req.Header.IsHTTP11()
-	x := newExchange(c, req)
+	x := newExchange(c, req, body)
 	x.serve(ctx)
 	return !c.closeAfter
 }
 
+// maxKeptHeadBytes is the longest head of a request whose memory is used again.
+const maxKeptHeadBytes = 2 << 10
+
+// releaseRequest gives a request back to its pool, unless its buffers have become large.
+func releaseRequest(req *fasthttp.Request) {
+	if len(req.Header.RawHeaders()) <= maxKeptHeadBytes {
+		fasthttp.ReleaseRequest(req)
+	}
+}
+
 // recordRead records that a request was read on the connection, or that none will be.
 func (c *callerConn) recordRead() {
 	if !c.requestRead.Swap(true) {
@@ -159,36 +225,55 @@
 
 // readRequest reads one request with its body. On an error it also returns the status
 // to respond with, 0 for none.
-func (c *callerConn) readRequest(req *fasthttp.Request) (int, error) {
+func (c *callerConn) readRequest(req *fasthttp.Request) (*segment.Buffer, int, error) {
 	limits := c.limits()
-	if err := c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
-		return 0, err
+	if err := c.setReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		return nil, 0, err
 	}
 	req.Header.SetNoDefaultContentType(true)
-	if err := req.Header.Read(c.r); err != nil {
-		return headErrorStatus(err), err
+	if err := c.parse(req.Header.Read); err != nil {
+		return nil, c.headErrorStatus(err), err
+	}
+	if err := c.reserve(int64(headCopies * len(req.Header.RawHeaders()))); err != nil {
+		return nil, bodyErrorStatus(err), err
+	}
+	if req.Header.ContentLength() > limits.MaxBodyBytes {
+		return nil, fasthttp.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
 	}
 	if req.MayContinue() {
 		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return 0, err
+			return nil, 0, err
 		}
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
-		return 0, err
+	if !c.server.gate.enter(c, intake.Reading) {
+		return nil, 0, c.server.gate.revoked(c)
+	}
+	if err := c.setReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
+		return nil, 0, err
 	}
-	if err := req.ContinueReadBody(c.r, limits.MaxBodyBytes, false); err != nil {
-		return bodyErrorStatus(err), err
+	body, err := c.readBody(req, limits.MaxBodyBytes)
+	if err == nil {
+		return body, 0, nil
 	}
-	return 0, nil
+	if shed := c.server.gate.revoked(c); shed != nil {
+		err = shed
+	}
+	return nil, bodyErrorStatus(err), err
 }
 
 // headErrorStatus returns the status for a head that could not be read, 0 if the
-// connection has ended.
-func headErrorStatus(err error) int {
+// connection has ended or was revoked.
+func (c *callerConn) headErrorStatus(err error) int {
+	if c.interrupted.Load() {
+		return 0
+	}
+	var shed *ShedError
 	var small *fasthttp.ErrSmallBuffer
 	var nothing fasthttp.ErrNothingRead
 	var network net.Error
 	switch {
+	case errors.As(err, &shed):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &nothing):
@@ -202,10 +287,15 @@
 }
 
 // bodyErrorStatus returns the status for a body that could not be read, 0 if the
-// connection has ended.
+// connection has ended or gives way to new ones.
 func bodyErrorStatus(err error) int {
+	var shed *ShedError
 	var network net.Error
 	switch {
+	case errors.As(err, &shed) && shed.Reason == intake.Connections:
+		return 0
+	case errors.As(err, &shed):
+		return fasthttp.StatusServiceUnavailable
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &network) && network.Timeout():
@@ -216,23 +306,39 @@
 	return fasthttp.StatusBadRequest
 }
 
+// shedRetryAfter is the base value of Retry-After for requests that are not read because the node
+// has no memory left. Bodies that make no progress give way within about that time.
+const shedRetryAfter = time.Second
+
 // refuseUnreadable responds to a request that could not be read, and then reads and
 // drops the rest of the input.
-func (c *callerConn) refuseUnreadable(status int, err error) {
+func (c *callerConn) refuseUnreadable(req *fasthttp.Request, status int, err error) {
+	held := c.hold.Held()
+	// Other requests may wait for the memory.
+	c.server.gate.keepOnly(c, c.bufferBytes)
 	c.server.opts.Metrics.Add("refusal.unread", 1)
-	c.server.opts.Log.Info().Str("event", "request_unread").Int("status", status).Err(err).Send()
+	c.server.opts.Log.Info().Str("event", "request_unread").Int("status", status).Int64("held_bytes", held).Err(err).Send()
 	if status == 0 {
 		return
 	}
 	c.closeAfter = true
-	if c.writeError(status, "", "malformed", 0) != nil {
+	id, reason, retryAfter := "", malformed, time.Duration(0)
+	var shed *ShedError
+	if errors.As(err, &shed) {
+		id, reason = string(req.Header.Peek(c.server.opts.Headers.RequestID)), string(outcome.NodeFull)
+		retryAfter = c.server.jitterRetryAfter(shedRetryAfter)
+	}
+	if c.writeError(status, id, reason, retryAfter) != nil {
 		return
 	}
 	c.linger()
 }
 
-// linger reads and drops what the caller still sends. Closing with unread bytes would
-// reset the connection and could lose the response.
+// malformed is the reason in the responses to requests that could not be read.
+const malformed = "malformed"
+
+// linger reads and drops what the caller still sends, at most a body of the largest size. Closing
+// with unread bytes would reset the connection and could lose the response.
 func (c *callerConn) linger() {
 	conn, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok || conn.CloseWrite() != nil {
@@ -241,15 +347,9 @@
 	if c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	for {
-		c.r.Reset(c.conn)
-		if _, err := c.r.Peek(1); err != nil {
-			return
-		}
-		if _, err := c.r.Discard(c.r.Buffered()); err != nil {
-			return
-		}
-	}
+	c.r.Reset(c.conn)
+	// The connection is closed next, whatever ends the reads.
+	_, _ = io.CopyN(io.Discard, c.r, int64(c.limits().MaxBodyBytes))
 }
 
 // write sends bytes to the caller. The error is a *CallerGoneError.
@@ -263,6 +363,29 @@
 	return nil
 }
 
+// writeBody sends the head in the output buffer and a body. The error is a *CallerGoneError. A
+// caller that does not take the response may be disconnected.
+func (c *callerConn) writeBody(body *segment.Buffer) error {
+	if body.Len() <= maxInlineBodyBytes {
+		c.out = body.AppendTo(c.out)
+		return c.write(c.out)
+	}
+	if err := c.write(c.out); err != nil {
+		return err
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return c.gone(err)
+	}
+	c.server.gate.enter(c, intake.Delivering)
+	for _, part := range body.Parts() {
+		if _, err := c.conn.Write(part); err != nil {
+			return c.gone(err)
+		}
+		c.server.gate.progress(c, len(part))
+	}
+	return nil
+}
+
 // gone returns the error of a caller that has just been found to have left.
 func (c *callerConn) gone(cause error) *CallerGoneError {
 	return &CallerGoneError{At: c.server.opts.Now(), Cause: cause}
@@ -292,14 +415,24 @@
 	}
 }
 
-// readAhead reads into the buffer until a read fails or the buffer is full.
+// readAhead reads into the buffer until a read fails or the buffer is full. The error is a
+// *ShedError if the node has no memory for what the caller has sent.
 func (c *callerConn) readAhead() error {
-	for c.r.Buffered() < c.r.Size() {
-		if _, err := c.r.Peek(c.r.Buffered() + 1); err != nil {
+	for {
+		for c.r.Buffered() < c.r.Size() {
+			if _, err := c.r.Peek(c.r.Buffered() + 1); err != nil {
+				return err
+			}
+		}
+		grown, err := c.growBuffer()
+		if err != nil {
 			return err
 		}
+		if !grown {
+			c.setReceiveBuffer(receiveBytes)
+			return c.reserve(unreadBytes)
+		}
 	}
-	return nil
 }
 
 // checkPresent returns a *CallerGoneError if the caller has closed the connection and all its
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -15,6 +15,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/retry"
@@ -42,6 +43,7 @@
 	server *Server
 	caller *callerConn
 	req    *fasthttp.Request
+	body   *segment.Buffer
 	id     string
 	// head is the part of the request head that all sends share.
 	head    []byte
@@ -91,15 +93,22 @@
 }
 
 // newExchange returns the exchange of a request that was read completely.
-func newExchange(c *callerConn, req *fasthttp.Request) *exchange {
-	x := &exchange{server: c.server, caller: c, req: req, arrived: c.server.opts.Now()}
+func newExchange(c *callerConn, req *fasthttp.Request, body *segment.Buffer) *exchange {
+	x := &exchange{server: c.server, caller: c, req: req, body: body, arrived: c.server.opts.Now()}
 	x.id = string(req.Header.Peek(c.server.opts.Headers.RequestID))
 	return x
 }
 
+// maxLoggedBytes bounds a text in a log line that a caller chooses, since lines wait in a buffer of
+// a number of lines.
+const maxLoggedBytes = 128
+
+// logged returns the part of a text that is logged.
+func logged(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // log starts a log line about the request.
 func (x *exchange) log(event string) *zerolog.Event {
-	return x.server.opts.Log.Info().Str("event", event).Str("request", x.id)
+	return x.server.opts.Log.Info().Str("event", event).Str("request", logged(x.id))
 }
 
 // count adds one to a counter.
@@ -227,7 +236,7 @@
 	if x.account != nil {
 		account = x.account.Name
 	}
-	return quarantine.FingerprintOf([]byte(x.service), []byte(account), x.req.Header.Method(), x.req.Header.RequestURI(), x.req.Body())
+	return quarantine.FingerprintOfBody(x.body.Parts(), []byte(x.service), []byte(account), x.req.Header.Method(), x.req.Header.RequestURI())
 }
 
 // quarantined reports whether requests with this fingerprint, or with a part of its prompt,
@@ -316,7 +325,7 @@
 	}
 	parts := zerolog.Arr()
 	for _, part := range x.parts {
-		parts.Str(string(part))
+		parts.Str(logged(string(part)))
 	}
 	x.log("run_lost").Str("fingerprint", string(x.fingerprint)).Array("parts", parts).Str("service", string(x.service)).Bool("started", started).Array("upstreams", lost).Send()
 	r := &run{fingerprint: x.fingerprint, service: x.service, upstreams: upstreams, began: began, started: started}
@@ -371,7 +380,7 @@
 	line.Send()
 	after := r.retryAfter
 	if after > 0 {
-		after = x.jitterRetryAfter(after)
+		after = x.server.jitterRetryAfter(after)
 	}
 	if err := x.caller.writeError(r.status, x.id, string(r.reason), after); err != nil {
 		x.caller.closeAfter = true
--- a/adapter/forward/headers.go
+++ b/adapter/forward/headers.go
@@ -55,8 +55,8 @@
 	if x.account != nil {
 		out = appendHeader(out, x.server.opts.Headers.Account, string(x.account.Name))
 	}
-	if len(x.req.Body()) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
-		out = appendHeader(out, "Content-Length", strconv.Itoa(len(x.req.Body())))
+	if x.body.Len() > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
+		out = appendHeader(out, "Content-Length", strconv.Itoa(x.body.Len()))
 	}
 	x.head = out
 }
@@ -91,8 +91,9 @@
 
 // jitterRetryAfter adds up to half of base at random, so that callers refused together
 // do not come back together.
-func (x *exchange) jitterRetryAfter(base time.Duration) time.Duration {
-	return base + time.Duration(x.draw()*float64(base)/2)
+func (s *Server) jitterRetryAfter(base time.Duration) time.Duration {
+	draw, _ := s.draw()
+	return base + time.Duration(draw*float64(base)/2)
 }
 
 // parseTokens reads the number of prompt tokens of a request, and the number of output
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -24,6 +24,7 @@
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/intake"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/retry"
 	"mimosaarch.example/decide/routing"
@@ -151,6 +152,10 @@
 	// OnEngineSilent is called with an engine of whose silence the other nodes have to be
 	// told. It must not block.
 	OnEngineSilent func(ids.Instance)
+	// MaxUpstreamConns bounds the connections to upstreams, 0 for no bound.
+	MaxUpstreamConns int
+	// Intake limits what callers' connections hold. Without limits nothing is refused or revoked.
+	Intake intake.Limits
 	// Seed seeds the random choices among equally good upstreams, and the jitter.
 	Seed uint64
 }
--- a/adapter/forward/overload.go
+++ b/adapter/forward/overload.go
@@ -41,9 +41,9 @@
 	return limit == 0 || inProgress < limit
 }
 
-// refuseConnection closes a new connection unread.
-func (s *Server) refuseConnection(conn net.Conn) {
-	s.opts.Metrics.Add("connections.unread", 1)
+// refuseConnection closes a new connection unread, and counts it under a name.
+func (s *Server) refuseConnection(conn net.Conn, counter string) {
+	s.opts.Metrics.Add(counter, 1)
 	// The connection ends whether or not the close fails.
 	_ = conn.Close()
 }
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -11,6 +11,7 @@
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/retry"
@@ -136,7 +137,7 @@
 	case x.quarantined():
 		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineRetryAfter)
 		return true
-	case sends >= maxSends || !x.mayRunAgain():
+	case sends >= maxSends || !x.mayRunAgain(), failed.reason == outcome.NodeFull && !x.responseStarted:
 		x.giveUp(failed.reason, failed.Error(), busyRetryAfter)
 		return true
 	}
@@ -172,7 +173,7 @@
 }
 
 // sendPlain sends the request to one upstream and reads the complete response.
-func (x *exchange) sendPlain(ctx context.Context, u *directory.Upstream, first bool) (*upconn.Response, []byte, *failure) {
+func (x *exchange) sendPlain(ctx context.Context, u *directory.Upstream, first bool) (*upconn.Response, *segment.Buffer, *failure) {
 	start := x.server.opts.Now()
 	x.log("sent").Str("upstream", u.ID.String()).Str("address", u.Address).Str("route", x.route.Name).
 		Stringer("directory", x.server.opts.View().Revision).Send()
@@ -182,7 +183,7 @@
 	resp, body, failed := x.roundTripPlain(ctx, u, x.composeHead(u, priority), x.plainWatch(first))
 	took := x.server.opts.Now().Sub(start)
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, failed != nil && failed.reason == outcome.NodeFull:
 		x.server.picker.replicaEnded(u.ID, 0, false)
 	case failed != nil:
 		x.server.picker.replicaEnded(u.ID, took, true)
@@ -216,7 +217,7 @@
 
 // roundTripPlain makes one attempt and reads the complete response. A server error
 // counts as a failure if the request may be sent again.
-func (x *exchange) roundTripPlain(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.WaitFunc) (*upconn.Response, []byte, *failure) {
+func (x *exchange) roundTripPlain(ctx context.Context, u *directory.Upstream, head []byte, watch upconn.WaitFunc) (*upconn.Response, *segment.Buffer, *failure) {
 	a, failed := x.begin(ctx, chain.Chain{{Engine: u}}, head, watch)
 	if failed != nil {
 		return nil, nil, failed
@@ -225,12 +226,13 @@
 	if failed := a.readHead(); failed != nil {
 		return nil, nil, failed
 	}
-	body, err := a.resp.Body()
-	if err != nil {
-		return nil, nil, a.readFailed(err)
+	body, failed := a.readBody()
+	if failed != nil {
+		return nil, nil, failed
 	}
 	if a.resp.Head.StatusCode() >= statusServerError && x.route.Kind == routing.Idempotent && x.sends < x.route.Attempts() {
 		a.release()
+		x.dropResponse(body)
 		return nil, nil, &failure{phase: outcome.Started, reason: outcome.UpstreamInvalid, cause: &StatusError{a.resp.Head.StatusCode()}}
 	}
 	a.release()
@@ -238,13 +240,12 @@
 }
 
 // writePlainResponse writes an upstream's response to the caller.
-func (x *exchange) writePlainResponse(u *directory.Upstream, resp *upconn.Response, body []byte) {
+func (x *exchange) writePlainResponse(u *directory.Upstream, resp *upconn.Response, body *segment.Buffer) {
 	c := x.caller
 	c.copyHead(&resp.Head)
-	c.addHeader("Content-Length", strconv.Itoa(len(body)))
+	c.addHeader("Content-Length", strconv.Itoa(body.Len()))
 	c.endHead()
-	c.out = append(c.out, body...)
-	if err := c.write(c.out); err != nil {
+	if err := c.writeBody(body); err != nil {
 		x.writeFailed(err)
 		return
 	}
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -40,12 +40,14 @@
 	// active counts requests being served.
 	active   atomic.Int64
 	overload *overloadGuard
+	gate     *gate
 }
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
+	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), gate: newGate(&o), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
 	s.pool = upconn.NewPool(boottime.Now, o.Dial, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
+	s.pool.LimitOpen(o.MaxUpstreamConns)
 	s.observePause = o.Metrics.Timer("stream.pause")
 	s.crashes = newCrashTracker(o)
 	s.losses = newLossTable(o)
@@ -78,10 +80,15 @@
 			continue
 		}
 		if !s.admitsConnection() {
-			s.refuseConnection(conn)
+			s.refuseConnection(conn, "connections.unread")
 			continue
 		}
-		s.serveConn(ctx, conn)
+		c := &callerConn{server: s, conn: conn}
+		if !s.gate.open(c) {
+			s.refuseConnection(conn, "connections.refused")
+			continue
+		}
+		s.serveConn(ctx, c)
 	}
 }
 
@@ -90,8 +97,7 @@
 const acceptRetryDelay = 10 * time.Millisecond
 
 // serveConn serves one connection in its own goroutine.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	c := &callerConn{server: s, conn: conn}
+func (s *Server) serveConn(ctx context.Context, c *callerConn) {
 	c.idle.Store(true)
 	s.overload.unread.Add(1)
 	s.mu.Lock()
@@ -100,7 +106,8 @@
 	go func() {
 		defer func() {
 			// The connection ends whether or not the close fails.
-			_ = conn.Close()
+			_ = c.conn.Close()
+			s.gate.close(c)
 			c.recordRead()
 			s.mu.Lock()
 			delete(s.conns, c)
@@ -147,6 +154,9 @@
 	return len(s.conns)
 }
 
+// Held returns the number of bytes that callers' connections hold, and the number of connections.
+func (s *Server) Held() (bytes int64, connections int) { return s.gate.held() }
+
 // Active returns the number of requests being served.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -104,6 +104,11 @@
 	if handled, again := s.handleLackOfCapacity(ctx, failed); handled {
 		return again
 	}
+	if x.responseStarted && failed.phase == outcome.NotSent && failed.reason == outcome.NodeFull {
+		// Other requests give their connections back.
+		s.waitToResume(ctx)
+		return true
+	}
 	if x.responseStarted {
 		return s.resume(ctx, failed)
 	}
@@ -411,14 +416,15 @@
 // passNonStream passes on a response that is not a stream. If it is a server error and
 // the request may run elsewhere, it returns a failure instead.
 func (s *stream) passNonStream(a *attempt) *failure {
-	body, err := a.resp.Body()
-	if err != nil {
-		return a.readFailed(err)
+	body, failed := a.readBody()
+	if failed != nil {
+		return failed
 	}
 	a.release()
 	status := a.resp.Head.StatusCode()
 	elsewhere := status >= statusServerError && s.x.route.MayRepeat() && s.x.sends < s.x.route.Attempts()
 	if s.x.responseStarted || elsewhere {
+		s.x.dropResponse(body)
 		return &failure{phase: outcome.Started, reason: outcome.UpstreamInvalid, cause: &StatusError{status}}
 	}
 	s.x.writePlainResponse(a.u, a.resp, body)
@@ -509,7 +515,7 @@
 	switch {
 	case errors.As(failed.cause, &held):
 		// The next choice leaves out the engine that asks for no request.
-	case failed.reason == outcome.RetryBudget:
+	case failed.reason == outcome.RetryBudget, failed.phase == outcome.NotSent && failed.reason == outcome.NodeFull:
 		// The engine has not been asked.
 	case failed.phase == outcome.NotSent:
 		s.avoidRefusing(c[0].Engine.ID, failed.reason)
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -82,6 +82,8 @@
 	bound atomic.Pointer[context.Context]
 	// closedAt is when the connection was closed here.
 	closedAt atomic.Pointer[time.Time]
+	// onClose is called once, when the connection is closed here.
+	onClose func()
 	// readErr is the error of the last failed read.
 	readErr error
 
@@ -218,14 +220,21 @@
 // Write sends p within the given time. It sends nothing once the context of the exchange has
 // ended.
 func (c *Conn) Write(p []byte, within time.Duration) error {
+	return c.WriteParts([][]byte{p}, within)
+}
+
+// WriteParts sends parts in order, like Write.
+func (c *Conn) WriteParts(parts [][]byte, within time.Duration) error {
 	if err := c.ended(); err != nil {
 		return err
 	}
 	if err := c.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
-	if _, err := c.conn.Write(p); err != nil {
-		return cmp.Or(c.ended(), err)
+	for _, p := range parts {
+		if _, err := c.conn.Write(p); err != nil {
+			return cmp.Or(c.ended(), err)
+		}
 	}
 	return nil
 }
@@ -242,7 +251,9 @@
 // Close closes the connection, which ends reads and writes in progress.
 func (c *Conn) Close() {
 	at := c.now()
-	c.closedAt.CompareAndSwap(nil, &at)
+	if c.closedAt.CompareAndSwap(nil, &at) {
+		c.onClose()
+	}
 	// The connection is gone either way, so the error does not matter.
 	_ = c.conn.Close()
 }
--- a/adapter/upconn/pool.go
+++ b/adapter/upconn/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mimosaarch.example/core/ids"
@@ -30,6 +32,10 @@
 	dial DialFunc
 	// opened is called for each new connection; may be nil.
 	opened func(Target)
+	// maxOpen bounds the connections with which Get opens another one, 0 for no bound. open is the
+	// number of connections of the pool that are not closed, idle or in use.
+	maxOpen int64
+	open    atomic.Int64
 
 	mu          sync.Mutex
 	idle        map[Target][]*Conn
@@ -42,15 +48,52 @@
 	return &Pool{now: now, dial: dial, opened: opened, idle: make(map[Target][]*Conn)}
 }
 
-// Get returns a connection for one exchange: a usable idle one or a new one. The
-// error is a *DialError.
+// LimitOpen bounds the connections that Get opens. It must be called before the pool is used.
+func (p *Pool) LimitOpen(n int) { p.maxOpen = int64(n) }
+
+// LimitError is returned if no connection may be opened, since too many are in use. Nothing was
+// sent, and it says nothing about the upstream.
+type LimitError struct{ Limit int64 }
+
+// Error implements error.
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("all %d connections to upstreams are in use", e.Limit)
+}
+
+// Get returns a connection for one exchange: a usable idle one or a new one, for which it closes
+// the one that has been idle longest if there are too many. The error is a *DialError or a
+// *LimitError.
 func (p *Pool) Get(ctx context.Context, t Target) (*Conn, error) {
 	if c := p.GetIdle(t); c != nil {
 		return c, nil
 	}
+	if p.maxOpen > 0 && p.open.Load() >= p.maxOpen && !p.closeLongestIdle() {
+		return nil, &LimitError{Limit: p.maxOpen}
+	}
 	return p.Dial(ctx, t)
 }
 
+// closeLongestIdle closes the connection that has been idle longest, and reports whether there is
+// one.
+func (p *Pool) closeLongestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var from Target
+	var longest *Conn
+	for t, list := range p.idle {
+		// The least recently used come first.
+		if len(list) > 0 && (longest == nil || list[0].lastUsedAt.Before(longest.lastUsedAt)) {
+			from, longest = t, list[0]
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	p.idle[from] = p.idle[from][1:]
+	longest.Close()
+	return true
+}
+
 // GetIdle returns the most recently used idle connection that is still usable, or
 // nil if there is none. It closes those that are not.
 func (p *Pool) GetIdle(t Target) *Conn {
@@ -94,7 +137,8 @@
 	if p.opened != nil {
 		p.opened(t)
 	}
-	c := &Conn{conn: conn, raw: raw, target: t, now: p.now, idleTimeout: defaultIdleTimeout}
+	p.open.Add(1)
+	c := &Conn{conn: conn, raw: raw, target: t, now: p.now, idleTimeout: defaultIdleTimeout, onClose: func() { p.open.Add(-1) }}
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/adapter/upconn/response.go
+++ b/adapter/upconn/response.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/core/segment"
 )
 
 // maxBodyBytes limits the body that Response.Body holds, so that one upstream
@@ -189,6 +191,46 @@
 	}
 }
 
+// ReadAll reads the whole body. reserve is called with the bytes of memory that the body takes
+// next; its error ends the call. The buffer holds what was read, also after an error. Errors: a
+// *BodyTooLargeError if the body exceeds maxBodyBytes, and those of Read and reserve.
+func (r *Response) ReadAll(reserve func(n int64) error) (*segment.Buffer, error) {
+	body := &segment.Buffer{}
+	// One byte more shows that the body is too long.
+	limit := maxBodyBytes + 1
+	switch n := r.Head.ContentLength(); {
+	case r.bodiless:
+		limit = 0
+	case n > maxBodyBytes:
+		return body, &BodyTooLargeError{Limit: maxBodyBytes}
+	case n >= 0:
+		limit = n
+	}
+	for body.Len() < limit {
+		_, err := body.Fill(r, limit-body.Len(), reserve)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	if limit > maxBodyBytes {
+		return body, &BodyTooLargeError{Limit: maxBodyBytes}
+	}
+	return body, r.Discard()
+}
+
+// Discard reads and drops the body. It returns a *BodyTooLargeError if the body exceeds
+// maxBodyBytes, and the errors of Read.
+func (r *Response) Discard() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, maxBodyBytes+1))
+	if n > maxBodyBytes {
+		return &BodyTooLargeError{Limit: maxBodyBytes}
+	}
+	return err
+}
+
 // Reusable reports whether the connection may carry another exchange, and for how
 // long the upstream announced to keep it open; 0 if it announced nothing.
 func (r *Response) Reusable() (bool, time.Duration) {
--- a/adapter/upconn/upconn_test.go
+++ b/adapter/upconn/upconn_test.go
@@ -296,3 +296,44 @@
 		})
 	}
 }
+
+// Guards against descriptors used up by connections to upstreams.
+func TestPoolOpensNoMoreConnectionsThanItsLimit(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	p := NewPool(time.Now, DialDirect, nil)
+	p.LimitOpen(2)
+	a, b := Target{ID: ids.Instance{Upstream: "a"}, Address: l.Addr().String()}, Target{ID: ids.Instance{Upstream: "b"}, Address: l.Addr().String()}
+	get := func(target Target) *Conn {
+		t.Helper()
+		c, err := p.Get(t.Context(), target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	first, second := get(a), get(a)
+	var full *LimitError
+	if _, err := p.Get(t.Context(), b); !errors.As(err, &full) {
+		t.Errorf("a third connection: %v", err)
+	}
+	p.Put(first, 0)
+	p.Put(second, 0)
+	third := get(b)
+	if first.ClosedAt().IsZero() || !second.ClosedAt().IsZero() {
+		t.Error("not the connection that was idle for longest was closed")
+	}
+	third.Close()
+	third.Close()
+	if get(a) != second {
+		t.Error("the idle connection was not used")
+	}
+	if c, err := p.Get(t.Context(), b); err != nil {
+		t.Errorf("after a connection was closed: %v", err)
+	} else if _, err := p.Get(t.Context(), b); !errors.As(err, &full) {
+		t.Errorf("with %v open: %v", c, err)
+	}
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -53,6 +53,7 @@
 	KeyReused           Reason = "key_reused"           // the idempotency key belongs to a different request
 	RetryBudget         Reason = "retry_budget"         // the retry budget is used up
 	AttemptsExhausted   Reason = "attempts_exhausted"   // the attempts of the request are used up
+	NodeFull            Reason = "node_full"            // the node has no memory left for the request or its response
 	CallerGone          Reason = "caller_gone"          // the caller closed the connection or was too slow
 )
 
--- a/decide/quarantine/fingerprint.go
+++ b/decide/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"strings"
 
 	"mimosaarch.example/core/ids"
@@ -26,10 +27,32 @@
 func FingerprintOf(parts ...[]byte) Fingerprint {
 	h := sha256.New()
 	for _, part := range parts {
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		h.Write(size[:])
-		h.Write(part)
+		writePart(h, part)
 	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)))
 }
+
+// FingerprintOfBody is FingerprintOf with a body, which is given in pieces, as the last part. The
+// boundaries between the pieces do not matter.
+func FingerprintOfBody(body [][]byte, parts ...[]byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range parts {
+		writePart(h, part)
+	}
+	writePart(h, body...)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)))
+}
+
+// writePart hashes one part, given in pieces, with its length.
+func writePart(h hash.Hash, pieces ...[]byte) {
+	length := 0
+	for _, piece := range pieces {
+		length += len(piece)
+	}
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(length))
+	h.Write(size[:])
+	for _, piece := range pieces {
+		h.Write(piece)
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -102,8 +102,10 @@
 	EnginesCheckFence bool
 	// Placement configures the placement of layers on engines.
 	Placement placement.Options
-	// MaxSockets is the most sockets that the process may have open, 0 for no bound.
-	MaxSockets int
+	// MemoryLimitBytes is the memory of the process, and MaxSockets the most sockets that it may
+	// have open. Callers' connections are bounded by parts of them. 0 stands for no bound.
+	MemoryLimitBytes int64
+	MaxSockets       int
 	// LoadExchangeNodes is the number of nodes from which on they exchange the load of
 	// engines, load.MinNodes if it is 0. The soak sets it, because its fleets are small.
 	LoadExchangeNodes int
@@ -210,7 +212,9 @@
 		OnRetryNotice: n.membership.noticeDue,
 
 		OnEngineLost: n.lossNotices.announce, OnEngineSilent: n.lossNotices.announceSilence,
-		Seed: settings.Seed,
+		Intake:           intakeLimits(settings),
+		MaxUpstreamConns: part(settings.MaxSockets, upstreamSocketFraction),
+		Seed:             settings.Seed,
 
 		QuarantineRole: n.crashes.role,
 		OnEvidence:     n.crashes.evidenceDue,
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -44,6 +44,14 @@
 		return age.Milliseconds()
 	})
 	n.metrics.Gauge("requests.open", n.server.Active)
+	n.metrics.Gauge("intake.held_bytes", func() int64 {
+		held, _ := n.server.Held()
+		return held
+	})
+	n.metrics.Gauge("intake.connections", func() int64 {
+		_, connections := n.server.Held()
+		return int64(connections)
+	})
 	n.metrics.Gauge("load_view.age_ms", func() int64 { return n.server.LoadStatus().Age.Milliseconds() })
 	n.metrics.Gauge("load_view.nodes_heard", func() int64 { return int64(n.server.LoadStatus().Heard) })
 }
