Reading requests and writing responses have files of their own

client.go had grown to 530 lines with three jobs: the life of a caller's connection, reading and refusing requests, and writing responses. Functions are moved, none is changed.

--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -7,17 +7,13 @@
 	"fmt"
 	"io"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"mimosaarch.example/core/outcome"
-	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/intake"
-	"mimosaarch.example/decide/routing"
 )
 
 // Limits of callers' connections.
@@ -78,30 +74,6 @@
 // reserve waits until the connection may hold n more bytes. The error is a *ShedError.
 func (c *callerConn) reserve(n int64) error { return c.server.gate.reserve(c, n) }
 
-// limits returns the limits of the current configuration, with defaults for those that
-// are not set.
-func (c *callerConn) limits() routing.Limits {
-	l := routing.Limits{MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	table := c.server.opts.Table()
-	if table == nil {
-		return l
-	}
-	set := table.Limits()
-	if set.MaxHeaderBytes > 0 {
-		l.MaxHeaderBytes = set.MaxHeaderBytes
-	}
-	if set.MaxBodyBytes > 0 {
-		l.MaxBodyBytes = set.MaxBodyBytes
-	}
-	if set.HeaderTimeout > 0 {
-		l.HeaderTimeout = set.HeaderTimeout
-	}
-	if set.IdleTimeout > 0 {
-		l.IdleTimeout = set.IdleTimeout
-	}
-	return l
-}
-
 // serve answers requests until the connection ends.
 func (c *callerConn) serve(ctx context.Context) {
 	c.r = c.newReadBuffer()
@@ -206,16 +178,6 @@
 	return !c.closeAfter
 }
 
-// maxKeptHeadBytes is the longest head of a request whose memory is used again.
-const maxKeptHeadBytes = 2 << 10
-
-// releaseRequest gives a request back to its pool, unless its buffers have become large.
-func releaseRequest(req *fasthttp.Request) {
-	if len(req.Header.RawHeaders()) <= maxKeptHeadBytes {
-		fasthttp.ReleaseRequest(req)
-	}
-}
-
 // recordRead records that a request was read on the connection, or that none will be.
 func (c *callerConn) recordRead() {
 	if !c.requestRead.Swap(true) {
@@ -223,169 +185,6 @@
 	}
 }
 
-// readRequest reads one request with its body. On an error it also returns the status
-// to respond with, 0 for none.
-func (c *callerConn) readRequest(req *fasthttp.Request) (*segment.Buffer, int, error) {
-	limits := c.limits()
-	if err := c.setReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
-		return nil, 0, err
-	}
-	req.Header.SetNoDefaultContentType(true)
-	if err := c.parse(req.Header.Read); err != nil {
-		return nil, c.headErrorStatus(err), err
-	}
-	if err := c.reserve(int64(headCopies * len(req.Header.RawHeaders()))); err != nil {
-		return nil, bodyErrorStatus(err), err
-	}
-	if req.Header.ContentLength() > limits.MaxBodyBytes {
-		return nil, fasthttp.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
-	}
-	if req.MayContinue() {
-		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, 0, err
-		}
-	}
-	if !c.server.gate.enter(c, intake.Reading) {
-		return nil, 0, c.server.gate.revoked(c)
-	}
-	if err := c.setReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
-		return nil, 0, err
-	}
-	body, err := c.readBody(req, limits.MaxBodyBytes)
-	if err == nil {
-		return body, 0, nil
-	}
-	if shed := c.server.gate.revoked(c); shed != nil {
-		err = shed
-	}
-	return nil, bodyErrorStatus(err), err
-}
-
-// headErrorStatus returns the status for a head that could not be read, 0 if the
-// connection has ended or was revoked.
-func (c *callerConn) headErrorStatus(err error) int {
-	if c.interrupted.Load() {
-		return 0
-	}
-	var shed *ShedError
-	var small *fasthttp.ErrSmallBuffer
-	var nothing fasthttp.ErrNothingRead
-	var network net.Error
-	switch {
-	case errors.As(err, &shed):
-		return fasthttp.StatusServiceUnavailable
-	case errors.As(err, &small):
-		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &nothing):
-		return 0
-	case errors.As(err, &network) && network.Timeout():
-		return fasthttp.StatusRequestTimeout
-	case errors.As(err, &network), isConnClosed(err):
-		return 0
-	}
-	return fasthttp.StatusBadRequest
-}
-
-// bodyErrorStatus returns the status for a body that could not be read, 0 if the
-// connection has ended or gives way to new ones.
-func bodyErrorStatus(err error) int {
-	var shed *ShedError
-	var network net.Error
-	switch {
-	case errors.As(err, &shed) && shed.Reason == intake.Connections:
-		return 0
-	case errors.As(err, &shed):
-		return fasthttp.StatusServiceUnavailable
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &network) && network.Timeout():
-		return fasthttp.StatusRequestTimeout
-	case errors.As(err, &network), isConnClosed(err):
-		return 0
-	}
-	return fasthttp.StatusBadRequest
-}
-
-// shedRetryAfter is the base value of Retry-After for requests that are not read because the node
-// has no memory left. Bodies that make no progress give way within about that time.
-const shedRetryAfter = time.Second
-
-// refuseUnreadable responds to a request that could not be read, and then reads and
-// drops the rest of the input.
-func (c *callerConn) refuseUnreadable(req *fasthttp.Request, status int, err error) {
-	held := c.hold.Held()
-	// Other requests may wait for the memory.
-	c.server.gate.keepOnly(c, c.bufferBytes)
-	c.server.opts.Metrics.Add("refusal.unread", 1)
-	c.server.opts.Log.Info().Str("event", "request_unread").Int("status", status).Int64("held_bytes", held).Err(err).Send()
-	if status == 0 {
-		return
-	}
-	c.closeAfter = true
-	id, reason, retryAfter := "", malformed, time.Duration(0)
-	var shed *ShedError
-	if errors.As(err, &shed) {
-		id, reason = string(req.Header.Peek(c.server.opts.Headers.RequestID)), string(outcome.NodeFull)
-		retryAfter = c.server.jitterRetryAfter(shedRetryAfter)
-	}
-	if c.writeError(status, id, reason, retryAfter) != nil {
-		return
-	}
-	c.linger()
-}
-
-// malformed is the reason in the responses to requests that could not be read.
-const malformed = "malformed"
-
-// linger reads and drops what the caller still sends, at most a body of the largest size. Closing
-// with unread bytes would reset the connection and could lose the response.
-func (c *callerConn) linger() {
-	conn, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || conn.CloseWrite() != nil {
-		return
-	}
-	if c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
-		return
-	}
-	c.r.Reset(c.conn)
-	// The connection is closed next, whatever ends the reads.
-	_, _ = io.CopyN(io.Discard, c.r, int64(c.limits().MaxBodyBytes))
-}
-
-// write sends bytes to the caller. The error is a *CallerGoneError.
-func (c *callerConn) write(p []byte) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return c.gone(err)
-	}
-	if _, err := c.conn.Write(p); err != nil {
-		return c.gone(err)
-	}
-	return nil
-}
-
-// writeBody sends the head in the output buffer and a body. The error is a *CallerGoneError. A
-// caller that does not take the response may be disconnected.
-func (c *callerConn) writeBody(body *segment.Buffer) error {
-	if body.Len() <= maxInlineBodyBytes {
-		c.out = body.AppendTo(c.out)
-		return c.write(c.out)
-	}
-	if err := c.write(c.out); err != nil {
-		return err
-	}
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return c.gone(err)
-	}
-	c.server.gate.enter(c, intake.Delivering)
-	for _, part := range body.Parts() {
-		if _, err := c.conn.Write(part); err != nil {
-			return c.gone(err)
-		}
-		c.server.gate.progress(c, len(part))
-	}
-	return nil
-}
-
 // gone returns the error of a caller that has just been found to have left.
 func (c *callerConn) gone(cause error) *CallerGoneError {
 	return &CallerGoneError{At: c.server.opts.Now(), Cause: cause}
@@ -462,62 +261,3 @@
 	}
 	return c.gone(readErr)
 }
-
-// writeError sends a response that the node generates itself: a status, and a JSON body
-// with the reason. id and retryAfter are left out if they are zero.
-func (c *callerConn) writeError(status int, id, reason string, retryAfter time.Duration) error {
-	body := strconv.AppendQuote([]byte(`{"error":`), reason)
-	body = append(body, '}')
-	c.startHead(status)
-	c.addHeader("Content-Type", "application/json")
-	if id != "" {
-		c.addHeader(c.server.opts.Headers.RequestID, id)
-	}
-	if retryAfter > 0 {
-		c.addHeader("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	}
-	c.addHeader("Content-Length", strconv.Itoa(len(body)))
-	c.endHead()
-	c.out = append(c.out, body...)
-	return c.write(c.out)
-}
-
-// startHead starts the head of a response in the output buffer.
-func (c *callerConn) startHead(status int) {
-	c.out = append(c.out[:0], "HTTP/1.1 "...)
-	c.out = strconv.AppendInt(c.out, int64(status), 10)
-	c.out = append(c.out, ' ')
-	c.out = append(c.out, fasthttp.StatusMessage(status)...)
-	c.out = append(c.out, "\r\n"...)
-}
-
-// addHeader appends a header line to the head.
-func (c *callerConn) addHeader(name, value string) {
-	c.out = append(c.out, name...)
-	c.out = append(c.out, ": "...)
-	c.out = append(c.out, value...)
-	c.out = append(c.out, "\r\n"...)
-}
-
-// endHead ends the head. It announces the close of the connection if this response is
-// its last.
-func (c *callerConn) endHead() {
-	if c.server.noKeepAlives.Load() {
-		c.closeAfter = true
-	}
-	if c.closeAfter {
-		c.addHeader("Connection", "close")
-	}
-	c.out = append(c.out, "\r\n"...)
-}
-
-// copyHead starts a response with the status and the headers of an upstream's response,
-// without the hop-by-hop headers.
-func (c *callerConn) copyHead(head *fasthttp.ResponseHeader) {
-	c.startHead(head.StatusCode())
-	for name, value := range head.All() {
-		if !isHopByHop(string(name)) {
-			c.addHeader(string(name), string(value))
-		}
-	}
-}
