A body in chunks that exceeds the limit by the byte before its end is refused

Change: the length is looked at first.

Evidence: TestBodiesInChunksAreReadUpToTheLimit gets 200 before, 413 after; a body of the limit gets 200.

--- a/adapter/forward/body.go
+++ b/adapter/forward/body.go
@@ -68,12 +68,12 @@
 		// One byte more shows that the body is too long.
 		err := r.readSome(chunks, limit+1-r.body.Len())
 		switch {
+		case r.body.Len() > limit:
+			return fasthttp.ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
 			return r.c.parse(r.req.Header.ReadTrailer)
 		case err != nil:
 			return err
-		case r.body.Len() > limit:
-			return fasthttp.ErrBodyTooLarge
 		}
 	}
 }
--- a/adapter/forward/full_test.go
+++ b/adapter/forward/full_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -83,3 +84,27 @@
 		return bytes < 4<<20
 	})
 }
+
+// Guards against a body in chunks that exceeds the limit by the byte before its end.
+func TestBodiesInChunksAreReadUpToTheLimit(t *testing.T) {
+	r := newTestServer(t, newFakeUpstream(t, "a", "plain", okReply("ok")))
+	for surplus, want := range []int{fasthttp.StatusOK, fasthttp.StatusRequestEntityTooLarge} {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		body := strings.Repeat("b", defaultMaxBodyBytes+surplus-1)
+		if _, err := fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nQ-Id: q%d\r\nQ-Key: key\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", surplus, len(body), body); err != nil {
+			t.Fatal(err)
+		}
+		// The last byte and the end arrive together.
+		if _, err := io.WriteString(conn, "1\r\nb\r\n0\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		var resp fasthttp.Response
+		if err := resp.Read(bufio.NewReader(conn)); err != nil || resp.StatusCode() != want {
+			t.Errorf("%d bytes beyond the limit: status %d, %v, want %d", surplus, resp.StatusCode(), err, want)
+		}
+	}
+}
