Tests of lost engines wait for the record that follows the wake-up

Cause: lossTable.found wakes the streams of a lost engine before it counts the loss, so that a caller can have the whole answer before the counter changes.

Change: both tests that count losses wait until the loss is counted, and then fail unless it was counted once. The check that other nodes are not told now follows the record as well.

--- a/adapter/forward/losses_test.go
+++ b/adapter/forward/losses_test.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// expectFound waits for the record of a loss, which follows the wake-up of the streams, and
+// fails unless there is just one.
+func (f *lossFleet) expectFound(t *testing.T, source lossSource) {
+	t.Helper()
+	name := "loss.found." + string(source)
+	eventually(t, "the loss is counted", func() bool { return f.metrics.get(name) > 0 })
+	if n := f.metrics.get(name); n != 1 {
+		t.Errorf("%d losses counted, want 1", n)
+	}
+}
+
 // Guards against streams that wait for their own stall timeout although the node knows that a
 // later stage is lost.
 func TestRefusedConnectionMovesStreamsBeforeTheirStallTimeout(t *testing.T) {
@@ -106,9 +117,7 @@
 	_ = f.second.listener.Close()
 	f.connectionLost(&f.second.Upstream)
 	f.expectMoved(t)
-	if n := f.metrics.get("loss.found.dial"); n != 1 {
-		t.Errorf("%d losses counted, want 1", n)
-	}
+	f.expectFound(t, lossByDial)
 }
 
 // Guards against streams that wait for their own stall timeout although another stream of the
@@ -198,9 +207,7 @@
 	_ = f.second.listener.Close()
 	f.EngineLossNoticed(f.second.ID, true)
 	f.expectMoved(t)
-	if n := f.metrics.get("loss.found.notice"); n != 1 {
-		t.Errorf("%d losses counted, want 1", n)
-	}
+	f.expectFound(t, lossByNotice)
 	if n := f.metrics.get("announced.b"); n > 0 {
 		t.Error("told other nodes what they know")
 	}
