Connections that are not accepted yet are bounded by the memory

Cause: while the process is suspended, the kernel takes up to 4,096 new connections and up to 128 KB for each, which count as memory of the process. TestCrowdWhileTheProcessIsSuspended (600 callers) had 107, 113 and 111 MB of 96 on x86-64.

Change: the backlog of the callers' listener is an eighth of the memory at 128 KB a connection, 184 on a VM of 184 MB. The kernel ignores the handshakes of others, and their clients repeat them after a second.

Ruled out: a smaller receive buffer of the listener, which fixes the scale of the window at the handshake and so slows long bodies for good.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mimosaarch.example/adapter/connlimit"
 	"mimosaarch.example/adapter/datagram"
 	"mimosaarch.example/adapter/forward"
 	"mimosaarch.example/adapter/leader"
@@ -405,6 +406,11 @@
 			return nil, &ListenError{Address: socket.address, Cause: err}
 		}
 	}
+	if backlog := callerBacklog(n.settings); backlog > 0 {
+		if err := connlimit.SetBacklog(l.callers, backlog); err != nil {
+			return nil, &ListenError{Address: n.settings.CallerAddr, Cause: err}
+		}
+	}
 	l.datagrams = n.listenDatagrams(l.peers.Addr().String())
 	return l, nil
 }
