The account of callers' connections is a package of its own

Cause: the gate that applies decide/intake's decisions to connections was a part of adapter/forward, and adapter/caller needs the same.

Change: it moves to adapter/gate, with methods of a connection in place of calls with one. No decision changes; a test sets its limits by the options in place of the gate's fields.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/core/segment"
@@ -209,7 +210,7 @@
 	f := &failure{phase: outcome.MaybeSent, reason: outcome.UpstreamLost, cause: err}
 	var silent *upconn.ReadTimeoutError
 	var framing *upconn.FramingError
-	var shed *ShedError
+	var shed *gate.ShedError
 	switch {
 	case errors.As(err, &shed):
 		f.phase, f.reason = outcome.Started, outcome.NodeFull
@@ -234,7 +235,7 @@
 
 // dropResponse gives back the memory of a response that is not passed on.
 func (x *exchange) dropResponse(body *segment.Buffer) {
-	x.server.gate.release(x.caller, body.Held())
+	x.caller.hold.Release(body.Held())
 }
 
 // bodyWritten reports whether the whole request body has been written.
--- a/adapter/forward/body.go
+++ b/adapter/forward/body.go
@@ -35,7 +35,7 @@
 }
 
 // readBody reads the body of a request, of at most limit bytes if it comes in chunks. The memory
-// grows with the bytes that arrive. Errors: fasthttp.ErrBodyTooLarge, a *ShedError, or those of the
+// grows with the bytes that arrive. Errors: fasthttp.ErrBodyTooLarge, a *gate.ShedError, or those of the
 // connection and of the encoding.
 func (c *callerConn) readBody(req *fasthttp.Request, limit int) (*segment.Buffer, error) {
 	r := &bodyReader{c: c, req: req, body: &segment.Buffer{}}
@@ -83,7 +83,7 @@
 	before := r.body.Len()
 	n, err := r.body.Fill(from, limit, func(n int64) error { return r.c.reserve(n) })
 	if r.unreported += n; r.unreported >= progressStepBytes {
-		r.c.server.gate.progress(r.c, r.unreported)
+		r.c.hold.Progress(r.unreported)
 		r.unreported = 0
 	}
 	if before < longBodyBytes && r.body.Len() >= longBodyBytes {
@@ -130,7 +130,7 @@
 }
 
 // growBuffer replaces the read buffer by one of the size of the longest head. It reports whether
-// the buffer has become larger. The error is a *ShedError.
+// the buffer has become larger. The error is a *gate.ShedError.
 func (c *callerConn) growBuffer() (bool, error) {
 	size := c.limits().MaxHeaderBytes
 	if c.r.Size() >= size {
@@ -183,8 +183,8 @@
 			return err
 		}
 		// The connection now holds more than one that waits.
-		if !c.server.gate.enter(c, intake.Reading) {
-			return c.server.gate.revoked(c)
+		if !c.hold.Enter(intake.Reading) {
+			return c.hold.Revoked()
 		}
 		grown, failed := c.growBuffer()
 		if failed != nil {
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/decide/intake"
 )
 
@@ -64,15 +65,15 @@
 	// interrupted is set once the connection is revoked.
 	interrupted atomic.Bool
 	// hold is what the connection holds of the node's memory.
-	hold *intake.Conn
+	hold *gate.Conn
 	// bufferBytes is the size of a read buffer larger than the usual one, 0 for the usual one.
 	bufferBytes int64
 	// receiveBuffer is the size of the kernel's receive buffer, 0 while the kernel chooses it.
 	receiveBuffer int
 }
 
-// reserve waits until the connection may hold n more bytes. The error is a *ShedError.
-func (c *callerConn) reserve(n int64) error { return c.server.gate.reserve(c, n) }
+// reserve waits until the connection may hold n more bytes. The error is a *gate.ShedError.
+func (c *callerConn) reserve(n int64) error { return c.hold.Reserve(n) }
 
 // serve answers requests until the connection ends.
 func (c *callerConn) serve(ctx context.Context) {
@@ -100,8 +101,8 @@
 	if c.receiveBuffer != 0 && c.receiveBuffer != receiveBytes {
 		c.setReceiveBuffer(receiveBytes)
 	}
-	c.server.gate.keepOnly(c, c.bufferBytes)
-	return c.server.gate.enter(c, intake.Waiting)
+	c.hold.KeepOnly(c.bufferBytes)
+	return c.hold.Enter(intake.Waiting)
 }
 
 // interrupt ends reads and writes in progress, since the connection is revoked.
@@ -112,7 +113,7 @@
 }
 
 // setReadDeadline sets the deadline of reads, unless the connection is revoked. The error is then
-// a *ShedError.
+// a *gate.ShedError.
 func (c *callerConn) setReadDeadline(at time.Time) error {
 	if err := c.conn.SetReadDeadline(at); err != nil {
 		return err
@@ -120,7 +121,7 @@
 	if !c.interrupted.Load() {
 		return nil
 	}
-	return c.server.gate.revoked(c)
+	return c.hold.Revoked()
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
@@ -166,8 +167,8 @@
 		c.refuseUnreadable(req, status, err)
 		return false
 	}
-	if !c.server.gate.enter(c, intake.Serving) {
-		shed := c.server.gate.revoked(c)
+	if !c.hold.Enter(intake.Serving) {
+		shed := c.hold.Revoked()
 		c.refuseUnreadable(req, bodyErrorStatus(shed), shed)
 		return false
 	}
@@ -215,7 +216,7 @@
 }
 
 // readAhead reads into the buffer until a read fails or the buffer is full. The error is a
-// *ShedError if the node has no memory for what the caller has sent.
+// *gate.ShedError if the node has no memory for what the caller has sent.
 func (c *callerConn) readAhead() error {
 	for {
 		for c.r.Buffered() < c.r.Size() {
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -26,6 +26,7 @@
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/chain"
 	"mimosaarch.example/decide/directory"
+	"mimosaarch.example/decide/intake"
 	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/routing"
 )
@@ -388,6 +389,12 @@
 // newStartingTestServer is newTestServer for a node that is not ready. It becomes
 // ready when the test closes the channel ready.
 func newStartingTestServer(t *testing.T, fakes ...*fakeUpstream) *testServer {
+	t.Helper()
+	return newLimitedTestServer(t, intake.Limits{}, fakes...)
+}
+
+// newLimitedTestServer is newStartingTestServer for a node with limits for callers' connections.
+func newLimitedTestServer(t *testing.T, limits intake.Limits, fakes ...*fakeUpstream) *testServer {
 	t.Helper()
 	table, err := routing.Build(testConfig())
 	if err != nil {
@@ -399,6 +406,7 @@
 		r.dir.Put(time.Time{}, f.Upstream)
 	}
 	r.Server = New(Options{
+		Intake:  limits,
 		Headers: testHeaders, Zone: "z", Dial: upconn.DialDirect, Engines: r.engines, Now: boottime.Now, Log: zerolog.New(r.lines), Metrics: r.metrics, Seed: 1, OnVerdict: r.recordVerdict, OnLimit: r.recordLimit, Permits: r.permits, Ready: r.ready,
 		QuarantineRole: r.quarantineRole, OnEvidence: func() {}, OnEngineLost: func(id ids.Instance) { r.metrics.Add("announced."+id.String(), 1) },
 		OnEngineSilent: func(id ids.Instance) { r.metrics.Add("announced_silent."+id.String(), 1) },
--- a/adapter/forward/full_test.go
+++ b/adapter/forward/full_test.go
@@ -48,10 +48,8 @@
 // Guards against bodies whose sum exceeds the memory, and against a refusal of the wrong ones.
 func TestStalledBodiesGiveWayToNewOnes(t *testing.T) {
 	u := newFakeUpstream(t, "a", "plain", okReply("ok"))
-	r := newTestServer(t, u)
-	r.gate.mu.Lock()
-	r.gate.table = intake.New(intake.Limits{Bytes: 6 << 20})
-	r.gate.mu.Unlock()
+	r := newLimitedTestServer(t, intake.Limits{Bytes: 6 << 20}, u)
+	close(r.ready)
 	var stalled []net.Conn
 	for i := range 4 {
 		conn, err := net.Dial("tcp", r.address)
--- a/adapter/forward/read.go
+++ b/adapter/forward/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/intake"
@@ -70,8 +71,8 @@
 			return nil, 0, err
 		}
 	}
-	if !c.server.gate.enter(c, intake.Reading) {
-		return nil, 0, c.server.gate.revoked(c)
+	if !c.hold.Enter(intake.Reading) {
+		return nil, 0, c.hold.Revoked()
 	}
 	if err := c.setReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
 		return nil, 0, err
@@ -80,7 +81,7 @@
 	if err == nil {
 		return body, 0, nil
 	}
-	if shed := c.server.gate.revoked(c); shed != nil {
+	if shed := c.hold.Revoked(); shed != nil {
 		err = shed
 	}
 	return nil, bodyErrorStatus(err), err
@@ -92,7 +93,7 @@
 	if c.interrupted.Load() {
 		return 0
 	}
-	var shed *ShedError
+	var shed *gate.ShedError
 	var small *fasthttp.ErrSmallBuffer
 	var nothing fasthttp.ErrNothingRead
 	var network net.Error
@@ -114,7 +115,7 @@
 // bodyErrorStatus returns the status for a body that could not be read, 0 if the
 // connection has ended or gives way to new ones.
 func bodyErrorStatus(err error) int {
-	var shed *ShedError
+	var shed *gate.ShedError
 	var network net.Error
 	switch {
 	case errors.As(err, &shed) && shed.Reason == intake.Connections:
@@ -140,7 +141,7 @@
 func (c *callerConn) refuseUnreadable(req *fasthttp.Request, status int, err error) {
 	held := c.hold.Held()
 	// Other requests may wait for the memory.
-	c.server.gate.keepOnly(c, c.bufferBytes)
+	c.hold.KeepOnly(c.bufferBytes)
 	c.server.opts.Metrics.Add("refusal.unread", 1)
 	c.server.opts.Log.Info().Str("event", "request_unread").Int("status", status).Int64("held_bytes", held).Err(err).Send()
 	if status == 0 {
@@ -148,7 +149,7 @@
 	}
 	c.closeAfter = true
 	id, reason, retryAfter := "", malformed, time.Duration(0)
-	var shed *ShedError
+	var shed *gate.ShedError
 	if errors.As(err, &shed) {
 		id, reason = string(req.Header.Peek(c.server.opts.Headers.RequestID)), string(outcome.NodeFull)
 		retryAfter = c.server.jitterRetryAfter(shedRetryAfter)
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/adapter/upconn"
 	"mimosaarch.example/core/boottime"
 	"mimosaarch.example/core/ids"
@@ -40,12 +41,12 @@
 	// active counts requests being served.
 	active   atomic.Int64
 	overload *overloadGuard
-	gate     *gate
+	gate     *gate.Gate
 }
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), gate: newGate(&o), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
+	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), gate: gate.New(o.Intake, o.Now, o.Metrics), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
 	s.pool = upconn.NewPool(boottime.Now, o.Dial, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
 	s.pool.LimitOpen(o.MaxUpstreamConns)
 	s.observePause = o.Metrics.Timer("stream.pause")
@@ -84,7 +85,7 @@
 			continue
 		}
 		c := &callerConn{server: s, conn: conn}
-		if !s.gate.open(c) {
+		if c.hold = s.gate.Open(c.interrupt); c.hold == nil {
 			s.refuseConnection(conn, "connections.refused")
 			continue
 		}
@@ -107,7 +108,7 @@
 		defer func() {
 			// The connection ends whether or not the close fails.
 			_ = c.conn.Close()
-			s.gate.close(c)
+			c.hold.Close()
 			c.recordRead()
 			s.mu.Lock()
 			delete(s.conns, c)
@@ -155,7 +156,7 @@
 }
 
 // Held returns the number of bytes that callers' connections hold, and the number of connections.
-func (s *Server) Held() (bytes int64, connections int) { return s.gate.held() }
+func (s *Server) Held() (bytes int64, connections int) { return s.gate.Held() }
 
 // Active returns the number of requests being served.
 func (s *Server) Active() int64 { return s.active.Load() }
--- a/adapter/forward/write.go
+++ b/adapter/forward/write.go
@@ -34,12 +34,12 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return c.gone(err)
 	}
-	c.server.gate.enter(c, intake.Delivering)
+	c.hold.Enter(intake.Delivering)
 	for _, part := range body.Parts() {
 		if _, err := c.conn.Write(part); err != nil {
 			return c.gone(err)
 		}
-		c.server.gate.progress(c, len(part))
+		c.hold.Progress(len(part))
 	}
 	return nil
 }
