mimosad bounds what all callers' bodies hold together

Cause: each body of a caller was bounded (max_body), their sum was not, and the buffer of a body had the announced size before a byte had come: 8,192 connections of 1 MB. 300 callers without keys took up to 627 MB.

Change: bodies are read into memory that grows with the bytes that arrive, from the account of package gate: max_held bounds its bytes, max_connections the connections. Bodies without progress give way first and are refused with node_full; idle connections and parts of heads give way to new connections. fasthttp hands bodies over as streams for this, so an open connection now keeps its read buffer of 16 KB.

--- /dev/null
+++ b/adapter/caller/body.go
@@ -0,0 +1,169 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/adapter/gate"
+	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/intake"
+)
+
+const (
+	// firstBodyBytes is the size of the first buffer for a body. It holds a usual one.
+	firstBodyBytes = 4 << 10
+	// decodedCopies is the number of further copies of a body that a call has while it is served.
+	decodedCopies = 1
+	// progressStepBytes is the number of bytes after which progress is reported.
+	progressStepBytes = 4 << 10
+	// minShedRetryAfter is the least Retry-After of a request that the node has no memory for.
+	// Bodies that make no progress give way within that time. The most is twice as long, so that
+	// callers do not return all at once.
+	minShedRetryAfter = time.Second
+)
+
+// bodyReader reads the body of one request into memory that grows with the bytes that arrive.
+type bodyReader struct {
+	conn *conn
+	from io.Reader
+	// limit is the longest body, announced the length that the caller has announced, negative for
+	// none.
+	limit, announced int
+	body             []byte
+	// unreported is the number of bytes whose arrival was not reported yet.
+	unreported int
+}
+
+// readBody reads the body of a request.
+func (x *exchange) readBody(ctx *fasthttp.RequestCtx) *outcome.Error {
+	from := ctx.RequestBodyStream()
+	if from == nil {
+		return nil
+	}
+	r := &bodyReader{conn: x.conn, from: from, limit: x.server.options.MaxBodyBytes, announced: ctx.Request.Header.ContentLength()}
+	if err := r.read(); err != nil {
+		if shed := x.conn.revokedError(); shed != nil {
+			err = shed
+		}
+		// Other requests may wait for the memory.
+		x.conn.keepNothing()
+		return refusalOfReadError(err)
+	}
+	x.body = r.body
+	return nil
+}
+
+// read reads until the body ends. The error is fasthttp.ErrBodyTooLarge, a *gate.ShedError, or
+// that of the connection or of the encoding.
+func (r *bodyReader) read() error {
+	if r.announced > r.limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	for {
+		if err := r.grow(); err != nil {
+			return err
+		}
+		n, err := r.from.Read(r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		r.report(n)
+		switch {
+		case len(r.body) > r.limit:
+			return fasthttp.ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return r.conn.reserve(int64(decodedCopies * len(r.body)))
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// grow makes room for at least one more byte.
+func (r *bodyReader) grow() error {
+	old := cap(r.body)
+	if len(r.body) < old {
+		return nil
+	}
+	// One byte more shows the end of the body, or that it is too long.
+	most := r.limit + 1
+	if r.announced >= 0 {
+		most = r.announced + 1
+	}
+	size := max(min(max(2*old, firstBodyBytes), most), old+1)
+	if err := r.conn.reserve(int64(size)); err != nil {
+		return err
+	}
+	grown := make([]byte, len(r.body), size)
+	copy(grown, r.body)
+	r.body = grown
+	r.conn.release(int64(old))
+	return nil
+}
+
+// report reports the arrival of n bytes.
+func (r *bodyReader) report(n int) {
+	if r.unreported += n; r.unreported >= progressStepBytes {
+		r.conn.progress(r.unreported)
+		r.unreported = 0
+	}
+}
+
+// shedRefusal returns the refusal of a request that the node has no memory or no connection for.
+func shedRefusal() *outcome.Error {
+	wait := minShedRetryAfter + rand.N(minShedRetryAfter)
+	return outcome.Refuse(outcome.NodeFull, "the node has no memory left for the request", wait)
+}
+
+// enter changes what the connection is doing. Like the methods below it does nothing for a nil
+// connection, one that was not accepted by a listener of this package.
+func (c *conn) enter(s intake.State) {
+	if c != nil {
+		c.hold.Enter(s)
+	}
+}
+
+// reserve waits until the connection may hold n more bytes. The error is a *gate.ShedError.
+func (c *conn) reserve(n int64) error {
+	if c == nil {
+		return nil
+	}
+	return c.hold.Reserve(n)
+}
+
+// release gives back n bytes.
+func (c *conn) release(n int64) {
+	if c != nil {
+		c.hold.Release(n)
+	}
+}
+
+// keepNothing gives back all that the connection holds.
+func (c *conn) keepNothing() {
+	if c != nil {
+		c.hold.KeepOnly(0)
+	}
+}
+
+// progress records that n bytes have arrived.
+func (c *conn) progress(n int) {
+	if c != nil {
+		c.hold.Progress(n)
+	}
+}
+
+// revokedError returns a *gate.ShedError if the connection is revoked.
+func (c *conn) revokedError() error {
+	if c == nil {
+		return nil
+	}
+	return c.hold.Revoked()
+}
+
+// isShed reports whether an error is a *gate.ShedError.
+func isShed(err error) bool {
+	var shed *gate.ShedError
+	return errors.As(err, &shed)
+}
--- a/adapter/caller/caller_test.go
+++ b/adapter/caller/caller_test.go
@@ -308,7 +308,7 @@
 	defer l.Close()
 	client, err := net.Dial("tcp", l.Addr().String())
 	must(t, err)
-	accepted, err := (&listener{Listener: l}).Accept()
+	accepted, err := (&listener{Listener: l, gate: New(Options{}).gate}).Accept()
 	must(t, err)
 	c := accepted.(*conn)
 	if c.isCallerGone() {
--- a/adapter/caller/chat.go
+++ b/adapter/caller/chat.go
@@ -33,7 +33,7 @@
 // parseChat parses the body of a chat request into x.call and arrived.
 func (x *exchange) parseChat(ctx *fasthttp.RequestCtx, arrived *router.RequestArrived) *outcome.Error {
 	var body chatBody
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+	if err := json.Unmarshal(x.body, &body); err != nil {
 		return badRequest("body: " + err.Error())
 	}
 	chat, err := x.validateChat(&body)
@@ -48,7 +48,7 @@
 	arrived.MaxTokens = chat.MaxTokens
 	arrived.PromptTokens = estimatePromptTokens(chat.Messages)
 	arrived.PrefixHash = prefixHash(chat)
-	arrived.Fingerprint = fingerprint(ctx, arrived.Service, ChatPath)
+	arrived.Fingerprint = fingerprint(ctx, x.body, arrived.Service, ChatPath)
 	return nil
 }
 
--- a/adapter/caller/conn.go
+++ b/adapter/caller/conn.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"mimosaarch.example/adapter/gate"
+	"mimosaarch.example/decide/intake"
 )
 
 // Limits of a lingering close.
@@ -19,15 +22,23 @@
 type listener struct {
 	net.Listener
 	writeTimeout time.Duration
+	gate         *gate.Gate
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no room is closed.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, writeTimeout: l.writeTimeout}
+		if c.hold = l.gate.Open(c.interrupt); c.hold != nil {
+			return c, nil
+		}
+		// The connection ends whether or not the close fails.
+		_ = accepted.Close()
 	}
-	return &conn{Conn: c, writeTimeout: l.writeTimeout}, nil
 }
 
 // conn is a connection from a caller. It sets a deadline for each write instead
@@ -41,6 +52,44 @@
 	requestPending bool
 	// linger makes Close first read and discard what the caller still sends.
 	linger atomic.Bool
+	// hold is what the connection holds of the node's memory.
+	hold *gate.Conn
+	// interrupted is set once the connection is revoked, closed once it is closed.
+	interrupted, closed atomic.Bool
+}
+
+// interrupt ends reads, since the connection is revoked.
+func (c *conn) interrupt() {
+	c.interrupted.Store(true)
+	// A connection that is closed already needs no deadline.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// SetReadDeadline implements net.Conn. Reads of a revoked connection stay ended.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	if err := c.Conn.SetReadDeadline(at); err != nil || !c.interrupted.Load() {
+		return err
+	}
+	return c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// lingerUnlessUnwanted makes Close discard what the caller still sends, unless the connection has
+// to give way to new ones.
+func (c *conn) lingerUnlessUnwanted() {
+	if c == nil {
+		return
+	}
+	var shed *gate.ShedError
+	if errors.As(c.hold.Revoked(), &shed) && shed.Reason == intake.Connections {
+		return
+	}
+	c.linger.Store(true)
+}
+
+// finishRequest gives back what a request and its response have held.
+func (c *conn) finishRequest() {
+	c.hold.KeepOnly(0)
+	c.hold.Enter(intake.Waiting)
 }
 
 // Read implements io.Reader. It reports an EOF within a request as
@@ -71,7 +120,11 @@
 	if c.linger.CompareAndSwap(true, false) {
 		c.discardRest()
 	}
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if !c.closed.Swap(true) {
+		c.hold.Close()
+	}
+	return err
 }
 
 // discardRest closes the sending side and reads what the caller still sends, within
@@ -82,7 +135,7 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // the result does not matter
--- a/adapter/caller/errors.go
+++ b/adapter/caller/errors.go
@@ -130,6 +130,8 @@
 	var broken fasthttp.ErrBrokenChunk
 	var timeout net.Error
 	switch {
+	case isShed(err):
+		return shedRefusal()
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return outcome.Refuse(outcome.BodyTooLarge, "the body is too large", 0)
 	case errors.As(err, &small):
--- a/adapter/caller/exchange.go
+++ b/adapter/caller/exchange.go
@@ -16,6 +16,8 @@
 type exchange struct {
 	server *Server
 	id     ids.Request
+	// body is the body of the request.
+	body []byte
 	// call is nil until the request has been parsed.
 	call *call.Call
 	// conn is nil if the connection was not accepted by a listener of this
--- a/adapter/caller/options.go
+++ b/adapter/caller/options.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"mimosaarch.example/adapter/call"
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/core/defaults"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/outcome"
@@ -36,6 +37,7 @@
 	DefaultTokens         = 256
 	DefaultMaxPriority    = 4
 	DefaultMaxConnections = 8192
+	DefaultMaxHeldBytes   = 64 << 20
 	DefaultReadTimeout    = 30 * time.Second
 	DefaultWriteTimeout   = 5 * time.Second
 	DefaultIdleTimeout    = time.Minute
@@ -63,8 +65,14 @@
 	MaxTokens, DefaultTokens int
 	// MaxPriority limits priority, which starts at 0.
 	MaxPriority int
-	// MaxConnections limits the open connections.
+	// MaxConnections limits the open connections. One beyond it replaces one that has made no
+	// progress for longest, if there is one that serves no request.
 	MaxConnections int
+	// MaxHeldBytes limits what all connections together hold of their requests' bodies. It should
+	// be several times MaxBodyBytes.
+	MaxHeldBytes int64
+	// Metrics counts the connections that give way. Nil means that they are not counted.
+	Metrics gate.Metrics
 	// Call configures the token buffer of each call.
 	Call call.Options
 	// ReadTimeout limits the time to read one request.
@@ -89,6 +97,12 @@
 	Log zerolog.Logger
 }
 
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+// Add implements gate.Metrics.
+func (noMetrics) Add(string, int64) {}
+
 // withDefaults returns o with defaults for zero fields.
 func (o Options) withDefaults() Options {
 	o.MaxBodyBytes = defaults.Positive(o.MaxBodyBytes, DefaultMaxBodyBytes)
@@ -100,6 +114,10 @@
 	}
 	o.MaxPriority = defaults.Positive(o.MaxPriority, DefaultMaxPriority)
 	o.MaxConnections = defaults.Positive(o.MaxConnections, DefaultMaxConnections)
+	o.MaxHeldBytes = defaults.Positive(o.MaxHeldBytes, DefaultMaxHeldBytes)
+	if o.Metrics == nil {
+		o.Metrics = noMetrics{}
+	}
 	o.ReadTimeout = defaults.Positive(o.ReadTimeout, DefaultReadTimeout)
 	o.WriteTimeout = defaults.Positive(o.WriteTimeout, DefaultWriteTimeout)
 	o.IdleTimeout = defaults.Positive(o.IdleTimeout, DefaultIdleTimeout)
--- a/adapter/caller/plain.go
+++ b/adapter/caller/plain.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -40,12 +39,12 @@
 		Path:   path,
 		Query:  query,
 		Header: copyPassedHeaders(ctx),
-		Body:   bytes.Clone(ctx.PostBody()),
+		Body:   x.body,
 	}
 	arrived.Service = ids.Service(service)
 	arrived.Method = method
 	arrived.Path = path
-	arrived.Fingerprint = fingerprint(ctx, arrived.Service, path)
+	arrived.Fingerprint = fingerprint(ctx, x.body, arrived.Service, path)
 	return nil
 }
 
--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -8,7 +8,9 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/core/outcome"
+	"mimosaarch.example/decide/intake"
 )
 
 // Paths of the HTTP API.
@@ -26,16 +28,20 @@
 type Server struct {
 	options Options
 	http    *fasthttp.Server
+	gate    *gate.Gate
 }
 
 // New returns a Server with the given options.
 func New(o Options) *Server {
 	o = o.withDefaults()
-	s := &Server{options: o}
+	s := &Server{options: o, gate: gate.New(intake.Limits{Bytes: o.MaxHeldBytes, Connections: o.MaxConnections}, o.Now, o.Metrics)}
 	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 s.refuseUnreadable,
-		Concurrency:                  o.MaxConnections,
+		Handler:      s.handle,
+		ErrorHandler: s.refuseUnreadable,
+		// The gate bounds the connections. Some that it has closed may still be counted here.
+		Concurrency:                  2 * o.MaxConnections,
+		ConnState:                    recordState,
+		StreamRequestBody:            true,
 		ReadBufferSize:               o.MaxHeaderBytes,
 		MaxRequestBodySize:           o.MaxBodyBytes,
 		ReadTimeout:                  o.ReadTimeout,
@@ -53,7 +59,7 @@
 // Serve accepts connections from l. It returns nil after Shutdown, or the error
 // of l.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, writeTimeout: s.options.WriteTimeout})
+	return s.http.Serve(&listener{Listener: l, writeTimeout: s.options.WriteTimeout, gate: s.gate})
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits until all
@@ -62,13 +68,28 @@
 	return s.http.ShutdownWithContext(ctx)
 }
 
-// handle serves one request that was read completely.
+// recordState records that a request on a connection has ended.
+func recordState(c net.Conn, state fasthttp.ConnState) {
+	if own, ok := c.(*conn); ok && state == fasthttp.StateIdle {
+		own.finishRequest()
+	}
+}
+
+// handle serves one request whose head was read.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.handleHealthCheck(ctx) {
 		return
 	}
 	x := &exchange{server: s, id: s.options.NewID()}
 	x.conn, _ = ctx.Conn().(*conn)
+	x.conn.enter(intake.Reading)
+	if refusal := x.readBody(ctx); refusal != nil {
+		ctx.SetConnectionClose()
+		x.conn.lingerUnlessUnwanted()
+		s.refuse(ctx, x, refusal)
+		return
+	}
+	x.conn.enter(intake.Serving)
 	arrived, refusal := x.parse(ctx)
 	if refusal != nil {
 		s.refuse(ctx, x, refusal)
@@ -111,7 +132,7 @@
 // caller can read the answer.
 func (s *Server) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	if c, ok := ctx.Conn().(*conn); ok {
-		c.linger.Store(true)
+		c.lingerUnlessUnwanted()
 	}
 	x := &exchange{server: s, id: s.options.NewID()}
 	s.refuse(ctx, x, refusalOfReadError(err))
--- a/node/node.go
+++ b/node/node.go
@@ -180,12 +180,15 @@
 	}
 	n.callerListener = listener
 	n.callers = caller.New(caller.Options{
-		Admitter:     n,
-		Ready:        n.Ready,
-		NewID:        n.newID,
-		MaxBodyBytes: n.settings.MaxBodyBytes,
-		Count:        n.telemetry.CountRefusal,
-		Log:          n.log,
+		Admitter:       n,
+		Ready:          n.Ready,
+		NewID:          n.newID,
+		MaxBodyBytes:   n.settings.MaxBodyBytes,
+		MaxConnections: n.settings.MaxConnections,
+		MaxHeldBytes:   int64(n.settings.MaxHeldBytes),
+		Metrics:        n.telemetry,
+		Count:          n.telemetry.CountRefusal,
+		Log:            n.log,
 	})
 	n.operator, err = newOperatorServer(n)
 	if err != nil {
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -91,11 +92,13 @@
 
 // Limits of the values of settings.
 const (
-	minInterval  = 10 * time.Millisecond
-	maxInterval  = time.Minute
-	maxRequests  = 1 << 20
-	maxBodyBytes = 64 << 20
-	maxRecords   = 1 << 20
+	minInterval    = 10 * time.Millisecond
+	maxInterval    = time.Minute
+	maxRequests    = 1 << 20
+	maxBodyBytes   = 64 << 20
+	maxHeldBytes   = 64 << 30
+	maxConnections = 1 << 20
+	maxRecords     = 1 << 20
 )
 
 // check validates every field of s.
@@ -112,6 +115,11 @@
 	}
 	c.count("max_requests", s.MaxRequests, maxRequests)
 	c.count("max_body", s.MaxBodyBytes, maxBodyBytes)
+	c.count("max_held", s.MaxHeldBytes, maxHeldBytes)
+	if least := heldPerBody * cmp.Or(s.MaxBodyBytes, DefaultMaxBodyBytes); s.MaxHeldBytes != 0 && s.MaxHeldBytes < least {
+		c.fail("max_held", fmt.Sprint(s.MaxHeldBytes), fmt.Sprintf("at least %d times max_body, %d", heldPerBody, least))
+	}
+	c.count("max_connections", s.MaxConnections, maxConnections)
 	c.count("records", s.Records, maxRecords)
 	c.interval("poll_interval", s.PollInterval)
 	c.interval("vm_list_interval", s.VMListInterval)
--- a/node/settings/check_test.go
+++ b/node/settings/check_test.go
@@ -31,6 +31,8 @@
 		Platform:       []string{"127.0.0.1:9000"},
 		MaxRequests:    4096,
 		MaxBodyBytes:   1 << 20,
+		MaxHeldBytes:   64 << 20,
+		MaxConnections: 8192,
 		PollInterval:   100 * time.Millisecond,
 		VMListInterval: time.Second,
 		DrainTimeout:   10 * time.Minute,
@@ -72,3 +74,25 @@
 		t.Errorf("%d violations, want 8: %v", len(invalid.Violations), err)
 	}
 }
+
+// Guards against bodies of the largest size that are never served, since they do not fit.
+func TestHeldBytesHoldTheLargestBody(t *testing.T) {
+	const others = "vm: v\nzone: z\nlisten: {callers: \"127.0.0.1:1\", operators: \"127.0.0.1:2\"}\nplatform: [\"127.0.0.1:3\"]\n"
+	for text, valid := range map[string]bool{
+		"max_held: 4194304\n":                        true,
+		"max_held: 4194303\n":                        false,
+		"max_held: 4194303\nmax_body: 1048575\n":     true,
+		"max_body: 67108864\n":                       true,
+		"max_body: 67108864\nmax_held: 268435455\n":  false,
+		"max_connections: 1048576\n":                 true,
+		"max_connections: 1048577\nmax_body: 1000\n": false,
+	} {
+		s, err := Parse([]byte(others + text))
+		if (err == nil) != valid {
+			t.Errorf("%q: %v", text, err)
+		}
+		if err == nil && s.MaxHeldBytes < heldPerBody*s.MaxBodyBytes {
+			t.Errorf("%q: %d bytes for bodies of %d", text, s.MaxHeldBytes, s.MaxBodyBytes)
+		}
+	}
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -32,6 +32,13 @@
 	// MaxBodyBytes is the maximum size of a request body. Larger requests are
 	// refused with body_too_large. Default 1048576.
 	MaxBodyBytes int `yaml:"max_body,omitempty"`
+	// MaxHeldBytes is the maximum memory for the bodies of all requests that are being read or
+	// served, in bytes, at least heldPerBody times MaxBodyBytes. Default 67108864, or twice that
+	// least value if it is more.
+	MaxHeldBytes int `yaml:"max_held,omitempty"`
+	// MaxConnections is the maximum number of callers' connections. A connection takes up to 32 KB
+	// beside the memory of MaxHeldBytes. Default 8192.
+	MaxConnections int `yaml:"max_connections,omitempty"`
 	// PollInterval is the interval between load polls of an engine. A shorter
 	// interval detects failures earlier and costs more calls. Default 250ms.
 	PollInterval time.Duration `yaml:"poll_interval,omitempty"`
@@ -74,6 +81,8 @@
 const (
 	DefaultMaxRequests    = 4096
 	DefaultMaxBodyBytes   = 1 << 20
+	DefaultMaxHeldBytes   = 64 << 20
+	DefaultMaxConnections = 8192
 	DefaultPollInterval   = 250 * time.Millisecond
 	DefaultVMListInterval = time.Second
 	DefaultDrainTimeout   = 10 * time.Minute
@@ -81,11 +90,18 @@
 	DefaultLogLevel       = "info"
 )
 
+// heldPerBody is the number of times that the largest body fits into MaxHeldBytes at least: a body
+// is copied while it grows and once more when it is parsed, and a part of the memory is reserved
+// for small requests.
+const heldPerBody = 4
+
 // WithDefaults returns a copy of s in which zero fields have their defaults.
 // Fields without a default are unchanged.
 func (s Settings) WithDefaults() Settings {
 	s.MaxRequests = cmp.Or(s.MaxRequests, DefaultMaxRequests)
 	s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.MaxHeldBytes = cmp.Or(s.MaxHeldBytes, max(DefaultMaxHeldBytes, 2*heldPerBody*s.MaxBodyBytes))
+	s.MaxConnections = cmp.Or(s.MaxConnections, DefaultMaxConnections)
 	s.PollInterval = cmp.Or(s.PollInterval, DefaultPollInterval)
 	s.VMListInterval = cmp.Or(s.VMListInterval, DefaultVMListInterval)
 	s.DrainTimeout = cmp.Or(s.DrainTimeout, DefaultDrainTimeout)
