Long bodies keep the kernel's receive window while memory is free

Cause: a body above 64 KB had a receive buffer of 512 KB, at most net.core.rmem_max, in place of one that the kernel grows. Over a link with a delay a body of 4 MiB could take more round trips than before callers were bounded, also in calm. The 512 KB stayed reserved while it was served.

Change: if half of the bytes for callers stay free beside what is missing of the body, that is reserved and the kernel goes on choosing the buffer; otherwise the buffer is 512 KB as before. Once the body is read, the reservation is given back and the buffer is 32 KB.

The new test fails with a buffer that is always bounded.

--- a/adapter/forward/body.go
+++ b/adapter/forward/body.go
@@ -15,12 +15,16 @@
 )
 
 const (
-	// longBodyBytes is the size from which on a body has a receive buffer of longReceiveBytes, so
-	// that it arrives quickly over links with a delay. receiveBytes is the receive buffer of other
-	// connections that had one, and of those whose next requests are not read yet.
+	// longBodyBytes is the size from which on the receive buffer of a body is bounded. While much
+	// of the memory is free, the kernel goes on choosing its size, so that the body arrives quickly
+	// over links with a delay; otherwise it is longReceiveBytes.
 	longBodyBytes    = 64 << 10
 	longReceiveBytes = 512 << 10
-	receiveBytes     = 32 << 10
+	// receiveBytes is the receive buffer of connections that had a long body, and of those whose
+	// next requests are not read yet.
+	receiveBytes = 32 << 10
+	// kernelReceives stands for the size that the kernel chooses for a long body.
+	kernelReceives = -1
 	// progressStepBytes is the number of bytes after which progress is reported.
 	progressStepBytes = 4 << 10
 )
@@ -30,6 +34,10 @@
 	c    *callerConn
 	req  *fasthttp.Request
 	body *segment.Buffer
+	// limit is the length of the body if it is known, and the longest one otherwise.
+	limit int
+	// unread is the number of bytes that are reserved for the receive buffer of a long body.
+	unread int64
 	// unreported is the number of bytes whose arrival was not reported to the gate yet.
 	unreported int
 }
@@ -38,20 +46,26 @@
 // grows with the bytes that arrive. Errors: fasthttp.ErrBodyTooLarge, a *gate.ShedError, or those of the
 // connection and of the encoding.
 func (c *callerConn) readBody(req *fasthttp.Request, limit int) (*segment.Buffer, error) {
-	r := &bodyReader{c: c, req: req, body: &segment.Buffer{}}
+	r := &bodyReader{c: c, req: req, body: &segment.Buffer{}, limit: limit}
+	read := r.readChunks
 	if n := req.Header.ContentLength(); n != fasthttpChunked {
-		return r.body, r.readLength(max(n, 0))
+		r.limit = max(n, 0)
+		read = r.readLength
 	}
-	return r.body, r.readChunks(limit)
+	if err := read(); err != nil {
+		return r.body, err
+	}
+	r.releaseReceiveBuffer()
+	return r.body, nil
 }
 
 // fasthttpChunked is what fasthttp returns as the length of a body in chunks.
 const fasthttpChunked = -1
 
-// readLength reads a body of n bytes.
-func (r *bodyReader) readLength(n int) error {
-	for r.body.Len() < n {
-		if err := r.readSome(r.c.r, n-r.body.Len()); err != nil {
+// readLength reads a body of limit bytes.
+func (r *bodyReader) readLength() error {
+	for r.body.Len() < r.limit {
+		if err := r.readSome(r.c.r, r.limit-r.body.Len()); err != nil {
 			if errors.Is(err, io.EOF) {
 				return io.ErrUnexpectedEOF
 			}
@@ -62,13 +76,13 @@
 }
 
 // readChunks reads a body in chunks, of at most limit bytes, and its trailers.
-func (r *bodyReader) readChunks(limit int) error {
+func (r *bodyReader) readChunks() error {
 	chunks := httputil.NewChunkedReader(r.c.r)
 	for {
 		// One byte more shows that the body is too long.
-		err := r.readSome(chunks, limit+1-r.body.Len())
+		err := r.readSome(chunks, r.limit+1-r.body.Len())
 		switch {
-		case r.body.Len() > limit:
+		case r.body.Len() > r.limit:
 			return fasthttp.ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
 			return r.c.parse(r.req.Header.ReadTrailer)
@@ -87,17 +101,55 @@
 		r.unreported = 0
 	}
 	if before < longBodyBytes && r.body.Len() >= longBodyBytes {
-		if shed := r.c.reserve(longReceiveBytes); shed != nil {
+		if shed := r.sizeReceiveBuffer(); shed != nil {
 			return shed
 		}
-		r.c.setReceiveBuffer(longReceiveBytes)
 	}
 	return err
 }
 
+// sizeReceiveBuffer reserves the memory of the receive buffer of a long body. The error is a
+// *gate.ShedError.
+func (r *bodyReader) sizeReceiveBuffer() error {
+	r.unread = int64(max(r.limit-r.body.Len(), longReceiveBytes))
+	if r.c.hold.ReserveSpare(r.unread) {
+		r.c.unboundReceiveBuffer()
+		return nil
+	}
+	r.unread = longReceiveBytes
+	if err := r.c.reserve(r.unread); err != nil {
+		return err
+	}
+	r.c.setReceiveBuffer(longReceiveBytes)
+	return nil
+}
+
+// releaseReceiveBuffer gives back the memory of the receive buffer of a long body that was read.
+func (r *bodyReader) releaseReceiveBuffer() {
+	if r.unread > 0 {
+		r.c.setReceiveBuffer(receiveBytes)
+		r.c.hold.Release(r.unread)
+	}
+}
+
+// unboundReceiveBuffer lets the kernel choose the size of the receive buffer.
+func (c *callerConn) unboundReceiveBuffer() {
+	if c.receiveBuffer != 0 {
+		c.setReceiveBuffer(longReceiveBytes)
+		c.setSocketOption(unix.SO_BUF_LOCK, 0)
+	}
+	c.receiveBuffer = kernelReceives
+}
+
 // setReceiveBuffer bounds the bytes that the kernel holds for the connection while they are not
 // read.
 func (c *callerConn) setReceiveBuffer(bytes int) {
+	c.setSocketOption(unix.SO_RCVBUF, bytes)
+	c.receiveBuffer = bytes
+}
+
+// setSocketOption sets an option of the socket. Without effect the kernel keeps what it has chosen.
+func (c *callerConn) setSocketOption(option, value int) {
 	conn, ok := c.conn.(syscall.Conn)
 	if !ok {
 		return
@@ -106,10 +158,8 @@
 	if err != nil {
 		return // The connection is closed.
 	}
-	c.receiveBuffer = bytes
 	_ = raw.Control(func(fd uintptr) {
-		// Without effect the kernel keeps the size that it has chosen.
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, value)
 	})
 }
 
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -68,7 +68,8 @@
 	hold *gate.Conn
 	// bufferBytes is the size of a read buffer larger than the usual one, 0 for the usual one.
 	bufferBytes int64
-	// receiveBuffer is the size of the kernel's receive buffer, 0 while the kernel chooses it.
+	// receiveBuffer is the size of the kernel's receive buffer, 0 until the server has set it, or
+	// kernelReceives.
 	receiveBuffer int
 }
 
@@ -98,9 +99,6 @@
 	if cap(c.out) > maxKeptOutputBytes {
 		c.out = nil
 	}
-	if c.receiveBuffer != 0 && c.receiveBuffer != receiveBytes {
-		c.setReceiveBuffer(receiveBytes)
-	}
 	c.hold.KeepOnly(c.bufferBytes)
 	return c.hold.Enter(intake.Waiting)
 }
--- a/adapter/forward/full_test.go
+++ b/adapter/forward/full_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"mimosaarch.example/decide/intake"
 )
@@ -106,3 +108,69 @@
 		}
 	}
 }
+
+// receiveBuffer returns the size of the receive buffer of the only connection, and whether it is
+// bounded.
+func (r *testServer) receiveBuffer(t *testing.T) (bytes int, bounded bool) {
+	t.Helper()
+	r.Server.mu.Lock()
+	defer r.Server.mu.Unlock()
+	for c := range r.conns {
+		raw, err := c.conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = raw.Control(func(fd uintptr) {
+			lock, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BUF_LOCK)
+			if err != nil {
+				t.Error(err)
+			}
+			const receiveLocked = 2
+			bounded = lock&receiveLocked != 0
+			if bytes, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); err != nil {
+				t.Error(err)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return bytes, bounded
+}
+
+// Guards against long bodies that take longer over links with a delay although memory is free, and
+// against connections that keep what the kernel has chosen.
+func TestReceiveBufferOfALongBodyIsBoundedOnlyIfMemoryIsShort(t *testing.T) {
+	for memory, wantBounded := range map[int64]bool{64 << 20: false, 8 << 20: true} {
+		r := newLimitedTestServer(t, intake.Limits{Bytes: memory}, newFakeUpstream(t, "a", "plain", okReply("ok")))
+		close(r.ready)
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		for i := range 2 {
+			if _, err := fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nQ-Id: long%d\r\nQ-Key: key\r\nContent-Length: %d\r\n\r\n%s", i, defaultMaxBodyBytes, strings.Repeat("b", defaultMaxBodyBytes-1)); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the body is read but for a byte", func() bool {
+				held, _ := r.Held()
+				return held >= defaultMaxBodyBytes
+			})
+			if bytes, bounded := r.receiveBuffer(t); bounded != wantBounded || bytes <= 2*receiveBytes {
+				t.Errorf("memory of %d bytes, body %d: receive buffer of %d bytes, bounded %v", memory, i, bytes, bounded)
+			}
+			if _, err := io.WriteString(conn, "b"); err != nil {
+				t.Fatal(err)
+			}
+			var resp fasthttp.Response
+			if err := resp.Read(in); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+				t.Errorf("memory of %d bytes, body %d: status %d, %v", memory, i, resp.StatusCode(), err)
+			}
+			if bytes, bounded := r.receiveBuffer(t); !bounded || bytes != 2*receiveBytes {
+				t.Errorf("memory of %d bytes, after body %d: receive buffer of %d bytes, bounded %v", memory, i, bytes, bounded)
+			}
+		}
+	}
+}
--- a/adapter/gate/gate.go
+++ b/adapter/gate/gate.go
@@ -129,6 +129,15 @@
 	}
 }
 
+// ReserveSpare lets the connection hold n more bytes if much of the memory stays free. It reports
+// whether it does.
+func (c *Conn) ReserveSpare(n int64) bool {
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.ReserveSpare(c.hold, n)
+}
+
 // KeepOnly gives back what the connection holds beyond n bytes.
 func (c *Conn) KeepOnly(n int64) {
 	g := c.gate
--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -26,6 +26,8 @@
 	reservedFraction = 0.25
 	// progressBytes is the number of bytes whose arrival or delivery counts as progress.
 	progressBytes = 16 << 10
+	// spareFraction is the part of the bytes that stays free beside those granted as spare ones.
+	spareFraction = 0.5
 	// stalledAfter is the time without progress from which on a connection counts as stalled.
 	stalledAfter = time.Second
 )
@@ -228,6 +230,19 @@
 	return Verdict{Wait: true, Revoke: revoked}
 }
 
+// ReserveSpare asks for n more bytes that a connection can do without. They are granted only if
+// much of the memory stays free, and nothing is revoked for them.
+func (t *Table) ReserveSpare(c *Conn, n int64) bool {
+	if c.revoked != "" {
+		return false
+	}
+	if t.limits.Bytes > 0 && t.held+n > int64(float64(t.limits.Bytes)*(1-spareFraction)) {
+		return false
+	}
+	t.add(c, n)
+	return true
+}
+
 // fits reports whether a connection may hold n more bytes once some are given back, of which
 // large connections hold freedOfLarge.
 func (t *Table) fits(c *Conn, n, freed, freedOfLarge int64) bool {
--- a/decide/intake/intake_test.go
+++ b/decide/intake/intake_test.go
@@ -145,7 +145,7 @@
 				}
 				i := r.IntN(len(conns))
 				c := conns[i]
-				switch r.IntN(6) {
+				switch r.IntN(7) {
 				case 0:
 					table.Close(c)
 					conns = append(conns[:i], conns[i+1:]...)
@@ -155,6 +155,11 @@
 					table.Progress(c, r.IntN(2*progressBytes), now)
 				case 3:
 					table.Release(c, r.Int64N(c.Held()+1))
+				case 4:
+					n := r.Int64N(mb)
+					if held := table.held; table.ReserveSpare(c, n) != (held+n <= limits.Bytes/2 && c.revoked == "") {
+						t.Fatalf("%d spare bytes beside %d", n, held)
+					}
 				default:
 					n := r.Int64N(mb)
 					v := table.Reserve(c, n, now)
