mimosad counts long answers until its callers take them

Cause: an answer of a plain service was held until its caller had taken it, up to the write timeout of 5 s, and not counted. The sum was bounded by max_requests times max_body only.

Change: an answer above 16 KB is reserved when it is delivered. One of which nothing is taken for a second gives way, and its connection is closed; one for which there is no room ends with node_full and an unknown outcome, since the call has run.

--- a/adapter/caller/answer.go
+++ b/adapter/caller/answer.go
@@ -125,11 +125,15 @@
 }
 
 // writePlain writes the answer of a plain service unchanged, or an error if
-// there is none.
-func writePlain(ctx *fasthttp.RequestCtx, c *call.Call) {
-	a := c.Answer()
+// there is none or no memory for it.
+func (x *exchange) writePlain(ctx *fasthttp.RequestCtx) {
+	a := x.call.Answer()
 	if a == nil {
-		writeError(ctx, c.ID, &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.UpstreamInvalid, Detail: "no answer came"})
+		writeError(ctx, x.id, &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.UpstreamInvalid, Detail: "no answer came"})
+		return
+	}
+	if x.conn.deliver(len(a.Body)) != nil {
+		writeError(ctx, x.id, &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.NodeFull, Detail: "the node has no memory left for the answer"})
 		return
 	}
 	ctx.Response.Header.SetNoDefaultContentType(true)
@@ -138,7 +142,7 @@
 		ctx.Response.Header.Add(pair[0], pair[1])
 	}
 	ctx.SetBody(a.Body)
-	setOutcome(ctx, c.ID, outcome.Complete)
+	setOutcome(ctx, x.id, outcome.Complete)
 }
 
 // writeJSON writes v as JSON with a status. If v cannot be encoded, it writes
--- a/adapter/caller/body_test.go
+++ b/adapter/caller/body_test.go
@@ -1,11 +1,14 @@
 package caller
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"mimosaarch.example/adapter/call"
 	"mimosaarch.example/core/outcome"
 )
 
@@ -82,6 +85,50 @@
 	}
 }
 
+// Guards against answers that their callers do not take and whose sum exceeds the memory.
+func TestAnswersThatAreNotTakenGiveWay(t *testing.T) {
+	const answerBytes, memory = 8 << 20, 32 << 20
+	counted := &revokedCounter{}
+	b := startServer(t, func(o *Options) { o.MaxHeldBytes, o.Now, o.Metrics = memory, time.Now, counted })
+	answer := func() {
+		a := <-b.admitted
+		a.call.SetAnswer(call.PlainAnswer{Status: 200, Body: bytes.Repeat([]byte("a"), answerBytes)})
+		a.call.Finish(nil)
+	}
+	for range 12 {
+		c := b.dial(t)
+		must(t, c.SetReadBuffer(4<<10))
+		c.send(raw("GET", ServicesPath+"booking/x", ""))
+		answer()
+		if held, _ := b.server.gate.Held(); held > memory {
+			t.Fatalf("%d bytes are held, limit %d", held, memory)
+		}
+	}
+	// An answer that is not taken gives way after a second.
+	time.Sleep(1500 * time.Millisecond)
+	for range 3 {
+		c := b.dial(t).send(raw("GET", ServicesPath+"booking/x", ""))
+		answer()
+		resp, text := c.readAnswer()
+		if resp.StatusCode() != 200 || len(text) != answerBytes {
+			t.Errorf("status %d, %d bytes", resp.StatusCode(), len(text))
+		}
+	}
+	if counted.revoked.Load() == 0 {
+		t.Error("no answer gave way")
+	}
+}
+
+// revokedCounter counts connections that gave way.
+type revokedCounter struct{ revoked atomic.Int64 }
+
+// Add implements gate.Metrics.
+func (c *revokedCounter) Add(name string, n int64) {
+	if name == "intake.revoked.memory" {
+		c.revoked.Add(n)
+	}
+}
+
 // Guards against memory that a connection keeps after its request.
 func TestConnectionWithoutRequestHoldsNothing(t *testing.T) {
 	b := startServer(t, func(o *Options) { o.MaxBodyBytes = 1 << 20 })
--- a/adapter/caller/conn.go
+++ b/adapter/caller/conn.go
@@ -56,15 +56,37 @@
 	hold *gate.Conn
 	// interrupted is set once the connection is revoked, closed once it is closed.
 	interrupted, closed atomic.Bool
+	// delivering is true while a long answer is written.
+	delivering atomic.Bool
 }
 
-// interrupt ends reads, since the connection is revoked.
+// interrupt ends reads, since the connection is revoked, and the write of a long answer.
 func (c *conn) interrupt() {
 	c.interrupted.Store(true)
 	// A connection that is closed already needs no deadline.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	if c.delivering.Load() {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+// deliver prepares the connection for a long answer of n bytes. The error is a *gate.ShedError.
+func (c *conn) deliver(n int) error {
+	if c == nil || n <= longAnswerBytes {
+		return nil
+	}
+	if err := c.hold.Reserve(int64(n)); err != nil {
+		return err
+	}
+	c.delivering.Store(true)
+	c.hold.Enter(intake.Delivering)
+	return nil
 }
 
+// longAnswerBytes is the size from which on an answer is counted while it is written. A shorter one
+// fits into the socket's buffer.
+const longAnswerBytes = 16 << 10
+
 // SetReadDeadline implements net.Conn. Reads of a revoked connection stay ended.
 func (c *conn) SetReadDeadline(at time.Time) error {
 	if err := c.Conn.SetReadDeadline(at); err != nil || !c.interrupted.Load() {
@@ -88,6 +110,7 @@
 
 // finishRequest gives back what a request and its response have held.
 func (c *conn) finishRequest() {
+	c.delivering.Store(false)
 	c.hold.KeepOnly(0)
 	c.hold.Enter(intake.Waiting)
 }
@@ -112,9 +135,32 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	if !c.delivering.Load() {
+		return c.Conn.Write(p)
+	}
+	if c.interrupted.Load() {
+		return 0, c.hold.Revoked()
+	}
+	return c.writeInSteps(p)
 }
 
+// writeInSteps writes a part of a long answer and reports its progress.
+func (c *conn) writeInSteps(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		n, err := c.Conn.Write(p[written:min(written+writeStepBytes, len(p))])
+		written += n
+		c.hold.Progress(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// writeStepBytes is the number of bytes of a long answer after which progress is reported.
+const writeStepBytes = 64 << 10
+
 // Close implements io.Closer.
 func (c *conn) Close() error {
 	if c.linger.CompareAndSwap(true, false) {
--- a/adapter/caller/exchange.go
+++ b/adapter/caller/exchange.go
@@ -74,7 +74,7 @@
 		writeCompletion(ctx, x.call, text)
 		return
 	}
-	writePlain(ctx, x.call)
+	x.writePlain(ctx)
 }
 
 // answerStream waits for the first token or the end of the call, which decides
--- a/adapter/caller/options.go
+++ b/adapter/caller/options.go
@@ -68,8 +68,8 @@
 	// MaxConnections limits the open connections. One beyond it replaces one that has made no
 	// progress for longest, if there is one that serves no request.
 	MaxConnections int
-	// MaxHeldBytes limits what all connections together hold of their requests' bodies. It should
-	// be several times MaxBodyBytes.
+	// MaxHeldBytes limits what all connections together hold of their requests' bodies and of long
+	// answers. It should be several times MaxBodyBytes.
 	MaxHeldBytes int64
 	// Metrics counts the connections that give way. Nil means that they are not counted.
 	Metrics gate.Metrics
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -33,7 +33,7 @@
 	// refused with body_too_large. Default 1048576.
 	MaxBodyBytes int `yaml:"max_body,omitempty"`
 	// MaxHeldBytes is the maximum memory for the bodies of all requests that are being read or
-	// served, in bytes, at least heldPerBody times MaxBodyBytes. Default 67108864, or twice that
+	// served, and for long answers that are being delivered, in bytes, at least heldPerBody times MaxBodyBytes. Default 67108864, or twice that
 	// least value if it is more.
 	MaxHeldBytes int `yaml:"max_held,omitempty"`
 	// MaxConnections is the maximum number of callers' connections. A connection takes up to 32 KB
