A request whose connection gives way as its body ends is refused

Cause: between the last byte of a body and the state of being served the connection may be revoked. mimosad served such a request, while the ones that wait for its memory waited until its answer.

Change: it is refused with node_full, as in mimosa-entry; it has not run.

Measured: go test -race ./adapter/caller passes; the moment itself is found by reading and has no test.

--- a/adapter/caller/body.go
+++ b/adapter/caller/body.go
@@ -38,20 +38,20 @@
 	unreported int
 }
 
-// readBody reads the body of a request.
+// readBody reads the body of a request. After it the request is served, and its connection does
+// not give way any more.
 func (x *exchange) readBody(ctx *fasthttp.RequestCtx) *outcome.Error {
-	from := ctx.RequestBodyStream()
-	if from == nil {
-		return nil
+	if !x.conn.enter(intake.Reading) {
+		return shedRefusal()
 	}
-	r := &bodyReader{conn: x.conn, from: from, limit: x.server.options.MaxBodyBytes, announced: ctx.Request.Header.ContentLength()}
-	if err := r.read(); err != nil {
-		if shed := x.conn.revokedError(); shed != nil {
-			err = shed
+	r := &bodyReader{conn: x.conn, from: ctx.RequestBodyStream(), limit: x.server.options.MaxBodyBytes, announced: ctx.Request.Header.ContentLength()}
+	if r.from != nil {
+		if err := r.read(); err != nil && !x.conn.isRevoked() {
+			return refusalOfReadError(err)
 		}
-		// Other requests may wait for the memory.
-		x.conn.keepNothing()
-		return refusalOfReadError(err)
+	}
+	if !x.conn.enter(intake.Serving) {
+		return shedRefusal()
 	}
 	x.body = r.body
 	return nil
@@ -117,51 +117,6 @@
 	return outcome.Refuse(outcome.NodeFull, "the node has no memory left for the request", wait)
 }
 
-// enter changes what the connection is doing. Like the methods below it does nothing for a nil
-// connection, one that was not accepted by a listener of this package.
-func (c *conn) enter(s intake.State) {
-	if c != nil {
-		c.hold.Enter(s)
-	}
-}
-
-// reserve waits until the connection may hold n more bytes. The error is a *gate.ShedError.
-func (c *conn) reserve(n int64) error {
-	if c == nil {
-		return nil
-	}
-	return c.hold.Reserve(n)
-}
-
-// release gives back n bytes.
-func (c *conn) release(n int64) {
-	if c != nil {
-		c.hold.Release(n)
-	}
-}
-
-// keepNothing gives back all that the connection holds.
-func (c *conn) keepNothing() {
-	if c != nil {
-		c.hold.KeepOnly(0)
-	}
-}
-
-// progress records that n bytes have arrived.
-func (c *conn) progress(n int) {
-	if c != nil {
-		c.hold.Progress(n)
-	}
-}
-
-// revokedError returns a *gate.ShedError if the connection is revoked.
-func (c *conn) revokedError() error {
-	if c == nil {
-		return nil
-	}
-	return c.hold.Revoked()
-}
-
 // isShed reports whether an error is a *gate.ShedError.
 func isShed(err error) bool {
 	var shed *gate.ShedError
--- a/adapter/caller/conn.go
+++ b/adapter/caller/conn.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"mimosaarch.example/adapter/gate"
-	"mimosaarch.example/decide/intake"
 )
 
 // Limits of a lingering close.
@@ -60,33 +59,6 @@
 	delivering atomic.Bool
 }
 
-// interrupt ends reads, since the connection is revoked, and the write of a long answer.
-func (c *conn) interrupt() {
-	c.interrupted.Store(true)
-	// A connection that is closed already needs no deadline.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	if c.delivering.Load() {
-		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
-	}
-}
-
-// deliver prepares the connection for a long answer of n bytes. The error is a *gate.ShedError.
-func (c *conn) deliver(n int) error {
-	if c == nil || n <= longAnswerBytes {
-		return nil
-	}
-	if err := c.hold.Reserve(int64(n)); err != nil {
-		return err
-	}
-	c.delivering.Store(true)
-	c.hold.Enter(intake.Delivering)
-	return nil
-}
-
-// longAnswerBytes is the size from which on an answer is counted while it is written. A shorter one
-// fits into the socket's buffer.
-const longAnswerBytes = 16 << 10
-
 // SetReadDeadline implements net.Conn. Reads of a revoked connection stay ended.
 func (c *conn) SetReadDeadline(at time.Time) error {
 	if err := c.Conn.SetReadDeadline(at); err != nil || !c.interrupted.Load() {
@@ -95,26 +67,6 @@
 	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// lingerUnlessUnwanted makes Close discard what the caller still sends, unless the connection has
-// to give way to new ones.
-func (c *conn) lingerUnlessUnwanted() {
-	if c == nil {
-		return
-	}
-	var shed *gate.ShedError
-	if errors.As(c.hold.Revoked(), &shed) && shed.Reason == intake.Connections {
-		return
-	}
-	c.linger.Store(true)
-}
-
-// finishRequest gives back what a request and its response have held.
-func (c *conn) finishRequest() {
-	c.delivering.Store(false)
-	c.hold.KeepOnly(0)
-	c.hold.Enter(intake.Waiting)
-}
-
 // Read implements io.Reader. It reports an EOF within a request as
 // io.ErrUnexpectedEOF, because fasthttp would treat some of these as the end of
 // an idle connection and send no answer.
@@ -144,23 +96,6 @@
 	return c.writeInSteps(p)
 }
 
-// writeInSteps writes a part of a long answer and reports its progress.
-func (c *conn) writeInSteps(p []byte) (int, error) {
-	written := 0
-	for written < len(p) {
-		n, err := c.Conn.Write(p[written:min(written+writeStepBytes, len(p))])
-		written += n
-		c.hold.Progress(n)
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
-
-// writeStepBytes is the number of bytes of a long answer after which progress is reported.
-const writeStepBytes = 64 << 10
-
 // Close implements io.Closer.
 func (c *conn) Close() error {
 	if c.linger.CompareAndSwap(true, false) {
--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -82,14 +82,14 @@
 	}
 	x := &exchange{server: s, id: s.options.NewID()}
 	x.conn, _ = ctx.Conn().(*conn)
-	x.conn.enter(intake.Reading)
 	if refusal := x.readBody(ctx); refusal != nil {
-		ctx.SetConnectionClose()
+		// Other requests may wait for the memory.
+		x.conn.keepNothing()
 		x.conn.lingerUnlessUnwanted()
+		ctx.SetConnectionClose()
 		s.refuse(ctx, x, refusal)
 		return
 	}
-	x.conn.enter(intake.Serving)
 	arrived, refusal := x.parse(ctx)
 	if refusal != nil {
 		s.refuse(ctx, x, refusal)
