mimosad tells what its callers' connections hold

Cause: a crowd and a shortage look alike without the bytes held and the number of connections, which only mimosa-entry told.

--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -62,6 +62,9 @@
 	return s.http.Serve(&listener{Listener: l, writeTimeout: s.options.WriteTimeout, gate: s.gate})
 }
 
+// Held returns the number of bytes that callers' connections hold, and the number of connections.
+func (s *Server) Held() (bytes int64, connections int) { return s.gate.Held() }
+
 // Shutdown stops accepting connections, closes idle ones and waits until all
 // open requests are answered. If ctx ends first, it returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/node/node.go
+++ b/node/node.go
@@ -190,6 +190,14 @@
 		Count:          n.telemetry.CountRefusal,
 		Log:            n.log,
 	})
+	n.telemetry.Gauge("intake.held_bytes", func() int64 {
+		bytes, _ := n.callers.Held()
+		return bytes
+	})
+	n.telemetry.Gauge("intake.connections", func() int64 {
+		_, connections := n.callers.Held()
+		return int64(connections)
+	})
 	n.operator, err = newOperatorServer(n)
 	if err != nil {
 		_ = listener.Close()
