An announced body that is too large is refused before it comes

Cause: since bodies are streams, fasthttp waits for the first 8 KB of a body before it calls the handler, so mimosad refused an announced body that is too large only once those had come, or after the read timeout of 30 s.

Change: the length is checked when the head was read. The request is marked by a header that callers cannot set, and its body is left unread.

--- a/adapter/caller/body.go
+++ b/adapter/caller/body.go
@@ -41,6 +41,9 @@
 // readBody reads the body of a request. After it the request is served, and its connection does
 // not give way any more.
 func (x *exchange) readBody(ctx *fasthttp.RequestCtx) *outcome.Error {
+	if len(ctx.Request.Header.Peek(tooLargeHeader)) > 0 {
+		return refusalOfReadError(fasthttp.ErrBodyTooLarge)
+	}
 	if !x.conn.enter(intake.Reading) {
 		return shedRefusal()
 	}
@@ -57,12 +60,23 @@
 	return nil
 }
 
+// tooLargeHeader marks a request whose announced body is too large. Callers cannot set it.
+const tooLargeHeader = "Mimosa-Body-Too-Large"
+
+// markTooLarge marks a request with an announced body that is too large and makes fasthttp leave
+// the body unread. It would wait for the first bytes of a body before it calls the handler.
+func (s *Server) markTooLarge(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	h.Del(tooLargeHeader)
+	if h.ContentLength() > s.options.MaxBodyBytes {
+		h.SetContentLength(0)
+		h.Set(tooLargeHeader, "1")
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // read reads until the body ends. The error is fasthttp.ErrBodyTooLarge, a *gate.ShedError, or
 // that of the connection or of the encoding.
 func (r *bodyReader) read() error {
-	if r.announced > r.limit {
-		return fasthttp.ErrBodyTooLarge
-	}
 	for {
 		if err := r.grow(); err != nil {
 			return err
--- a/adapter/caller/body_test.go
+++ b/adapter/caller/body_test.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// Guards against a refusal that waits for a body, although its announced length says that it is
+// too large.
+func TestAnnouncedBodyThatIsTooLargeIsRefusedAtOnce(t *testing.T) {
+	b := startServer(t, nil)
+	for _, sent := range []string{"", "s"} {
+		c := b.dial(t).send(partOf(1001, sent))
+		must(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		if resp, text := c.readAnswer(); resp.StatusCode() != 413 || detail(t, text).Reason != outcome.BodyTooLarge || !resp.ConnectionClose() {
+			t.Errorf("status %d: %s", resp.StatusCode(), text)
+		}
+	}
+	c := b.dial(t).send(raw("POST", ServicesPath+"booking/x", "b", tooLargeHeader+": 1"))
+	if n := serveOne(t, b, c); n != 1 {
+		t.Errorf("a body of 1 byte arrived with %d", n)
+	}
+}
+
 func TestBodiesInChunksAreReadUpToTheLimit(t *testing.T) {
 	b := startServer(t, nil)
 	for surplus, want := range []int{503, 413} {
--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -41,6 +41,7 @@
 		// The gate bounds the connections. Some that it has closed may still be counted here.
 		Concurrency:                  2 * o.MaxConnections,
 		ConnState:                    recordState,
+		HeaderReceived:               s.markTooLarge,
 		StreamRequestBody:            true,
 		ReadBufferSize:               o.MaxHeaderBytes,
 		MaxRequestBodySize:           o.MaxBodyBytes,
