--- a/review/standins2/spoiled.go
+++ b/review/standins2/spoiled.go
@@ -42,7 +42,6 @@
 		var all, answers atomic.Int64
 		e.closes = func() bool { return all.Add(1)%closeEvery == 0 }
 		if i == 0 { // a share of 0.35 of three engines
-			answers.Store(spoilEvery / 2)
 			e.spoils = func(first bool) bool {
 				if !active.Load() || answers.Add(1) < spoilEvery || !first {
 					return false
