--- a/review/standins2/drain.go
+++ b/review/standins2/drain.go
@@ -18,6 +18,9 @@
 	leavingTime = 8 * time.Second
 	// calmTime is the time from the restart to the leaving, without any disruption.
 	calmTime = 12 * time.Second
+	// slowWorkTime is how long the other two engines work on a request. Engines of a service differ in
+	// speed; with slower ones beside it the added engine gets requests at once.
+	slowWorkTime = 45 * time.Millisecond
 	// pressInterval is the mean pause between two requests.
 	pressInterval = 25 * time.Millisecond
 )
@@ -33,9 +36,11 @@
 	s.set("config", "main", plainConfig("booking-api"))
 	never := func(*http.Request) bool { return false }
 	for i, zone := range []string{"szeged-b", "kecskemet"} {
-		if _, err := startEngine([]string{"i-81b2e7d4", "i-c3907a5e"}[i], "booking-api", zone, s, rec, never, 0); err != nil {
+		other, err := startEngine([]string{"i-81b2e7d4", "i-c3907a5e"}[i], "booking-api", zone, s, rec, never, 0)
+		if err != nil {
 			return failed, err
 		}
+		other.work = slowWorkTime
 	}
 	env.nodes, err = startNodes([]string{"szeged-a", "szeged-b", "kecskemet", "szeged-a", "szeged-b", "kecskemet"}, s.address, env.dir)
 	if err != nil {
@@ -63,7 +68,7 @@
 	time.Sleep(calmTime)
 	if rec.runsAfter(leaving, time.Now().Add(-calmTime/2)) == 0 {
 		rec.add("the engine gets no requests, so that nothing can be said of its leaving")
-		return held, nil
+		return failed, nil
 	}
 	accepted := e.drain()
 	time.Sleep(leavingTime)
--- a/review/standins2/engine.go
+++ b/review/standins2/engine.go
@@ -36,6 +36,8 @@
 	// newIDs is true if the engine starts under a new id after a crash. Its entry of before expires.
 	newIDs bool
 	lives  int
+	// work is how long the engine works on a request.
+	work time.Duration
 	// spoils, unless nil, reports whether the engine answers a request with bytes that belong to
 	// none. first is true for the first request of a connection.
 	spoils func(first bool) bool
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, base: id, service: service, zone: zone, address: l.Addr().String(), store: s, record: rec, deadly: deadly, clockAhead: clockAhead}
+	e := &engine{id: id, base: id, service: service, zone: zone, address: l.Addr().String(), store: s, record: rec, deadly: deadly, clockAhead: clockAhead, work: workTime}
 	e.serve(l)
 	go e.heartbeats()
 	return e, nil
@@ -198,7 +200,7 @@
 	}
 	e.record.add("engine %s (born %d) runs request %s %s", id, born, request, r.URL.Path)
 	e.record.ran(request, id)
-	ctx, cancel := context.WithTimeout(r.Context(), workTime)
+	ctx, cancel := context.WithTimeout(r.Context(), e.work)
 	defer cancel()
 	<-ctx.Done()
 	if e.deadly(r) {
