Only a signed answer with the request's id is passed on

Cause: forward's readHead decided by the id alone. A response now counts as an answer only if it is final, has the request's id and a signature; refusals need neither, as before. Anything else ends the attempt as invalid: the request may have run, so it is not repeated unless it may be, the connection is closed, and the upstream is not taken for crashed. This holds for plain requests, streams, resumed streams and detours, which share readHead, and for failures, since an unsigned 503 would be the node's own promise that nothing ran. The fakes of forward's tests now sign their streams, as engines do.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -151,9 +151,9 @@
 			return a.readFailed(err)
 		}
 		id := string(resp.Head.Peek(a.x.server.opts.Headers.RequestID))
+		// A new connection has carried no other request that the response could belong to.
 		if id == a.x.id || id == "" && !a.conn.Reused() {
-			a.resp = resp
-			return a.checkRefusal(a.recordRequests())
+			return a.acceptHead(resp)
 		}
 		a.x.count("upstream.foreign_answer")
 		if err := resp.Discard(); err != nil {
@@ -163,6 +163,20 @@
 	return a.readFailed(&upconn.FramingError{Cause: errForeignResponses})
 }
 
+// acceptHead takes a response head that can belong to no other request. It returns a failure if the
+// response is a refusal, or if it does not prove to be the upstream's answer to this request.
+func (a *attempt) acceptHead(resp *upconn.Response) *failure {
+	headers := &a.x.server.opts.Headers
+	if !isRefusal(&resp.Head, headers) {
+		if err := checkProvenance(&resp.Head, headers, a.x.id); err != nil {
+			a.x.count("upstream.unproven_answer")
+			return a.readFailed(err)
+		}
+	}
+	a.resp = resp
+	return a.checkRefusal(a.recordRequests())
+}
+
 // errForeignResponses is the cause when a connection delivers too many responses to
 // other requests.
 var errForeignResponses = &outcome.Error{Outcome: outcome.Unknown, Reason: outcome.UpstreamInvalid, Detail: "too many responses to other requests"}
@@ -172,8 +186,7 @@
 func (a *attempt) checkRefusal(rest time.Duration) *failure {
 	head := &a.resp.Head
 	status := head.StatusCode()
-	notRun := len(head.Peek(a.x.server.opts.Headers.NotRun)) > 0
-	if !notRun && status != statusMisdirected {
+	if !isRefusal(head, &a.x.server.opts.Headers) {
 		return nil
 	}
 	reason := outcome.UpstreamBusy
@@ -211,12 +224,13 @@
 	var silent *upconn.ReadTimeoutError
 	var framing *upconn.FramingError
 	var shed *gate.ShedError
+	var unproven *UnprovenAnswerError
 	switch {
 	case errors.As(err, &shed):
 		f.phase, f.reason = outcome.Started, outcome.NodeFull
 	case errors.As(err, &silent):
 		f.reason = outcome.UpstreamStalled
-	case errors.As(err, &framing):
+	case errors.As(err, &framing), errors.As(err, &unproven):
 		f.reason = outcome.UpstreamInvalid
 	}
 	f.brokeOff = a.resp == nil && f.connectionEnded() && a.conn.FirstExchange()
--- a/adapter/forward/cut_test.go
+++ b/adapter/forward/cut_test.go
@@ -14,7 +14,7 @@
 	"length":        {"HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Length: 16\r\nContent-Type: text/event-stream\r\n\r\n", "id: 1\ndata: e1\n\n"},
 	"chunks":        {"HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n"},
 	"no length":     {"HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\n\r\n", "id: 1\ndata: e1\n\n"},
-	"after interim": {"HTTP/1.1 103 Early Hints\r\nQ-Id: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nQ-Id: %s\r\nContent-Length: 16\r\n\r\n", "id: 1\ndata: e1\n\n"},
+	"after interim": {"HTTP/1.1 103 Early Hints\r\nQ-Id: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Length: 16\r\n\r\n", "id: 1\ndata: e1\n\n"},
 	"refusal":       {"HTTP/1.1 503 Busy\r\nQ-Id: %s\r\nQ-Not-Run: 1\r\nContent-Length: 4\r\n\r\n", "full"},
 }
 
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -33,7 +33,7 @@
 
 // testHeaders are the headers of a protocol that exists only in these tests.
 var testHeaders = Headers{
-	RequestID: "Q-Id", DeadlineMs: "Q-Left", Key: "Q-Key", Account: "Q-Account", ExpectUpstream: "Q-Expect",
+	RequestID: "Q-Id", Signature: "Q-Seal", DeadlineMs: "Q-Left", Key: "Q-Key", Account: "Q-Account", ExpectUpstream: "Q-Expect",
 	NotRun: "Q-Not-Run", FaultyStage: "Q-Fault", Stages: "Q-Stages", Priority: "Q-Rank", TokenCounts: "Q-Tokens", PromptParts: "Q-Parts",
 	LengthHint: "Q-Hint", LastEventID: "Q-Last", Load: "Q-Load", RateLimit: "Q-Limit", Leaving: "Q-Leaving",
 }
@@ -123,7 +123,7 @@
 // eventsFrom streams the events from one id to another, with the final chunk if
 // complete is true.
 func eventsFrom(conn net.Conn, req *fasthttp.Request, from, to int, complete bool) bool {
-	out := fmt.Sprintf("HTTP/1.1 200 OK\r\nQ-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Peek("Q-Id"))
+	out := fmt.Sprintf("HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Peek("Q-Id"))
 	for id := from; id <= to; id++ {
 		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
 		out += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/adapter/forward/load_test.go
+++ b/adapter/forward/load_test.go
@@ -13,7 +13,7 @@
 func loaded(load string) handler {
 	return func(conn net.Conn, req *fasthttp.Request) bool {
 		event := "id: 1\ndata: e1\n\n"
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nQ-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
 			req.Header.Peek("Q-Id"), load, len(event), event)
 		return err == nil
 	}
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -34,6 +34,9 @@
 type Headers struct {
 	// RequestID identifies a caller's attempt. Upstreams echo it.
 	RequestID string
+	// Signature is in each answer of an upstream to a request that it has run. It is passed on
+	// unchanged.
+	Signature string
 	// DeadlineMs is the time that the caller still waits, in milliseconds.
 	DeadlineMs string
 	// Key carries the caller's API key. Upstreams receive the account's name in Account
--- a/adapter/forward/plain_test.go
+++ b/adapter/forward/plain_test.go
@@ -75,7 +75,7 @@
 		"own failure": func(conn net.Conn, req *fasthttp.Request) bool { return reply(conn, req, 500, "bad") },
 		"hung up":     func(net.Conn, *fasthttp.Request) bool { return false },
 		"cut short": func(conn net.Conn, req *fasthttp.Request) bool {
-			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nQ-Id: " + string(req.Header.Peek("Q-Id")) + "\r\nContent-Length: 100\r\n\r\npart"))
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nQ-Id: " + string(req.Header.Peek("Q-Id")) + "\r\nQ-Seal: s\r\nContent-Length: 100\r\n\r\npart"))
 			return false
 		},
 		"nonsense": func(conn net.Conn, _ *fasthttp.Request) bool {
--- a/adapter/forward/stream_test.go
+++ b/adapter/forward/stream_test.go
@@ -108,7 +108,7 @@
 
 func TestStreamWithAGapNeverLooksComplete(t *testing.T) {
 	gap := func(conn net.Conn, req *fasthttp.Request) bool {
-		out := "HTTP/1.1 200 OK\r\nQ-Id: " + string(req.Header.Peek("Q-Id")) + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+		out := "HTTP/1.1 200 OK\r\nQ-Id: " + string(req.Header.Peek("Q-Id")) + "\r\nQ-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 		for _, id := range []int{1, 2, 4} {
 			event := fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
 			out += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/adapter/forward/unframed_test.go
+++ b/adapter/forward/unframed_test.go
@@ -12,7 +12,7 @@
 // the rest of a text, and ends the connection, by a reset if reset is true.
 func unframed(from, to int, rest string, reset bool) handler {
 	return func(conn net.Conn, req *fasthttp.Request) bool {
-		out := fmt.Sprintf("HTTP/1.1 200 OK\r\nQ-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n", req.Header.Peek("Q-Id"))
+		out := fmt.Sprintf("HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n", req.Header.Peek("Q-Id"))
 		for id := max(from, nextEventID(req)); id <= to; id++ {
 			out += fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
 		}
@@ -27,7 +27,7 @@
 // chunkedInside returns a handler that ends a chunked stream in order, but inside an event.
 func chunkedInside(conn net.Conn, req *fasthttp.Request) bool {
 	const event, part = "id: 1\ndata: e1\n\n", "id: 2\ndata: e"
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
 		req.Header.Peek("Q-Id"), len(event), event, len(part), part)
 	return err == nil
 }
@@ -75,7 +75,7 @@
 	}{"ended": {false, 200}, "reset": {true, 502}} {
 		t.Run(name, func(t *testing.T) {
 			u := newFakeUpstream(t, "a", "plain", func(conn net.Conn, req *fasthttp.Request) bool {
-				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\n\r\nanswer", req.Header.Peek("Q-Id"))
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\n\r\nanswer", req.Header.Peek("Q-Id"))
 				if c.reset && err == nil {
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
