A request that crashes the same upstream again is refused

Cause: evidence counted distinct upstreams by name, so that all processes under one id were one. Now each process counts, later ones of an upstream half, so that three crashes of one upstream are as much evidence as crashes of two. Two are not: an upstream that crashes by itself meets the same requests again.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -16,7 +16,7 @@
 	// deaths is the number of deaths blamed on the fingerprint. upstreams is the number
 	// of distinct upstreams among them, of which those that died together count as one.
 	deaths, upstreams int
-	// weight is the sum of the weights of these upstreams.
+	// weight is the sum of the weights of the deaths of their processes.
 	weight float64
 	// first and last are the times of the first and the last of these deaths.
 	first, last time.Time
@@ -62,9 +62,6 @@
 			continue
 		}
 		counted = d.at
-		if slices.Contains(seen, d.id.upstream) {
-			continue
-		}
 		if e.part {
 			other, found := otherRequest(b.via, requests)
 			if !found {
@@ -73,9 +70,14 @@
 			requests = append(requests, other)
 		}
 		e.excused = e.excused || b.excused
-		seen = append(seen, d.id.upstream)
+		weight := b.weight()
+		if slices.Contains(seen, d.id.upstream) {
+			weight = min(weight, restartedWeight)
+		} else {
+			seen = append(seen, d.id.upstream)
+		}
 		before := det.isSuspect(e)
-		if e.weight += b.weight(); !before && det.isSuspect(e) {
+		if e.weight += weight; !before && det.isSuspect(e) {
 			e.suspectSince = e.learnedAt
 		}
 	}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -5,7 +5,7 @@
 // A death of an upstream is blamed on all fingerprints in flight there, on any
 // VM. When a fingerprint succeeds anywhere, it is cleared of all earlier deaths, and of those
 // shortly after.
-// Fingerprints are ranked by the number of distinct upstreams that they are
+// Fingerprints are ranked by the number of processes that they are
 // still blamed for, and then by their mean share of the blame, which is 1/n for
 // a death with n fingerprints still blamed. A fingerprint is quarantined once it
 // is blamed for Threshold upstreams and all of the following hold:
@@ -21,6 +21,9 @@
 // A death at which part of the response had come counts half: long responses are cut off by
 // deaths that they have not caused.
 //
+// Each process of an upstream that starts again under its id counts, the later ones half: a
+// request that always comes to the same upstream crashes that one only.
+//
 // Upstreams that die together, as in a rack, count as one if the runs on them began before
 // the first of these deaths: a request that crashes upstreams is sent again after each.
 //
@@ -77,6 +80,9 @@
 	// requests that crash an upstream do so as they begin to run there, while each death
 	// cuts off all responses that have started.
 	startedWeight = 0.5
+	// restartedWeight is how much a death counts of an upstream that has died under the same id
+	// before: an upstream that crashes by itself meets the same requests again.
+	restartedWeight = 0.5
 	// maxStartedShare is the fraction of MaxInFlight that such requests may take.
 	maxStartedShare = 0.5
 	// maxTieWaitFactor is the longest wait of suspects with similar scores, in
@@ -104,7 +110,8 @@
 // Options configure a Detector. Zero fields take their defaults.
 type Options struct {
 	// Threshold is the number of distinct upstreams for whose deaths a
-	// fingerprint must be blamed before it can be quarantined.
+	// fingerprint must be blamed before it can be quarantined. Further processes
+	// of the same upstream count half.
 	Threshold int
 	// Duration is the length of a quarantine, counted from the last death.
 	Duration time.Duration
