Verdicts on crashing requests outlast a kill of all nodes

Cause: evidence and verdicts were in memory only, and a node that starts has no peer to ask. The first four keepers of a service now write its verdicts to their entries in the list of nodes, at the verdict, and a node puts those it finds there in force before it serves.

--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -241,6 +241,15 @@
 	return reports, verdicts
 }
 
+// CrashRecord returns the verdicts that this node has to record in the platform's store, at a time of
+// day in milliseconds.
+func (s *Server) CrashRecord(wallMs int64) (record quarantine.Record) {
+	s.crashes.update("crashes.record", func(now time.Time, d *quarantine.Decider) {
+		record = d.Record(now, wallMs, s.opts.QuarantineRole)
+	})
+	return record
+}
+
 // publishVerdict logs and publishes a verdict that this node has just reached.
 func (s *Server) publishVerdict(v quarantine.Verdict) {
 	s.opts.Metrics.Add("upstream.culprits", 1)
--- a/decide/quarantine/decider_test.go
+++ b/decide/quarantine/decider_test.go
@@ -180,11 +180,7 @@
 		for seed := range uint64(2) {
 			f := newSimFleet(t, n, 100+seed)
 			f.play(2, 300)
-			f.after(8000, func() {
-				for i := range f.nodes {
-					f.nodes[i].decider, f.nodes[i].reviewAt = NewDecider(), 0
-				}
-			})
+			f.after(8000, f.restartAll)
 			f.play(12, 300, "poison")
 			f.check("all nodes killed long after", 10, "poison")
 		}
--- a/decide/quarantine/simfleet_test.go
+++ b/decide/quarantine/simfleet_test.go
@@ -98,6 +98,8 @@
 	// crashes holds the times of the crashes that each request has caused, sends those of
 	// its sends, in ms.
 	crashes, sends map[Fingerprint][]int
+	// recorded holds the records of nodes in the store, by index.
+	recorded map[int]Record
 	// messages counts calls between nodes, and largest the most events of one of them.
 	messages, largest int
 	// reportTimes holds the times of the reports from a node to a keeper, in ms, and reportBytes is
@@ -114,7 +116,7 @@
 
 // newSimFleet returns a fleet of n nodes.
 func newSimFleet(t *testing.T, n int, seed uint64) *simFleet {
-	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), reportTimes: make(map[[2]int][]int), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int), parts: make(map[Fingerprint][]Fingerprint)}
+	f := &simFleet{t: t, crashDelay: usualCrashDelay, rng: rand.New(rand.NewPCG(seed, uint64(n))), later: make(map[int][]func()), reportTimes: make(map[[2]int][]int), crashes: make(map[Fingerprint][]int), sends: make(map[Fingerprint][]int), parts: make(map[Fingerprint][]Fingerprint), recorded: make(map[int]Record)}
 	for i := range n {
 		f.nodes = append(f.nodes, &simNode{Peer: Peer{VM: ids.VM(fmt.Sprint("vm-", i)), Zone: ids.Zone(fmt.Sprint("z", i%3))}, decider: NewDecider(), process: 1})
 	}
@@ -330,6 +332,39 @@
 	}
 }
 
+// recordInterval is how often a node compares its record in the store, and recordTime how long a
+// write takes, in ms.
+const (
+	recordInterval = 200
+	recordTime     = 50
+)
+
+// record makes a node write its record to the store if it has changed.
+func (f *simFleet) record(i int) {
+	n := f.nodes[i]
+	if f.now%recordInterval != 0 || n.frozenUntil > f.now {
+		return
+	}
+	r := n.decider.Record(at(f.now), at(f.now).UnixMilli(), func(ids.Service) Role { return f.role(i) })
+	if !f.recorded[i].Covers(r) {
+		f.after(recordTime, func() { f.recorded[i] = r })
+	}
+}
+
+// restartAll kills all nodes and starts them anew. Each knows only what is in the store.
+func (f *simFleet) restartAll() {
+	for _, n := range f.nodes {
+		n.decider, n.reviewAt = f.newDecider(), 0
+		n.process++
+		n.delivery = Delivery{}
+		for _, r := range f.recorded {
+			for _, v := range r.Recall(at(f.now).UnixMilli()) {
+				n.decider.AddVerdict(at(f.now), v)
+			}
+		}
+	}
+}
+
 // start sends a request through a node, if it may run there.
 func (f *simFleet) start(node int, fp Fingerprint, runs int, crashes bool) {
 	f.startOrHold(node, fp, runs, crashes, f.rng.Float64())
@@ -480,6 +515,7 @@
 	}
 	for i := range f.nodes {
 		f.exchange(i)
+		f.record(i)
 	}
 	f.now += fleetStep
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -46,13 +46,14 @@
 	// returns the record that the entry gets. replaced is false if the list has no entry of the
 	// node, and previous is the record of that entry. It is nil if the entry has none that can be
 	// read, or comes from an earlier epoch of the store: a restored copy may have an entry of a
-	// process before the last one. succeed may be called more than once.
-	Join(ctx context.Context, m roster.Member, succeed func(replaced bool, previous *retry.Record) retry.Record) (revision.Revision, error)
-	// Update replaces the record of this node's entry, unless the entry was written again since a
+	// process before the last one. succeed may be called more than once. crashes is written beside
+	// its record.
+	Join(ctx context.Context, m roster.Member, crashes quarantine.Record, succeed func(replaced bool, previous *retry.Record) retry.Record) (revision.Revision, error)
+	// Update replaces the records of this node's entry, unless the entry was written again since a
 	// revision, and returns its new revision.
-	Update(ctx context.Context, m roster.Member, at revision.Revision, r retry.Record) (revision.Revision, error)
-	// List returns all entries. They may be a few seconds old.
-	List(ctx context.Context) (listwatch.List[roster.Member], error)
+	Update(ctx context.Context, m roster.Member, at revision.Revision, crashes quarantine.Record, r retry.Record) (revision.Revision, error)
+	// List returns all entries, and the records of crashes in them. They may be a few seconds old.
+	List(ctx context.Context) (listwatch.List[roster.Member], []quarantine.Record, error)
 }
 
 // Engines makes the calls to engines that are not callers' requests.
--- a/node/entry/membership.go
+++ b/node/entry/membership.go
@@ -14,6 +14,7 @@
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/core/revision"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/retry"
 	"mimosaarch.example/decide/roster"
 )
@@ -63,6 +64,12 @@
 	// if the entry was written by another process.
 	noticeCh  chan struct{}
 	entryLost atomic.Bool
+	// recorded is the record of crashes in the entry. entryMu protects it.
+	recorded quarantine.Record
+	// recordAt is the time before which the entry is not written for another one.
+	recordAt time.Time
+	// listRead is set once the list was read from the store.
+	listRead bool
 
 	joined bool
 	// joinedEpoch is the epoch of the store in which the entry was written.
@@ -119,9 +126,11 @@
 	switch {
 	case m.node.configs.disconnected.Load() || m.node.upstreams.disconnected.Load():
 		m.fetchFromPeer(ctx)
-	case !m.joined && !now.Before(m.joinAt):
+	case !m.joined && m.listRead && !now.Before(m.joinAt):
 		m.join(ctx)
-	case (!ready || m.node.fleet.isWatcher()) && !now.Before(m.listAt):
+	case m.joined && !now.Before(m.recordAt) && m.recordDue():
+		m.writeCrashRecord(ctx)
+	case (!ready || !m.listRead || m.node.fleet.isWatcher()) && !now.Before(m.listAt):
 		m.list(ctx)
 	}
 }
@@ -167,7 +176,7 @@
 // list reads the list of nodes from the store.
 func (m *membership) list(ctx context.Context) {
 	m.listAt = time.Now().Add(m.listWait())
-	list, err := m.members.List(ctx)
+	list, crashes, err := m.members.List(ctx)
 	if err != nil {
 		m.log.Info().Str("event", "members_unread").Err(err).Send()
 		return
@@ -175,6 +184,10 @@
 	for _, bad := range list.Malformed {
 		m.node.reportMalformed("node", bad)
 	}
+	if !m.listRead || time.Since(m.startedAt) < startupPeriod {
+		m.recallVerdicts(crashes)
+	}
+	m.listRead = true
 	m.node.fleet.setMembers(list.Items, list.Revision)
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -11,6 +11,7 @@
 	"mimosaarch.example/core/every"
 	"mimosaarch.example/core/revision"
 	"mimosaarch.example/decide/lease"
+	"mimosaarch.example/decide/quarantine"
 	"mimosaarch.example/decide/retry"
 	"mimosaarch.example/decide/roster"
 )
@@ -126,21 +127,21 @@
 }
 
 // Join implements Members.
-func (t *timedMembers) Join(ctx context.Context, m roster.Member, succeed func(bool, *retry.Record) retry.Record) (revision.Revision, error) {
+func (t *timedMembers) Join(ctx context.Context, m roster.Member, crashes quarantine.Record, succeed func(bool, *retry.Record) retry.Record) (revision.Revision, error) {
 	start := boottime.Now()
 	defer func() { t.observe(storeJoin, boottime.Now().Sub(start)) }()
-	return t.members.Join(ctx, m, succeed)
+	return t.members.Join(ctx, m, crashes, succeed)
 }
 
 // Update implements Members.
-func (t *timedMembers) Update(ctx context.Context, m roster.Member, at revision.Revision, r retry.Record) (revision.Revision, error) {
+func (t *timedMembers) Update(ctx context.Context, m roster.Member, at revision.Revision, crashes quarantine.Record, r retry.Record) (revision.Revision, error) {
 	start := boottime.Now()
 	defer func() { t.observe(storeUpdate, boottime.Now().Sub(start)) }()
-	return t.members.Update(ctx, m, at, r)
+	return t.members.Update(ctx, m, at, crashes, r)
 }
 
 // List implements Members.
-func (t *timedMembers) List(ctx context.Context) (listwatch.List[roster.Member], error) {
+func (t *timedMembers) List(ctx context.Context) (listwatch.List[roster.Member], []quarantine.Record, error) {
 	start := boottime.Now()
 	defer func() { t.observe(storeMembers, boottime.Now().Sub(start)) }()
 	return t.members.List(ctx)
--- a/node/entry/succession.go
+++ b/node/entry/succession.go
@@ -45,7 +45,8 @@
 	var terms retry.Terms
 	var origin retry.Origin
 	var replacedRecord *retry.Record
-	at, err := m.members.Join(ctx, m.self(), func(replaced bool, previous *retry.Record) retry.Record {
+	crashes := m.crashRecord()
+	at, err := m.members.Join(ctx, m.self(), crashes, func(replaced bool, previous *retry.Record) retry.Record {
 		now := boottime.Now()
 		replacedRecord = previous
 		terms, origin = m.succession.Joining(now, replaced, previous)
@@ -57,7 +58,7 @@
 	if origin == retry.HandedOver {
 		m.node.server.AdoptRetries(replacedRecord.Services)
 	}
-	m.entryAt = at
+	m.entryAt, m.recorded = at, crashes
 	m.succession.Joined(terms)
 	m.applyTerms(terms, string(origin))
 	return nil
@@ -107,7 +108,8 @@
 	}
 	now := boottime.Now()
 	terms := m.succession.Notice(now)
-	at, err := m.members.Update(ctx, m.self(), m.entryAt, retry.NewRecord(now, terms))
+	crashes := m.crashRecord()
+	at, err := m.members.Update(ctx, m.self(), m.entryAt, crashes, retry.NewRecord(now, terms))
 	if err != nil {
 		// The entry may have another revision.
 		m.entryLost.Store(true)
@@ -115,7 +117,7 @@
 		m.log.Info().Str("event", "notice_failed").Err(err).Send()
 		return false
 	}
-	m.entryAt = at
+	m.entryAt, m.recorded = at, crashes
 	m.succession.Joined(terms)
 	m.applyTerms(terms, "notice")
 	return true
@@ -136,7 +138,7 @@
 	began := time.Now()
 	record := retry.NewRecord(boottime.Now(), m.succession.Terms())
 	record.Services, record.Stopped = m.node.server.HandOverRetries(), true
-	_, err := m.members.Update(callCtx, m.self(), m.entryAt, record)
+	_, err := m.members.Update(callCtx, m.self(), m.entryAt, m.crashRecord(), record)
 	if err != nil {
 		m.node.metrics.Add("retry_terms.handover_failed", 1)
 	}
