An event of a stream is bounded however its lines are divided

Cause: the reader of events compared with its bound of 1 MB only where a line was longer than its buffer. It now compares with each line. Buffers of more than 4 KB are counted as memory of the caller's connection, as bodies are, so that many events within the bound can't fill it either, and a large event is written without a copy. An event that is too long ends the attempt as an invalid answer; it counted as the loss of the engine, and so as a sign that the request had crashed it.

Test: TestEventWithoutEndEndsTheAttempt failed before in all 15 cases (130 to 230 MB taken in 5 s, or taken for a crash), TestEventsBeingReadAreBoundedTogether failed before as nothing was counted; TestLargeEventIsPassedOnWhole holds the bound on the other side.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -225,12 +225,14 @@
 	var framing *upconn.FramingError
 	var shed *gate.ShedError
 	var unproven *UnprovenAnswerError
+	var malformed *EventError
+
 	switch {
 	case errors.As(err, &shed):
 		f.phase, f.reason = outcome.Started, outcome.NodeFull
 	case errors.As(err, &silent):
 		f.reason = outcome.UpstreamStalled
-	case errors.As(err, &framing), errors.As(err, &unproven):
+	case errors.As(err, &framing), errors.As(err, &unproven), errors.As(err, &malformed):
 		f.reason = outcome.UpstreamInvalid
 	}
 	f.brokeOff = a.resp == nil && f.connectionEnded() && a.conn.FirstExchange()
--- a/adapter/forward/events.go
+++ b/adapter/forward/events.go
@@ -25,10 +25,22 @@
 	return fmt.Sprintf("event id %d after %d: %s", e.Got, e.Last, e.Reason)
 }
 
+// maxUncountedEventBytes is the largest buffer for an event that is not counted as memory of the
+// caller's connection. A usual event is shorter.
+const maxUncountedEventBytes = 4 << 10
+
 // eventReader reads server-sent events from the body of a streaming response.
 type eventReader struct {
-	r   *bufio.Reader
-	buf []byte
+	r *bufio.Reader
+	// buf holds the event that is being read. account counts its memory.
+	buf     []byte
+	account eventAccount
+}
+
+// eventAccount counts the memory of a buffer. Reserve returns a *gate.ShedError if there is none.
+type eventAccount interface {
+	Reserve(n int64) error
+	Release(n int64)
 }
 
 // event is one server-sent event, including the blank line that ends it.
@@ -40,17 +52,18 @@
 
 // next returns the next complete event. Its bytes are valid until the following call.
 // The error is io.EOF only if the body ends between events.
+// It is an *EventError if the event is longer than maxEventBytes, and a *gate.ShedError if the node
+// has no memory for it.
 func (e *eventReader) next() (event, error) {
-	e.buf = e.buf[:0]
+	e.reset()
 	var ev event
 	for {
 		line, err := e.r.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
+		if err := e.add(line); err != nil {
+			return event{}, err
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.buf) > maxEventBytes {
-				return event{}, &EventError{Reason: "event is too long"}
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(e.buf) > 0:
 			return event{}, io.ErrUnexpectedEOF
@@ -68,6 +81,50 @@
 	}
 }
 
+// add appends bytes to the event that is being read.
+func (e *eventReader) add(p []byte) error {
+	size := len(e.buf) + len(p)
+	if size > maxEventBytes {
+		return &EventError{Reason: fmt.Sprintf("event of more than %d bytes", maxEventBytes)}
+	}
+	if size > cap(e.buf) {
+		if err := e.grow(size); err != nil {
+			return err
+		}
+	}
+	e.buf = append(e.buf, p...)
+	return nil
+}
+
+// grow replaces the buffer by one of at least size bytes.
+func (e *eventReader) grow(size int) error {
+	size = max(size, min(2*cap(e.buf), maxEventBytes), eventBufferBytes)
+	if err := e.account.Reserve(countedBytes(size)); err != nil {
+		return err
+	}
+	grown := append(make([]byte, 0, size), e.buf...)
+	e.account.Release(countedBytes(cap(e.buf)))
+	e.buf = grown
+	return nil
+}
+
+// reset empties the buffer, and gives it back if it is counted.
+func (e *eventReader) reset() {
+	if counted := countedBytes(cap(e.buf)); counted > 0 {
+		e.account.Release(counted)
+		e.buf = nil
+	}
+	e.buf = e.buf[:0]
+}
+
+// countedBytes returns what a buffer of a size counts for.
+func countedBytes(size int) int64 {
+	if size <= maxUncountedEventBytes {
+		return 0
+	}
+	return int64(size)
+}
+
 // parseID parses an event id. It returns false if the id is not a number.
 func parseID(value []byte) (int64, bool) {
 	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -381,7 +381,8 @@
 		return s.passNonStream(a)
 	}
 	s.taken()
-	in := &eventReader{r: bufio.NewReaderSize(a.resp, eventBufferBytes)}
+	in := &eventReader{r: bufio.NewReaderSize(a.resp, eventBufferBytes), account: x.caller.hold}
+	defer in.reset()
 	for {
 		ev, err := in.next()
 		if errors.Is(err, io.EOF) {
@@ -449,9 +450,17 @@
 	}
 	c.out = strconv.AppendInt(c.out, int64(len(ev.bytes)), 16)
 	c.out = append(c.out, "\r\n"...)
-	c.out = append(c.out, ev.bytes...)
-	c.out = append(c.out, "\r\n"...)
-	return c.write(c.out)
+	if len(ev.bytes) <= maxInlineBodyBytes {
+		c.out = append(c.out, ev.bytes...)
+		c.out = append(c.out, "\r\n"...)
+		return c.write(c.out)
+	}
+	for _, part := range [...][]byte{c.out, ev.bytes, []byte("\r\n")} {
+		if err := c.write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // finishResponse writes the final chunk after the stream's last event.
