Requests that come late in a planned stop are answered truly

Requests half read on new connections got 408 after 2.3 s, also those that would have been whole in time.

Cause: the stop closed the listener and idle connections after 2.3 s and counted on nothing coming later; at the end the process exited beside requests under way. Now a stop has a plan (decide/shutdown): from 3 s on a request that was never sent is sent only if its own deadline passes before the cut, and is refused with 503 at once otherwise, in queues and waits too; reads end shortly before the cut; at the cut what is left is answered as it is, and the process waits for that. What is being read is read on.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -108,6 +108,10 @@
 		x.server.pool.Put(conn, 0)
 		return nil, failed
 	}
+	if failed := x.checkStopping(); failed != nil {
+		x.server.pool.Put(conn, 0)
+		return nil, failed
+	}
 	if err := x.checkCaller(ctx); err != nil {
 		x.server.pool.Put(conn, 0)
 		return nil, &failure{phase: outcome.NotSent, reason: outcome.ConnectFailed, cause: err}
--- a/adapter/forward/client.go
+++ b/adapter/forward/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -60,6 +61,11 @@
 	idle atomic.Bool
 	// closeAfter closes the connection after the current response.
 	closeAfter bool
+	// readMu protects reading, which is true while a request is being read, and readUntil, the
+	// deadline of reads.
+	readMu    sync.Mutex
+	reading   bool
+	readUntil time.Time
 	// requestRead is true once a request was read on the connection.
 	requestRead atomic.Bool
 	// interrupted is set once the connection is revoked.
@@ -110,10 +116,10 @@
 	_ = c.conn.SetDeadline(time.Unix(1, 0))
 }
 
-// setReadDeadline sets the deadline of reads, unless the connection is revoked. The error is then
-// a *gate.ShedError.
+// setReadDeadline sets the deadline of reads, or an earlier one if the node stops, unless the
+// connection is revoked. The error is then a *gate.ShedError.
 func (c *callerConn) setReadDeadline(at time.Time) error {
-	if err := c.conn.SetReadDeadline(at); err != nil {
+	if err := c.applyReadDeadline(at); err != nil {
 		return err
 	}
 	if !c.interrupted.Load() {
@@ -122,6 +128,14 @@
 	return c.hold.Revoked()
 }
 
+// applyReadDeadline sets the deadline of reads as far as the plan of a stop allows.
+func (c *callerConn) applyReadDeadline(at time.Time) error {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.readUntil = c.server.readEnd(at)
+	return c.conn.SetReadDeadline(c.readUntil)
+}
+
 // awaitRequest waits for the first byte of a request. It returns false if the
 // connection is to be closed instead.
 func (c *callerConn) awaitRequest() bool {
@@ -148,9 +162,11 @@
 	return err == nil
 }
 
-// interruptIdle ends the wait for a next request.
+// interruptIdle ends the wait for a next request. A request of which a part has come is read on.
 func (c *callerConn) interruptIdle() {
-	if c.idle.Load() || !c.requestRead.Load() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if !c.reading && (c.idle.Load() || !c.requestRead.Load()) {
 		// A connection that is closed already needs no deadline.
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -160,7 +176,9 @@
 func (c *callerConn) serveOne(ctx context.Context) bool {
 	req := fasthttp.AcquireRequest()
 	defer releaseRequest(req)
+	c.beginReading()
 	body, status, err := c.readRequest(req)
+	c.endReading()
 	if err != nil {
 		c.refuseUnreadable(req, status, err)
 		return false
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -83,6 +84,8 @@
 	firstEvent time.Duration
 	// writingSince is when the first event came from the present upstreams, zero before.
 	writingSince time.Time
+	// commitment tells whether the request is sent or refused when the node stops.
+	commitment atomic.Int32
 	// leave ends the context of the exchange.
 	leave context.CancelCauseFunc
 	// phase is what the exchange is doing, upstream the last one that it was sent to, and conn the
@@ -147,6 +150,11 @@
 		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineRetryAfter)
 		return
 	}
+	if !x.server.maySend(x.deadline) {
+		x.giveUp(outcome.Draining, stoppingDetail, stoppingRetryAfter)
+		return
+	}
+	defer context.AfterFunc(x.server.notLate, x.endIfLate)()
 	x.prepareHead()
 	reqCtx, cancelTimeout := context.WithTimeoutCause(ctx, x.deadline.Sub(x.arrived), &TimeoutError{})
 	defer cancelTimeout()
@@ -426,7 +434,7 @@
 	case errors.As(cause, &late), !x.deadline.IsZero() && !x.server.opts.Now().Before(x.deadline):
 		x.giveUp(outcome.DeadlineExpired, "deadline has passed", noUpstreamRetryAfter)
 	default:
-		x.giveUp(outcome.Draining, "node is stopping", notReadyRetryAfter)
+		x.giveUp(outcome.Draining, stoppingDetail, stoppingRetryAfter)
 	}
 	return true
 }
--- a/adapter/forward/plain.go
+++ b/adapter/forward/plain.go
@@ -137,6 +137,9 @@
 	case x.quarantined():
 		x.giveUp(outcome.Quarantined, quarantineDetail, quarantineRetryAfter)
 		return true
+	case failed.reason == outcome.Draining && !x.responseStarted:
+		x.giveUp(failed.reason, failed.Error(), stoppingRetryAfter)
+		return true
 	case sends >= maxSends || !x.mayRunAgain(), failed.reason == outcome.NodeFull && !x.responseStarted:
 		x.giveUp(failed.reason, failed.Error(), busyRetryAfter)
 		return true
@@ -183,7 +186,7 @@
 	resp, body, failed := x.roundTripPlain(ctx, u, x.composeHead(u, priority), x.plainWatch(first))
 	took := x.server.opts.Now().Sub(start)
 	switch {
-	case ctx.Err() != nil, failed != nil && failed.reason == outcome.NodeFull:
+	case ctx.Err() != nil, failed != nil && (failed.reason == outcome.NodeFull || failed.reason == outcome.Draining):
 		x.server.picker.replicaEnded(u.ID, 0, false)
 	case failed != nil:
 		x.server.picker.replicaEnded(u.ID, took, true)
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -16,6 +16,7 @@
 	"mimosaarch.example/decide/backpressure"
 	"mimosaarch.example/decide/directory"
 	"mimosaarch.example/decide/quarantine"
+	"mimosaarch.example/decide/shutdown"
 )
 
 // Server serves callers' connections. Its methods are safe for concurrent use.
@@ -34,6 +35,13 @@
 	// noKeepAlives makes each response the last of its connection. closing also closes
 	// idle connections.
 	noKeepAlives, closing atomic.Bool
+	// stopPlan is that of a planned stop, nil before it begins. notLate ends when requests count as
+	// late, by markLate, and uncut when all requests are ended, by cut.
+	stopPlan atomic.Pointer[shutdown.Plan]
+	notLate  context.Context
+	markLate context.CancelFunc
+	uncut    context.Context
+	cut      context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -47,6 +55,8 @@
 // New returns a Server.
 func New(o Options) *Server {
 	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), gate: gate.New(o.Intake, o.Now, o.Metrics), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
+	s.notLate, s.markLate = context.WithCancel(context.Background())
+	s.uncut, s.cut = context.WithCancelCause(context.Background())
 	s.pool = upconn.NewPool(boottime.Now, o.Dial, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
 	s.pool.LimitOpen(o.MaxUpstreamConns)
 	s.observePause = o.Metrics.Timer("stream.pause")
@@ -69,6 +79,8 @@
 
 // Serve accepts connections until l is closed, then returns nil.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	context.AfterFunc(s.uncut, func() { cancel(context.Cause(s.uncut)) })
 	go s.limitOverload(ctx)
 	for {
 		conn, err := l.Accept()
@@ -118,9 +130,6 @@
 	}()
 }
 
-// DisableKeepAlives closes each connection after its current or next response.
-func (s *Server) DisableKeepAlives() { s.noKeepAlives.Store(true) }
-
 // Drain closes idle connections and waits until the others have ended or ctx is done.
 // It reports whether all connections have ended.
 func (s *Server) Drain(ctx context.Context) bool {
@@ -131,6 +140,12 @@
 		c.interruptIdle()
 	}
 	s.mu.Unlock()
+	return s.awaitConnections(ctx)
+}
+
+// awaitConnections waits until all connections have ended or ctx is done. It reports whether they
+// have.
+func (s *Server) awaitConnections(ctx context.Context) bool {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
--- a/adapter/forward/stream.go
+++ b/adapter/forward/stream.go
@@ -524,7 +524,7 @@
 	switch {
 	case errors.As(failed.cause, &held):
 		// The next choice leaves out the engine that asks for no request.
-	case failed.reason == outcome.RetryBudget, failed.phase == outcome.NotSent && failed.reason == outcome.NodeFull:
+	case failed.reason == outcome.RetryBudget, failed.reason == outcome.Draining, failed.phase == outcome.NotSent && failed.reason == outcome.NodeFull:
 		// The engine has not been asked.
 	case failed.phase == outcome.NotSent:
 		s.avoidRefusing(c[0].Engine.ID, failed.reason)
--- a/node/entry/succession.go
+++ b/node/entry/succession.go
@@ -12,7 +12,7 @@
 
 const (
 	// handoverTimeout bounds the write with which a process that stops hands over its retry
-	// budgets. It ends well before stopMargin.
+	// budgets. It is shorter than what the plan of a stop leaves after the cut.
 	handoverTimeout = 400 * time.Millisecond
 	// noticePause is the time after a notice before the next one. After one that could not be
 	// written it is a random time between noticeRetryMin and twice that, since all nodes may
