The entry with the later revision is the current instance

Cause: the directory dropped an entry with an earlier start time whatever its revision. Now the registry's revision tells which instance is the later one; only an instance known from its own report is kept until it has registered.

--- a/decide/directory/directory.go
+++ b/decide/directory/directory.go
@@ -126,6 +126,8 @@
 	// what is known. departed holds the entries that were removed lately.
 	deferred map[ids.Upstream]deferredEntry
 	departed map[ids.Upstream]departure
+	// unregistered holds the instances that are known from their own reports only.
+	unregistered map[ids.Upstream]ids.Instance
 }
 
 // maxRecentChanges bounds recentChanges, of which at least half are kept. It covers a
@@ -142,6 +144,7 @@
 		saidLeaving:  make(map[ids.Instance]bool),
 		deferred:     make(map[ids.Upstream]deferredEntry),
 		departed:     make(map[ids.Upstream]departure),
+		unregistered: make(map[ids.Upstream]ids.Instance),
 	}
 }
 
@@ -460,8 +463,10 @@
 }
 
 // put adds or changes an entry. An upstream that is leaving stays so until it restarts.
-// A later instance inherits nothing from the one before, and an entry of an earlier
-// instance is ignored.
+// Another instance inherits nothing from the one before. The registry's revisions tell which of two
+// instances is the later one, since start times come from clocks that may jump. Only an instance
+// that is known from its own report, before it has registered, is not replaced by one that started
+// earlier.
 func (d *Directory) put(changes []Change, u *Upstream) []Change {
 	id := u.ID.Upstream
 	if !d.isConfigured(u) {
@@ -480,13 +485,15 @@
 	if old != nil && u.ID.StartedMs == 0 {
 		u.ID.StartedMs = old.ID.StartedMs
 	}
-	if old != nil && old.ID.NewerThan(u.ID) {
+	if old != nil && old.ID.NewerThan(u.ID) && d.unregistered[id] == old.ID {
 		return changes
 	}
+	// An instance that is known from its own report only has the revision of the one before.
+	registered := old == nil || u.Revision.After(old.Revision)
 	delete(d.missingUntil, id)
 	d.forgetDeferred(id)
 	u.Held = false
-	restarted := old != nil && u.ID.NewerThan(old.ID) && old.ID.StartedMs != 0
+	restarted := old != nil && u.ID != old.ID && old.ID.StartedMs != 0
 	if old != nil && (restarted || old.Address != u.Address) {
 		changes = d.drop(changes, old)
 		old = nil
@@ -499,6 +506,11 @@
 		u.Leaving = true
 	}
 	d.byID[id] = u
+	if registered {
+		delete(d.unregistered, id)
+	} else {
+		d.unregistered[id] = u.ID
+	}
 	switch {
 	case old == nil:
 		return d.add(changes, u)
@@ -588,6 +600,7 @@
 	present := d.isCurrent(u)
 	delete(d.byID, u.ID.Upstream)
 	delete(d.missingUntil, u.ID.Upstream)
+	delete(d.unregistered, u.ID.Upstream)
 	rest := slices.DeleteFunc(d.byAddress[u.Address], func(id ids.Upstream) bool { return id == u.ID.Upstream })
 	d.byAddress[u.Address] = rest
 	if len(rest) == 0 {
