Small event buffers reserve nothing; clearer names for the times of a stop

A reservation of no bytes could wait while the node's memory is taken, and each stream's first buffer gave notice to all that wait. Buffers that don't count are not reserved now. The contexts of a stop are named for what ends them.

--- a/adapter/forward/events.go
+++ b/adapter/forward/events.go
@@ -99,24 +99,33 @@
 // grow replaces the buffer by one of at least size bytes.
 func (e *eventReader) grow(size int) error {
 	size = max(size, min(2*cap(e.buf), maxEventBytes), eventBufferBytes)
-	if err := e.account.Reserve(countedBytes(size)); err != nil {
-		return err
+	if counted := countedBytes(size); counted > 0 {
+		if err := e.account.Reserve(counted); err != nil {
+			return err
+		}
 	}
 	grown := append(make([]byte, 0, size), e.buf...)
-	e.account.Release(countedBytes(cap(e.buf)))
+	e.release()
 	e.buf = grown
 	return nil
 }
 
-// reset empties the buffer, and gives it back if it is counted.
+// reset empties the buffer, and drops it if it is counted.
 func (e *eventReader) reset() {
-	if counted := countedBytes(cap(e.buf)); counted > 0 {
-		e.account.Release(counted)
+	if countedBytes(cap(e.buf)) > 0 {
+		e.release()
 		e.buf = nil
 	}
 	e.buf = e.buf[:0]
 }
 
+// release gives back what the buffer counts for.
+func (e *eventReader) release() {
+	if counted := countedBytes(cap(e.buf)); counted > 0 {
+		e.account.Release(counted)
+	}
+}
+
 // countedBytes returns what a buffer of a size counts for.
 func countedBytes(size int) int64 {
 	if size <= maxUncountedEventBytes {
--- a/adapter/forward/exchange.go
+++ b/adapter/forward/exchange.go
@@ -84,7 +84,8 @@
 	firstEvent time.Duration
 	// writingSince is when the first event came from the present upstreams, zero before.
 	writingSince time.Time
-	// commitment tells whether the request is sent or refused when the node stops.
+	// commitment tells whether the request has been sent, or will not be since the node stops:
+	// undecided, committed or refusedLate.
 	commitment atomic.Int32
 	// leave ends the context of the exchange.
 	leave context.CancelCauseFunc
@@ -154,7 +155,7 @@
 		x.giveUp(outcome.Draining, stoppingDetail, stoppingRetryAfter)
 		return
 	}
-	defer context.AfterFunc(x.server.notLate, x.endIfLate)()
+	defer context.AfterFunc(x.server.untilLate, x.endIfLate)()
 	x.prepareHead()
 	reqCtx, cancelTimeout := context.WithTimeoutCause(ctx, x.deadline.Sub(x.arrived), &TimeoutError{})
 	defer cancelTimeout()
--- a/adapter/forward/server.go
+++ b/adapter/forward/server.go
@@ -35,13 +35,13 @@
 	// noKeepAlives makes each response the last of its connection. closing also closes
 	// idle connections.
 	noKeepAlives, closing atomic.Bool
-	// stopPlan is that of a planned stop, nil before it begins. notLate ends when requests count as
-	// late, by markLate, and uncut when all requests are ended, by cut.
-	stopPlan atomic.Pointer[shutdown.Plan]
-	notLate  context.Context
-	markLate context.CancelFunc
-	uncut    context.Context
-	cut      context.CancelCauseFunc
+	// stopPlan is that of a planned stop, nil before it begins. untilLate ends when requests begin
+	// to count as late, by markLate, and untilCut when all requests are cut off, by cut.
+	stopPlan  atomic.Pointer[shutdown.Plan]
+	untilLate context.Context
+	markLate  context.CancelFunc
+	untilCut  context.Context
+	cut       context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -55,8 +55,8 @@
 // New returns a Server.
 func New(o Options) *Server {
 	s := &Server{opts: o, conns: make(map[*callerConn]struct{}), overload: newOverloadGuard(), gate: gate.New(o.Intake, o.Now, o.Metrics), rand: rand.New(rand.NewPCG(o.Seed, seedStream))}
-	s.notLate, s.markLate = context.WithCancel(context.Background())
-	s.uncut, s.cut = context.WithCancelCause(context.Background())
+	s.untilLate, s.markLate = context.WithCancel(context.Background())
+	s.untilCut, s.cut = context.WithCancelCause(context.Background())
 	s.pool = upconn.NewPool(boottime.Now, o.Dial, func(upconn.Target) { o.Metrics.Add("upstream.connections", 1) })
 	s.pool.LimitOpen(o.MaxUpstreamConns)
 	s.observePause = o.Metrics.Timer("stream.pause")
@@ -80,7 +80,7 @@
 // Serve accepts connections until l is closed, then returns nil.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancelCause(ctx)
-	context.AfterFunc(s.uncut, func() { cancel(context.Cause(s.uncut)) })
+	context.AfterFunc(s.untilCut, func() { cancel(context.Cause(s.untilCut)) })
 	go s.limitOverload(ctx)
 	for {
 		conn, err := l.Accept()
--- a/adapter/forward/stopping.go
+++ b/adapter/forward/stopping.go
@@ -21,7 +21,7 @@
 // Error implements error.
 func (*StoppingError) Error() string { return stoppingDetail }
 
-// Uses of an exchange's commitment.
+// States of an exchange's commitment.
 const (
 	// undecided: the request was neither sent nor refused because the node stops.
 	undecided = iota
