A response whose status line is malformed is no answer

Callers saw: an engine in trouble answered with status 000, and the caller of a booking got 200 with the body and the signature as they came.

Cause: fasthttp keeps the status as a number whose zero value means "not set" and reports it as 200, so each reader that asks for the status sees a success. Statuses from 600 on and any version of the form HTTP/d.d pass as well. A refusal in such a head was believed: the request was sent again, and its caller got 503, which promises that it has not run.

Change: core/httphead checks the raw head, line by line, before the parser reads it. adapter/upconn, adapter/upstream, adapter/platform, adapter/orders and loadgen check where they read; fasthttp clients (polls, the platform's store, operators' calls) get a transport that does. A malformed head ends the attempt as invalid: the request may have run, nothing in the head counts, and it is no sign of a crash.

--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"mimosaarch.example/adapter/gate"
 	"mimosaarch.example/adapter/upconn"
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/core/outcome"
 	"mimosaarch.example/core/segment"
 	"mimosaarch.example/decide/chain"
@@ -152,6 +153,7 @@
 	for range maxForeignResponses {
 		resp, err := a.conn.ReadResponse(string(a.x.req.Header.Method()))
 		if err != nil {
+			a.countMalformed(err)
 			return a.readFailed(err)
 		}
 		id := string(resp.Head.Peek(a.x.server.opts.Headers.RequestID))
@@ -167,6 +169,14 @@
 	return a.readFailed(&upconn.FramingError{Cause: errForeignResponses})
 }
 
+// countMalformed counts a head that is not that of a response.
+func (a *attempt) countMalformed(err error) {
+	var malformed *httphead.MalformedError
+	if errors.As(err, &malformed) {
+		a.x.count("upstream.malformed_head")
+	}
+}
+
 // acceptHead takes a response head that can belong to no other request. It returns a failure if the
 // response is a refusal, or if it does not prove to be the upstream's answer to this request.
 func (a *attempt) acceptHead(resp *upconn.Response) *failure {
--- a/adapter/forward/provenance_test.go
+++ b/adapter/forward/provenance_test.go
@@ -28,10 +28,11 @@
 		"Content-Length: 2\r\n\r\nok",
 }
 
-// answerUnproven returns a handler that answers with a head of unproven and keeps the connection.
-func answerUnproven(head string) handler {
+// answerText returns a handler that answers with a text and keeps the connection. The text has the
+// verb %s in place of the request's ID.
+func answerText(text string) handler {
 	return func(conn net.Conn, req *fasthttp.Request) bool {
-		_, err := conn.Write([]byte("HTTP/1.1 " + strings.ReplaceAll(head, "%s", string(req.Header.Peek("Q-Id")))))
+		_, err := conn.Write([]byte(strings.ReplaceAll(text, "%s", string(req.Header.Peek("Q-Id")))))
 		return err == nil
 	}
 }
@@ -39,52 +40,59 @@
 // Guards against bytes of a faulty upstream that reach a caller as the success of a request.
 func TestAnswerWithoutIDOrSignatureIsNotPassedOn(t *testing.T) {
 	for name, head := range unproven {
-		t.Run(name+", non-idempotent", func(t *testing.T) {
-			u := newFakeUpstream(t, "u1", "plain", answerUnproven(head))
-			r := newTestServer(t, u)
-			for i := range 2 {
-				resp, complete := r.ask(t, "POST", "/unsafe/x", fmt.Sprint("r", i), "b")
-				if !complete || resp.StatusCode() != 502 || len(resp.Header.Peek("Q-Seal")) > 0 {
-					t.Errorf("response %d %q, complete %v, want 502", resp.StatusCode(), resp.Body(), complete)
-				}
-				if r.lines.find("run_lost", fmt.Sprint("r", i)) != nil {
-					t.Error("taken for a crash of the upstream")
-				}
-			}
-			u.mu.Lock()
-			defer u.mu.Unlock()
-			if len(u.seen) != 2 || u.conns != 2 {
-				t.Errorf("%d sends over %d connections, want each request once on its own", len(u.seen), u.conns)
-			}
-		})
-		t.Run(name+", idempotent", func(t *testing.T) {
-			bad := newFakeUpstream(t, "u1", "plain", answerUnproven(head))
-			good := newFakeUpstream(t, "u2", "plain", okReply("good"))
-			good.Zone = "far"
-			r := newTestServer(t, bad, good)
-			resp, complete := r.ask(t, "GET", "/safe/x", "r1", "")
-			if !complete || resp.StatusCode() != 200 || string(resp.Body()) != "good" {
-				t.Errorf("response %d %q, want the second upstream's", resp.StatusCode(), resp.Body())
+		t.Run(name, func(t *testing.T) { checkIsNoAnswer(t, "HTTP/1.1 "+head) })
+	}
+}
+
+// checkIsNoAnswer fails the test if callers get a text as the answer to their request, or if it
+// proves that the request did not run. The text is that of answerText.
+func checkIsNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	t.Run("non-idempotent", func(t *testing.T) {
+		u := newFakeUpstream(t, "u1", "plain", answerText(text))
+		r := newTestServer(t, u)
+		for i := range 2 {
+			resp, complete := r.ask(t, "POST", "/unsafe/x", fmt.Sprint("r", i), "b")
+			if !complete || resp.StatusCode() != 502 || len(resp.Header.Peek("Q-Seal")) > 0 {
+				t.Errorf("response %d %q, complete %v, want 502", resp.StatusCode(), resp.Body(), complete)
 			}
-		})
-		t.Run(name+", stream", func(t *testing.T) {
-			bad := fakeEngine(t, "a", 0, 10, answerUnproven(head))
-			good := fakeEngine(t, "b", 0, 10, wholeStream(5))
-			good.Zone = "far"
-			r := newTestServer(t, bad, good)
-			resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
-			if !complete || string(resp.Header.Peek("Q-Id")) != "r1" {
-				t.Errorf("response %d, complete %v", resp.StatusCode(), complete)
+			if r.lines.find("run_lost", fmt.Sprint("r", i)) != nil {
+				t.Error("taken for a crash of the upstream")
 			}
-			wantEvents(t, resp.Body(), 1, 5)
-		})
-	}
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if len(u.seen) != 2 || u.conns != 2 {
+			t.Errorf("%d sends over %d connections, want each request once on its own", len(u.seen), u.conns)
+		}
+	})
+	t.Run("idempotent", func(t *testing.T) {
+		bad := newFakeUpstream(t, "u1", "plain", answerText(text))
+		good := newFakeUpstream(t, "u2", "plain", okReply("good"))
+		good.Zone = "far"
+		r := newTestServer(t, bad, good)
+		resp, complete := r.ask(t, "GET", "/safe/x", "r1", "")
+		if !complete || resp.StatusCode() != 200 || string(resp.Body()) != "good" {
+			t.Errorf("response %d %q, want the second upstream's", resp.StatusCode(), resp.Body())
+		}
+	})
+	t.Run("stream", func(t *testing.T) {
+		bad := fakeEngine(t, "a", 0, 10, answerText(text))
+		good := fakeEngine(t, "b", 0, 10, wholeStream(5))
+		good.Zone = "far"
+		r := newTestServer(t, bad, good)
+		resp, complete := r.ask(t, "POST", "/stream/x", "r1", "p")
+		if !complete || string(resp.Header.Peek("Q-Id")) != "r1" {
+			t.Errorf("response %d, complete %v", resp.StatusCode(), complete)
+		}
+		wantEvents(t, resp.Body(), 1, 5)
+	})
 }
 
 // Guards against a stream that goes on with events of a response that is not the engine's.
 func TestStreamDoesNotResumeWithAnUnsignedResponse(t *testing.T) {
 	first := fakeEngine(t, "a", 0, 10, func(conn net.Conn, req *fasthttp.Request) bool { return eventsFrom(conn, req, 1, 3, false) })
-	second := fakeEngine(t, "b", 0, 10, answerUnproven("200 OK\r\nQ-Id: %s\r\nContent-Length: 16\r\n\r\nid: 4\ndata: e1\n\n"))
+	second := fakeEngine(t, "b", 0, 10, answerText("HTTP/1.1 200 OK\r\nQ-Id: %s\r\nContent-Length: 16\r\n\r\nid: 4\ndata: e1\n\n"))
 	third := fakeEngine(t, "c", 0, 10, wholeStream(6))
 	second.Zone, third.Zone = "far", "farther"
 	r := newTestServer(t, first, second, third)
--- a/adapter/orders/send.go
+++ b/adapter/orders/send.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"mimosaarch.example/core/engineapi"
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/decide/order"
 )
 
@@ -53,7 +54,8 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.ReadLimitBody(bufio.NewReader(conn), maxAnswerBytes); err != nil {
+	r := bufio.NewReader(conn)
+	if httphead.Await(r) != nil || resp.ReadLimitBody(r, maxAnswerBytes) != nil {
 		return order.Lost
 	}
 	return resultOf(resp, s)
--- a/adapter/platform/transport.go
+++ b/adapter/platform/transport.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"mimosaarch.example/adapter/hostclient"
 )
 
 // pastDeadline is a connection deadline that ends reads and writes immediately.
@@ -24,7 +25,7 @@
 	}
 	conn := pooled.Conn()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(pastDeadline) })
-	err = exchange(host, conn, req, resp)
+	err = hostclient.Exchange(host, conn, req, resp)
 	if !stop() || err != nil || resp.ConnectionClose() {
 		host.CloseConn(pooled)
 	} else {
@@ -45,25 +46,3 @@
 	}
 	return max(time.Until(deadline), 1)
 }
-
-// exchange writes the request and reads the complete response. If more bytes follow
-// the response, it marks the connection to be closed, since they belong to no call.
-func exchange(host *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response) error {
-	w := host.AcquireWriter(conn)
-	defer host.ReleaseWriter(w)
-	if err := req.Write(w); err != nil {
-		return err
-	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	r := host.AcquireReader(conn)
-	defer host.ReleaseReader(r)
-	if err := resp.ReadLimitBody(r, host.MaxResponseBodySize); err != nil {
-		return err
-	}
-	if r.Buffered() > 0 {
-		resp.SetConnectionClose()
-	}
-	return nil
-}
--- a/adapter/upconn/response.go
+++ b/adapter/upconn/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/core/segment"
 )
 
@@ -27,9 +27,6 @@
 	maxBytesBeingRead = 32 << 20
 	// bodyStepBytes is the step in which the room for a body grows.
 	bodyStepBytes = 32 << 10
-	// maxInformational is the number of informational responses that are skipped before the
-	// final one.
-	maxInformational = 16
 	// maxTrailers is the number of trailers that are skipped after the last chunk.
 	maxTrailers = 64
 )
@@ -49,16 +46,11 @@
 // Unwrap returns the cause.
 func (e *FramingError) Unwrap() error { return e.Cause }
 
-// TooManyError is the cause of a *FramingError for a response with more than Limit parts of a
-// kind.
-type TooManyError struct {
-	// Part is the kind: "informational responses" or "trailers".
-	Part  string
-	Limit int
-}
+// TrailersError is the cause of a *FramingError for a response with more than Limit trailers.
+type TrailersError struct{ Limit int }
 
 // Error implements error.
-func (e *TooManyError) Error() string { return fmt.Sprintf("more than %d %s", e.Limit, e.Part) }
+func (e *TrailersError) Error() string { return fmt.Sprintf("more than %d trailers", e.Limit) }
 
 // BodyTooLargeError is returned for a body of more than Limit bytes.
 type BodyTooLargeError struct{ Limit int }
@@ -88,22 +80,13 @@
 }
 
 // ReadResponse reads the headers of the next final response. method is that of the
-// request, because responses to HEAD have no body. Errors: those of the connection
-// or its WaitFunc, or that of the header parser.
+// request, because responses to HEAD have no body. Errors: those of the connection or its
+// WaitFunc, or a *FramingError if the bytes are not the head of a response.
 func (c *Conn) ReadResponse(method string) (*Response, error) {
 	r := &Response{conn: c}
 	r.Head.SetNoDefaultContentType(true)
-	for skipped := 0; ; skipped++ {
-		if err := r.Head.Read(c.r); err != nil {
-			// The parser reports most errors of the first read as io.EOF.
-			return nil, cmp.Or(c.readErr, err)
-		}
-		if status := r.Head.StatusCode(); status >= 200 || status == fasthttp.StatusSwitchingProtocols {
-			break
-		}
-		if skipped >= maxInformational {
-			return nil, &FramingError{&TooManyError{"informational responses", maxInformational}}
-		}
+	if err := c.readHead(&r.Head); err != nil {
+		return nil, err
 	}
 	switch n := r.Head.ContentLength(); {
 	case method == fasthttp.MethodHead, statusHasNoBody(r.Head.StatusCode()):
@@ -118,6 +101,22 @@
 	return r, nil
 }
 
+// readHead reads the head of the next final response. Its errors are those of ReadResponse.
+func (c *Conn) readHead(head *fasthttp.ResponseHeader) error {
+	err := httphead.Await(c.r)
+	if err == nil {
+		err = head.Read(c.r)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case c.readErr != nil:
+		// The parser reports most errors of the first read as io.EOF.
+		return c.readErr
+	}
+	return &FramingError{err}
+}
+
 // Read implements io.Reader for the body. It returns io.EOF only after a complete
 // body, and a *FramingError after a truncated one.
 func (r *Response) Read(p []byte) (int, error) {
@@ -160,7 +159,7 @@
 			return nil
 		}
 	}
-	return &FramingError{&TooManyError{"trailers", maxTrailers}}
+	return &FramingError{&TrailersError{maxTrailers}}
 }
 
 // Body reads the whole body. It returns a *BodyTooLargeError if the body exceeds
--- a/adapter/upstream/conn.go
+++ b/adapter/upstream/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/core/outcome"
 )
 
@@ -107,12 +108,16 @@
 	return w.Flush()
 }
 
-// readHead reads the status line and headers of the response and skips interim
+// readHead reads and checks the status line and headers of the response and skips interim
 // responses. The body remains to be read as a stream. The read deadline for the
 // whole head is stallTimeout.
 func (c *stallConn) readHead(resp *fasthttp.Response, maxHead int) error {
 	c.extendReadDeadline()
 	resp.StreamBody = true
 	resp.Header.SetNoDefaultContentType(true)
-	return resp.ReadLimitBody(bufio.NewReaderSize(c, maxHead), 0)
+	r := bufio.NewReaderSize(c, maxHead)
+	if err := httphead.Await(r); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(r, 0)
 }
--- a/adapter/upstream/poller.go
+++ b/adapter/upstream/poller.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/hostclient"
 	"mimosaarch.example/core/engineapi"
 )
 
@@ -87,6 +88,7 @@
 		ReadTimeout:         p.timeout,
 		WriteTimeout:        p.timeout,
 		MaxResponseBodySize: maxControlBytes,
+		Transport:           hostclient.Transport{},
 	}
 	p.clients[address] = c
 	return c, nil
--- a/loadgen/client/client_test.go
+++ b/loadgen/client/client_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/core/outcome"
 )
 
@@ -115,3 +116,32 @@
 		t.Errorf("result %+v, error %v; want unknown", result, err)
 	}
 }
+
+// Guards against an answer that counts although its head is malformed.
+func TestAnswerWithAMalformedHeadIsATransportError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		var req fasthttp.Request
+		if req.Read(bufio.NewReader(conn)) == nil {
+			_, _ = conn.Write([]byte("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	}()
+	c := New(Options{Address: listener.Addr().String(), Timeout: time.Hour})
+	t.Cleanup(c.Close)
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + listener.Addr().String() + "/")
+	_, result, err := c.begin(t.Context(), req)
+	var malformed *httphead.MalformedError
+	if !errors.As(err, &malformed) || result.Outcome != outcome.Unknown {
+		t.Errorf("result %+v, error %v", result, err)
+	}
+}
--- a/loadgen/client/exchange.go
+++ b/loadgen/client/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/core/httphead"
 	"mimosaarch.example/core/outcome"
 )
 
@@ -76,6 +77,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if err := httphead.Await(x.reader); err != nil {
+		return err
+	}
 	x.resp.StreamBody = true
 	x.resp.SkipBody = req.Header.IsHead()
 	return x.resp.ReadLimitBody(x.reader, 0)
--- a/mimosactl/operator/client.go
+++ b/mimosactl/operator/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"mimosaarch.example/adapter/hostclient"
 	"mimosaarch.example/adapter/peer/identity"
 	"mimosaarch.example/core/ids"
 	"mimosaarch.example/decide/router"
@@ -83,7 +84,7 @@
 		scheme = "https://"
 	}
 	return &Client{
-		client:  &fasthttp.Client{TLSConfig: config, MaxResponseBodySize: maxResponseBytes},
+		client:  &fasthttp.Client{TLSConfig: config, MaxResponseBodySize: maxResponseBytes, Transport: hostclient.Transport{}},
 		scheme:  scheme,
 		timeout: timeout,
 	}, nil
