A reset that the upload was told of ends an answer without a length

Callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as the complete answer, and a stream ended like a whole one.

Cause: the kernel reports a reset to one operation. A long body is written in its own goroutine; where that write was told, the read returns what had come and then io.EOF, which counted as the orderly end of the body. The write's error only decided whether the connection was kept. IsQuiet, which peeks at the socket while a stream waits, can take the error too.

Change: upconn.Writes keeps the result of writes. At the io.EOF of a body without a length, a write under way is given 100 ms to end. The body is whole if no write has failed, or if one is not over, or timed out here, and the socket is in CLOSE_WAIT: the upstream has ended its side only and can read on. Otherwise the attempt was lost, as if the read had been told. An error that IsQuiet took is returned by the next read. It holds because after a reset either the read, the write or IsQuiet has the error, and an end in order leaves the socket in CLOSE_WAIT until a reset. A peer's last frame already says that the end was in order, so its connection is not asked.

--- a/adapter/detour/client.go
+++ b/adapter/detour/client.go
@@ -49,6 +49,13 @@
 // Read implements net.Conn.
 func (c *detourConn) Read(p []byte) (int, error) { return c.upstream.Read(p) }
 
+// EndConfirmed implements upconn.EndConfirmer: the last frame says that the upstream's bytes have
+// ended in order.
+func (c *detourConn) EndConfirmed() bool {
+	_, framed := c.upstream.(*frameReader)
+	return framed
+}
+
 // SingleExchange implements upconn.SingleExchange.
 func (c *detourConn) SingleExchange() {}
 
--- a/adapter/forward/attempt.go
+++ b/adapter/forward/attempt.go
@@ -35,9 +35,6 @@
 	sentAt time.Time
 	unbind func() bool
 	resp   *upconn.Response
-	// bodyErr receives the result of writing a long body. It is nil if the body was
-	// written together with the head.
-	bodyErr chan error
 }
 
 // failure describes an attempt that ended without a complete response.
@@ -142,8 +139,7 @@
 	if err := a.conn.Write(head, writeTimeout); err != nil {
 		return err
 	}
-	a.bodyErr = make(chan error, 1)
-	go func() { a.bodyErr <- a.conn.WriteParts(body.Parts(), writeTimeout) }()
+	a.conn.StartWrite(body.Parts(), writeTimeout)
 	return nil
 }
 
@@ -268,24 +264,11 @@
 	x.caller.hold.Release(body.Held())
 }
 
-// bodyWritten reports whether the whole request body has been written.
-func (a *attempt) bodyWritten() bool {
-	if a.bodyErr == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyErr:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // release returns the connection to the pool after a complete response, or closes it if
 // it cannot be reused.
 func (a *attempt) release() {
 	reusable, idle := a.resp.Reusable()
-	if !a.unbind() || !reusable || !a.bodyWritten() {
+	if !a.unbind() || !reusable || !a.conn.Written() {
 		a.conn.Close()
 		return
 	}
--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -63,6 +63,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startFakeUpstream(t, l, id, service, func(f *fakeUpstream, conn net.Conn) { f.serve(conn, answer) })
+}
+
+// startFakeUpstream starts a fake upstream that serves each connection of a listener with a function.
+func startFakeUpstream(t *testing.T, l net.Listener, id, service string, serve func(*fakeUpstream, net.Conn)) *fakeUpstream {
+	t.Helper()
 	f := &fakeUpstream{listener: l, gone: make(chan struct{}, 16)}
 	f.Upstream = directory.Upstream{ID: ids.Instance{Upstream: ids.Upstream(id)}, Service: ids.Service(service), Address: l.Addr().String(), Zone: "z", Slots: 4, Revision: revision.Of(1)}
 	t.Cleanup(func() { _ = l.Close() })
@@ -75,7 +81,7 @@
 			f.mu.Lock()
 			f.conns++
 			f.mu.Unlock()
-			go f.serve(conn, answer)
+			go serve(f, conn)
 		}
 	}()
 	return f
@@ -89,15 +95,20 @@
 		if req.Read(r) != nil {
 			return
 		}
-		f.mu.Lock()
-		f.seen = append(f.seen, req)
-		f.mu.Unlock()
+		f.record(req)
 		if !answer(conn, req) {
 			return
 		}
 	}
 }
 
+// record adds a request to those received.
+func (f *fakeUpstream) record(req *fasthttp.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = append(f.seen, req)
+}
+
 // requests returns the requests received so far.
 func (f *fakeUpstream) requests() []*fasthttp.Request {
 	f.mu.Lock()
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -86,6 +87,10 @@
 	onClose func()
 	// readErr is the error of the last failed read.
 	readErr error
+	// peekErr is the error of the connection that IsQuiet was told of, and the next read is not.
+	peekErr error
+	// writes are the writes of requests.
+	writes Writes
 
 	// mu orders Interrupt and the deadlines of reads, so that neither undoes the other.
 	mu sync.Mutex
@@ -136,6 +141,9 @@
 // Read implements io.Reader for the buffered reader of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(c.peekErr, err)
+	}
 	if err != nil {
 		err = cmp.Or(c.ended(), err)
 		c.readErr = err
@@ -225,6 +233,20 @@
 
 // WriteParts sends parts in order, like Write.
 func (c *Conn) WriteParts(parts [][]byte, within time.Duration) error {
+	return c.writes.Do(func() error { return c.writeParts(parts, within) })
+}
+
+// StartWrite sends parts in order in its own goroutine, for an upstream that may respond before it
+// has read them. No other write may follow in the exchange.
+func (c *Conn) StartWrite(parts [][]byte, within time.Duration) {
+	c.writes.Go(func() error { return c.writeParts(parts, within) })
+}
+
+// Written reports whether all that was to be sent has been sent.
+func (c *Conn) Written() bool { return c.writes.Done() }
+
+// writeParts sends parts in order.
+func (c *Conn) writeParts(parts [][]byte, within time.Duration) error {
 	if err := c.ended(); err != nil {
 		return err
 	}
@@ -239,6 +261,15 @@
 	return nil
 }
 
+// checkEnd returns an error unless the upstream has ended its bytes in order, after a read has
+// returned io.EOF.
+func (c *Conn) checkEnd() error {
+	if end, ok := c.conn.(EndConfirmer); ok && end.EndConfirmed() {
+		return nil
+	}
+	return c.writes.CheckEnd(c.raw)
+}
+
 // ClosedAt returns when the connection was closed here, by the clock of its pool, zero if it was
 // not.
 func (c *Conn) ClosedAt() time.Time {
@@ -276,6 +307,9 @@
 		var next [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
+		if !quiet {
+			c.peekErr = err
+		}
 	})
 	return err == nil && quiet
 }
--- a/adapter/upconn/dial.go
+++ b/adapter/upconn/dial.go
@@ -34,6 +34,13 @@
 	Stale() bool
 }
 
+// EndConfirmer is implemented by connections that pass through another node.
+type EndConfirmer interface {
+	// EndConfirmed reports whether reads return io.EOF only after an orderly end of the upstream's
+	// bytes, whatever becomes of writes.
+	EndConfirmed() bool
+}
+
 // DialFunc opens a connection to a target. The error is a *DialError.
 type DialFunc func(ctx context.Context, t Target) (NetConn, error)
 
--- a/adapter/upconn/response.go
+++ b/adapter/upconn/response.go
@@ -118,7 +118,8 @@
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only after a complete
-// body, and a *FramingError after a truncated one.
+// body, and a *FramingError after a truncated one. A body without a length that ends by a reset
+// gives the error of the connection.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if errors.Is(err, io.EOF) {
@@ -130,11 +131,14 @@
 	return n, err
 }
 
-// checkEnd returns a *FramingError if a body that ended is not complete.
+// checkEnd returns an error if a body that ended is not complete.
 func (r *Response) checkEnd() error {
-	if r.ended || r.closeDelimited || r.bodiless {
+	if r.ended || r.bodiless {
 		return nil
 	}
+	if r.closeDelimited {
+		return r.conn.checkEnd()
+	}
 	if limited, ok := r.body.(*io.LimitedReader); ok && limited.N > 0 {
 		return &FramingError{io.ErrUnexpectedEOF}
 	}
