A peer tells an end of an answer from a reset that its upload was told of

Callers of a node without links to its engines saw: a part of an answer without a length as the whole, where the engine reset the connection while the upload was still being written through a peer.

Cause: the peer passes bytes both ways in two goroutines. Where its write to the engine was told of the reset, its read returned io.EOF, and it sent the frame that says that the response has ended in order.

Change: the peer asks upconn.Writes before it sends that frame, and resets its connection if the end was not in order. The answer to the request for a detour says end_checked.

--- a/adapter/detour/client.go
+++ b/adapter/detour/client.go
@@ -44,17 +44,16 @@
 	r *bufio.Reader
 	// upstream reads the upstream's bytes from r.
 	upstream io.Reader
+	// endChecked is the peer's openAnswer.EndChecked.
+	endChecked bool
 }
 
 // Read implements net.Conn.
 func (c *detourConn) Read(p []byte) (int, error) { return c.upstream.Read(p) }
 
-// EndConfirmed implements upconn.EndConfirmer: the last frame says that the upstream's bytes have
-// ended in order.
-func (c *detourConn) EndConfirmed() bool {
-	_, framed := c.upstream.(*frameReader)
-	return framed
-}
+// EndConfirmed implements upconn.EndConfirmer. The peer closes its connection after the last frame,
+// also while the request is still being written.
+func (c *detourConn) EndConfirmed() bool { return c.endChecked }
 
 // SingleExchange implements upconn.SingleExchange.
 func (c *detourConn) SingleExchange() {}
@@ -81,7 +80,7 @@
 	}
 	c.upstream = c.r
 	if answer.Framed {
-		c.upstream = &frameReader{r: c.r}
+		c.upstream, c.endChecked = &frameReader{r: c.r}, answer.EndChecked
 	}
 	return c, answer, nil
 }
--- a/adapter/detour/protocol.go
+++ b/adapter/detour/protocol.go
@@ -62,6 +62,9 @@
 	// Framed is true if the upstream's bytes come in frames. A node of an earlier release
 	// sends them as they are.
 	Framed bool `json:"framed,omitempty"`
+	// EndChecked is true if the last frame is sent only after an orderly end, also where a write to
+	// the upstream was told of a reset. A node of an earlier release asks its reads alone.
+	EndChecked bool `json:"end_checked,omitempty"`
 }
 
 // codec encodes the messages.
--- a/adapter/detour/server.go
+++ b/adapter/detour/server.go
@@ -25,6 +25,9 @@
 	maxOpen = 512
 	// pipeBufferBytes holds several events of a stream.
 	pipeBufferBytes = 4 << 10
+	// shortRequestBytes is the size of requests that nodes send at once, before they read the
+	// response.
+	shortRequestBytes = 32 << 10
 	// openTimeout bounds the wait for the request and the write of the answer.
 	openTimeout = time.Second
 	// connectTimeout bounds the connection to the upstream, so that the answer arrives before
@@ -114,7 +117,7 @@
 		s.Log.Info().Str("event", "detour_declined").Str("upstream", string(req.Upstream)).Str("address", req.Address).
 			Str("from", conn.RemoteAddr().String()).Str("result", string(r)).Int64("open", s.open.Load()).Send()
 	}
-	return codec.WriteObject(conn, openAnswer{Result: r, LinksLost: s.LinksLost(), Stopping: s.stopping.Load(), Open: int(s.open.Load()), Framed: req.Framed}) == nil
+	return codec.WriteObject(conn, openAnswer{Result: r, LinksLost: s.LinksLost(), Stopping: s.stopping.Load(), Open: int(s.open.Load()), Framed: req.Framed, EndChecked: req.Framed}) == nil
 }
 
 // connect connects to the upstream of a request. The connection is nil unless the result is
@@ -209,14 +212,15 @@
 		_ = up.Close() // nothing was sent on it
 		return
 	}
+	writes := &upconn.Writes{}
 	var once sync.Once
 	var pending sync.WaitGroup
 	pending.Go(func() {
-		copyBytes(up, r)
+		copyRequest(up, r, writes)
 		// The upstream notices that its client is gone.
 		once.Do(func() { _ = up.Close() })
 	})
-	if !copyResponse(peer, up, framed) {
+	if !copyResponse(peer, up, writes, framed) {
 		// A response that was cut off must not look like one that has ended.
 		_ = peer.SetLinger(0) // fails only if the connection is already closed
 	}
@@ -225,29 +229,65 @@
 	pending.Wait()
 }
 
-// copyResponse passes the upstream's bytes on to peer. It reports whether they ended in order and
-// the peer was told so.
-func copyResponse(peer, up net.Conn, framed bool) bool {
-	if !framed {
-		return copyBytes(peer, up)
+// copyRequest passes the bytes of the client on to the upstream until either side ends. The rest of
+// a long request counts as one write, so that an end of the response in the middle of it is checked.
+func copyRequest(up io.Writer, r *bufio.Reader, writes *upconn.Writes) {
+	if copyBytes(trackedWriter{to: up, writes: writes}, io.LimitReader(r, shortRequestBytes)) != nil {
+		return
+	}
+	if _, err := r.Peek(1); err != nil {
+		return // the client has ended
 	}
+	// The error counts once the response ends.
+	_ = writes.Do(func() error { return copyBytes(up, r) })
+}
+
+// trackedWriter writes to a connection and keeps the results of its writes.
+type trackedWriter struct {
+	to     io.Writer
+	writes *upconn.Writes
+}
+
+// Write implements io.Writer.
+func (w trackedWriter) Write(p []byte) (n int, err error) {
+	err = w.writes.Do(func() error {
+		n, err = w.to.Write(p)
+		return err
+	})
+	return n, err
+}
+
+// copyResponse passes the upstream's bytes on to peer. writes are those to the upstream. It reports
+// whether the bytes ended in order and the peer was told so.
+func copyResponse(peer net.Conn, up upconn.NetConn, writes *upconn.Writes, framed bool) bool {
+	var to io.Writer = peer
 	frames := &frameWriter{w: peer}
-	return copyBytes(frames, up) && frames.end() == nil
+	if framed {
+		to = frames
+	}
+	raw, err := up.SyscallConn()
+	if err != nil || copyBytes(to, up) != nil || writes.CheckEnd(raw) != nil {
+		return false
+	}
+	return !framed || frames.end() == nil
 }
 
-// copyBytes passes bytes on until the source ends or either side fails. It reports whether
-// the source ended in order.
-func copyBytes(to io.Writer, from io.Reader) bool {
+// copyBytes passes bytes on until the source ends or either side fails. It returns nil if the
+// source ended in order.
+func copyBytes(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, pipeBufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if _, failed := to.Write(buffer[:n]); failed != nil {
-				return false
+				return failed
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return errors.Is(err, io.EOF)
+			return err
 		}
 	}
 }
