A response with a damaged name of a field is no answer

Callers saw: an engine in trouble sent a head in which the name of a field held a blank or a control byte. They got it as an answer, with that line passed on or with a body that was not the engine's.

Cause: fasthttp drops a blank before the colon, keeps one inside a name, and joins a line that begins with a blank or a tab to the field before. So "Content-Length : 4" cut a body of 23 bytes to 4, the chunks of a "Transfer Encoding" became part of the body, a continued line became part of the signature, and a refusal, a limit, a rest or a leaving in such a head was believed. Control bytes, separators and bytes above 0x7f in names, and control bytes in values, were refused before; they are tested now.

Change: core/httphead checks each line of a head: a name of token characters, a colon, and a value without control bytes but tabs. All readers get it, as they read heads behind that check. A line that begins with a blank is refused although obsolete senders continue lines so, which RFC 9112 allows a recipient to do: a damaged name looks the same.

--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -1,9 +1,10 @@
 // Package httphead checks the head of an HTTP/1 response before a parser reads it.
 //
 // Parsers accept more than the grammar of RFC 9112, and each makes something else of what is
-// malformed. fasthttp reports status 000 as 200, for instance. The damaged bytes may also be those
-// that end the body, name the request or state that it did not run. So nothing in a malformed head
-// counts, and the response is no answer to the request.
+// malformed. fasthttp reports status 000 as 200, drops a blank before the colon of a field, keeps
+// names with blanks inside, and joins a line that begins with a blank to the one before. The damaged
+// bytes may also be those that end the body, name the request or state that it did not run. So
+// nothing in a malformed head counts, and the response is no answer to the request.
 package httphead
 
 import (
@@ -127,8 +128,10 @@
 	case len(text) > 0 && s.status == 0:
 		s.status, err = parseStatusLine(text)
 		return false, err
-	case len(text) > 0 || s.status == 0:
+	case s.status == 0:
 		return false, nil
+	case len(text) > 0:
+		return false, CheckField(text)
 	case !crlf || !afterCRLF:
 		// Parsers differ in whether a bare line feed ends a head.
 		return false, malformed("end of the head", line)
@@ -165,3 +168,43 @@
 	}
 	return status, nil
 }
+
+// CheckField returns a *MalformedError unless a line without its line end is a header or trailer
+// field (RFC 9112, section 5). A line that begins with a blank, which continues the line before it in
+// obsolete messages, is none: a damaged name looks the same.
+func CheckField(line []byte) error {
+	colon := bytes.IndexByte(line, ':')
+	if colon <= 0 {
+		return malformed("field", line)
+	}
+	for _, c := range line[:colon] {
+		if !isNameByte[c] {
+			return malformed("field name", line)
+		}
+	}
+	if !isText(line[colon+1:]) {
+		return malformed("field value", line)
+	}
+	return nil
+}
+
+// isNameByte tells which bytes a field name may have (RFC 9110, section 5.6.2).
+var isNameByte = func() (allowed [256]bool) {
+	for _, c := range "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ" {
+		allowed[c] = true
+	}
+	return allowed
+}()
+
+// isText reports whether b may be a field value: it has no control bytes but tabs.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == del {
+			return false
+		}
+	}
+	return true
+}
+
+// del is the control byte above the printable ones.
+const del = 0x7f
--- a/core/httphead/httphead_test.go
+++ b/core/httphead/httphead_test.go
@@ -67,6 +67,13 @@
 		"HTTP/9.9 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "http/1.1 200 OK\r\n\r\n", "HTTP/1.1\t200 OK\r\n\r\n",
 		"ICY 200 OK\r\n\r\n", " HTTP/1.1 200 OK\r\n\r\n", "garbage\r\n", "HTTP/1.1\r\n\r\n",
 	},
+	"field": {"HTTP/1.1 200 OK\r\nA\r\n\r\n", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\nB: c\r\n\r\n"},
+	"field name": {
+		"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n\r\n", "HTTP/1.1 200 OK\r\n\tA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x00b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\rb: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA(b: c\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA\x7f: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x80: b\r\n\r\n", "HTTP/1.1 100 Continue\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	},
+	"field value":     {"HTTP/1.1 200 OK\r\nA: \x00\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\r\n\r\n", "HTTP/1.1 200 OK\r\nA: \x7f\r\n\r\n"},
 	"end of the head": {"HTTP/1.1 200 OK\n\n", "HTTP/1.1 200 OK\r\n\n", "HTTP/1.1 200 OK\r\nA: b\n\r\n"},
 }
 
