A status line with control bytes in its reason is malformed

Callers saw: a head whose status line is damaged behind the status counted, as a success or as a refusal.

Cause: fasthttp takes the rest of the status line as it is.

Change: the reason has no control bytes but tabs (RFC 9112, section 4). It is part of the check of the head, so that nothing else in such a head counts.

An empty or missing reason, and bytes above 0x7f in it, pass as before.

--- a/core/httphead/headtest/headtest.go
+++ b/core/httphead/headtest/headtest.go
@@ -6,19 +6,21 @@
 func Malformed(fields, body string) map[string]string {
 	rest := "\r\n" + fields + "\r\n" + body
 	responses := map[string]string{
-		"status 000":             "HTTP/1.1 000 OK" + rest,
-		"status 000, no reason":  "HTTP/1.1 000" + rest,
-		"status 000 of HTTP/1.0": "HTTP/1.0 000 OK" + rest,
-		"status 000 after 103":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK" + rest,
-		"status 099":             "HTTP/1.1 099 X" + rest,
-		"status 600":             "HTTP/1.1 600 X" + rest,
-		"status 999":             "HTTP/1.1 999 X" + rest,
-		"status of two digits":   "HTTP/1.1 20 OK" + rest,
-		"status of four digits":  "HTTP/1.1 2000 OK" + rest,
-		"status with a sign":     "HTTP/1.1 +20 OK" + rest,
-		"version 9.9":            "HTTP/9.9 200 OK" + rest,
-		"version 1.2":            "HTTP/1.2 200 OK" + rest,
-		"version in lower case":  "http/1.1 200 OK" + rest,
+		"status 000":                    "HTTP/1.1 000 OK" + rest,
+		"status 000, no reason":         "HTTP/1.1 000" + rest,
+		"status 000 of HTTP/1.0":        "HTTP/1.0 000 OK" + rest,
+		"status 000 after 103":          "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK" + rest,
+		"status 099":                    "HTTP/1.1 099 X" + rest,
+		"status 600":                    "HTTP/1.1 600 X" + rest,
+		"status 999":                    "HTTP/1.1 999 X" + rest,
+		"status of two digits":          "HTTP/1.1 20 OK" + rest,
+		"status of four digits":         "HTTP/1.1 2000 OK" + rest,
+		"status with a sign":            "HTTP/1.1 +20 OK" + rest,
+		"version 9.9":                   "HTTP/9.9 200 OK" + rest,
+		"version 1.2":                   "HTTP/1.2 200 OK" + rest,
+		"version in lower case":         "http/1.1 200 OK" + rest,
+		"control byte in the reason":    "HTTP/1.1 200 O\x00K" + rest,
+		"carriage return in the reason": "HTTP/1.1 200 OK\rX: y" + rest,
 	}
 	for name, line := range malformedLines {
 		responses[name+" first"] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields + "\r\n" + body
--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -163,6 +163,9 @@
 		}
 		status = 10*status + int(c-'0')
 	}
+	if !isText(reason) {
+		return 0, malformed("reason", line)
+	}
 	if len(code) < codeBytes || status < minStatus || status > maxStatus || len(reason) > 0 && reason[0] != ' ' {
 		return 0, malformed("status", line)
 	}
@@ -196,7 +199,8 @@
 	return allowed
 }()
 
-// isText reports whether b may be a field value: it has no control bytes but tabs.
+// isText reports whether b may be a field value or the reason of a status line: it has no control
+// bytes but tabs.
 func isText(b []byte) bool {
 	for _, c := range b {
 		if c < ' ' && c != '\t' || c == del {
--- a/core/httphead/httphead_test.go
+++ b/core/httphead/httphead_test.go
@@ -67,7 +67,8 @@
 		"HTTP/9.9 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "http/1.1 200 OK\r\n\r\n", "HTTP/1.1\t200 OK\r\n\r\n",
 		"ICY 200 OK\r\n\r\n", " HTTP/1.1 200 OK\r\n\r\n", "garbage\r\n", "HTTP/1.1\r\n\r\n",
 	},
-	"field": {"HTTP/1.1 200 OK\r\nA\r\n\r\n", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\nB: c\r\n\r\n"},
+	"field":  {"HTTP/1.1 200 OK\r\nA\r\n\r\n", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\nB: c\r\n\r\n"},
+	"reason": {"HTTP/1.1 200 O\x00K\r\n\r\n", "HTTP/1.1 200 O\rK\r\n\r\n"},
 	"field name": {
 		"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n\r\n", "HTTP/1.1 200 OK\r\n\tA: b\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x00b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\rb: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA(b: c\r\n\r\n",
