An answer with a malformed trailer is not whole

Callers saw: an answer in chunks counted as whole although what follows its last chunk is no trailer, such as the head of another response.

Cause: upconn skipped the lines after the last chunk whatever they were.

Change: each of them has to be a field, by the check of heads; anything else is a framing error, as a malformed chunk is. The request may have run.

Evidence: the eight shapes of TestAnswerWithAMalformedTrailerIsNotPassedOn fail before and pass now; three sound trailers pass before and after.

--- a/adapter/upconn/response.go
+++ b/adapter/upconn/response.go
@@ -148,7 +148,7 @@
 	return nil
 }
 
-// skipTrailers reads the trailers after the last chunk.
+// skipTrailers reads and checks the trailers after the last chunk.
 func (r *Response) skipTrailers() error {
 	for range maxTrailers {
 		// A line that is longer than the buffer is an error.
@@ -159,9 +159,13 @@
 		if err != nil {
 			return &FramingError{err}
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		field := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+		if len(field) == 0 {
 			return nil
 		}
+		if err := httphead.CheckField(field); err != nil {
+			return &FramingError{err}
+		}
 	}
 	return &FramingError{&TrailersError{maxTrailers}}
 }
