A response of HTTP/1.0 with a transfer coding is malformed

Callers saw: the sizes of the chunks as a part of the body, also within a stream.

Cause: fasthttp leaves out Transfer-Encoding in a response of HTTP/1.0, so the body ended with the connection and had the chunks as they came.

Change: the check of heads refuses such a response, as RFC 9112, section 6.1, asks: its framing is faulty. HTTP/1.0 without a transfer coding passes.

--- a/adapter/forward/malformed_test.go
+++ b/adapter/forward/malformed_test.go
@@ -112,3 +112,8 @@
 		}
 	}
 }
+
+// Guards against the sizes of chunks that become a part of the body.
+func TestChunksOfHTTP10AreNotPassedOn(t *testing.T) {
+	checkIsNoAnswer(t, "HTTP/1.0 200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\ntransfer-encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+}
--- a/core/httphead/headtest/headtest.go
+++ b/core/httphead/headtest/headtest.go
@@ -19,6 +19,7 @@
 		"version 9.9":                   "HTTP/9.9 200 OK" + rest,
 		"version 1.2":                   "HTTP/1.2 200 OK" + rest,
 		"version in lower case":         "http/1.1 200 OK" + rest,
+		"chunks of HTTP/1.0":            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + rest,
 		"control byte in the reason":    "HTTP/1.1 200 O\x00K" + rest,
 		"carriage return in the reason": "HTTP/1.1 200 OK\rX: y" + rest,
 	}
--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // maxInformational is the number of informational responses that Await skips.
@@ -97,6 +98,8 @@
 	read int
 	// status is 0 until the status line has been checked.
 	status int
+	// http10 is true if the version is HTTP/1.0.
+	http10 bool
 	// afterCRLF is true if the last line ended with CRLF.
 	afterCRLF bool
 }
@@ -127,11 +130,12 @@
 	switch {
 	case len(text) > 0 && s.status == 0:
 		s.status, err = parseStatusLine(text)
+		s.http10 = bytes.HasPrefix(text, []byte(versionHTTP10))
 		return false, err
 	case s.status == 0:
 		return false, nil
 	case len(text) > 0:
-		return false, CheckField(text)
+		return false, s.checkField(text)
 	case !crlf || !afterCRLF:
 		// Parsers differ in whether a bare line feed ends a head.
 		return false, malformed("end of the head", line)
@@ -139,17 +143,37 @@
 	return true, nil
 }
 
-// Lengths of the parts of a status line: the version with the space after it, and the code.
+// checkField checks a field. Transfer codings are unknown to HTTP/1.0, so that with them parsers
+// disagree about the end of the body (RFC 9112, section 6.1).
+func (s *scanner) checkField(line []byte) error {
+	if err := CheckField(line); err != nil {
+		return err
+	}
+	if s.http10 && hasName(line, "transfer-encoding") {
+		return malformed("framing", line)
+	}
+	return nil
+}
+
+// hasName reports whether a field has a name, which is given in lower case.
+func hasName(field []byte, name string) bool {
+	return len(field) > len(name) && field[len(name)] == ':' && strings.EqualFold(string(field[:len(name)]), name)
+}
+
+// Parts of a status line: the versions with the space after them, and the lengths of a version and
+// of the code.
 const (
-	versionBytes = len("HTTP/1.1 ")
-	codeBytes    = 3
+	versionHTTP10 = "HTTP/1.0 "
+	versionHTTP11 = "HTTP/1.1 "
+	versionBytes  = len(versionHTTP11)
+	codeBytes     = 3
 )
 
 // parseStatusLine returns the status code of a status line (RFC 9112, section 4). The error is a
 // *MalformedError.
 func parseStatusLine(line []byte) (int, error) {
 	version := line[:min(len(line), versionBytes)]
-	if string(version) != "HTTP/1.1 " && string(version) != "HTTP/1.0 " {
+	if string(version) != versionHTTP11 && string(version) != versionHTTP10 {
 		return 0, malformed("version", line)
 	}
 	code, reason := line[versionBytes:], []byte(nil)
--- a/core/httphead/httphead_test.go
+++ b/core/httphead/httphead_test.go
@@ -29,6 +29,8 @@
 var wellFormed = []string{
 	"HTTP/1.1 200 OK\r\n\r\nbody",
 	"HTTP/1.0 200 OK\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding-X: y\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"HTTP/1.1 200\r\nA: b\r\n\r\n",
 	"HTTP/1.1 200 \r\nA: b\r\n\r\n",
 	"HTTP/1.1 599 Any \t\x80\xff\r\nA: b\r\n\r\n",
@@ -74,6 +76,7 @@
 		"HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x00b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA\rb: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA(b: c\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA\x7f: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x80: b\r\n\r\n", "HTTP/1.1 100 Continue\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	},
+	"framing":         {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 200 OK\r\nA: b\r\nTRANSFER-ENCODING:\r\n\r\n"},
 	"field value":     {"HTTP/1.1 200 OK\r\nA: \x00\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\r\n\r\n", "HTTP/1.1 200 OK\r\nA: \x7f\r\n\r\n"},
 	"end of the head": {"HTTP/1.1 200 OK\n\n", "HTTP/1.1 200 OK\r\n\n", "HTTP/1.1 200 OK\r\nA: b\n\r\n"},
 }
