A body with a content coding is not the engine's

Callers saw: a response with a Content-Encoding as a success. They ask for bodies without a coding, and by the platform's protocol such a response is not the engine's body.

Cause: the header was passed on like any other.

Only the platform's protocol names it.

--- a/adapter/forward/fake_test.go
+++ b/adapter/forward/fake_test.go
@@ -35,7 +35,7 @@
 var testHeaders = Headers{
 	RequestID: "Q-Id", Signature: "Q-Seal", DeadlineMs: "Q-Left", Key: "Q-Key", Account: "Q-Account", ExpectUpstream: "Q-Expect",
 	NotRun: "Q-Not-Run", FaultyStage: "Q-Fault", Stages: "Q-Stages", Priority: "Q-Rank", TokenCounts: "Q-Tokens", PromptParts: "Q-Parts",
-	LengthHint: "Q-Hint", LastEventID: "Q-Last", Load: "Q-Load", RateLimit: "Q-Limit", Leaving: "Q-Leaving",
+	LengthHint: "Q-Hint", LastEventID: "Q-Last", Load: "Q-Load", RateLimit: "Q-Limit", Leaving: "Q-Leaving", BodyCoding: "Content-Encoding",
 }
 
 // waitTimeout bounds the waits for conditions and connections.
--- a/adapter/forward/options.go
+++ b/adapter/forward/options.go
@@ -70,6 +70,9 @@
 	RateLimit string
 	// Leaving is 1 in the responses of an upstream that is leaving.
 	Leaving string
+	// BodyCoding names the coding of a body. Callers ask for bodies without one, so a response that
+	// has the header is not an upstream's. Empty if upstreams may send it.
+	BodyCoding string
 }
 
 // Engines makes the calls to engines that accompany requests.
--- a/adapter/forward/provenance_test.go
+++ b/adapter/forward/provenance_test.go
@@ -23,6 +23,9 @@
 	"no signature, events":        "200 OK\r\nQ-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n",
 	"no id, events":               "200 OK\r\nQ-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n",
 	"switching protocols":         "101 Switching Protocols\r\nQ-Id: %s\r\nQ-Seal: s\r\n\r\n",
+	"coded body":                  "200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+	"coded events":                "200 OK\r\nQ-Id: %s\r\nQ-Seal: s\r\ncontent-encoding: br\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: e1\n\n",
+	"coding that changes nothing": "404 Not Found\r\nQ-Id: %s\r\nQ-Seal: s\r\nContent-Encoding: identity\r\nContent-Length: 2\r\n\r\nok",
 	"unsigned promise":            "503 Busy\r\nQ-Id: %s\r\nContent-Length: 2\r\n\r\nok",
 	"unsigned refusal of a caller": "404 Not Found\r\nQ-Id: %s\r\n" +
 		"Content-Length: 2\r\n\r\nok",
