--- a/standin/killable/killable.go
+++ b/standin/killable/killable.go
@@ -3,6 +3,7 @@
 package killable
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,15 @@
 	return c.Conn.Write(b)
 }
 
+// SetLinger is that of *net.TCPConn, whatever the kind of the connection. 0 makes Close reset it.
+func (c *conn) SetLinger(sec int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(sec)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -306,7 +306,7 @@
 		t.Fatal(err)
 	}
 	chunks := make(chan chunk, 1)
-	go newPair(nil, f).read(from.(*net.TCPConn), chunks)
+	go newPair(nil, f).read(toTarget, from.(*net.TCPConn), chunks)
 	before := time.Now()
 	if _, err := from.Write(make([]byte, 100)); err != nil {
 		t.Fatal(err)
@@ -321,3 +321,47 @@
 		t.Error("unknown mode accepted")
 	}
 }
+
+// Guards against a relay that turns the reset of its target into an orderly end, also where it is
+// told of it while it writes.
+func TestResetOfTheTargetIsPassedOn(t *testing.T) {
+	for _, upload := range []int{0, 8 << 20} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1))
+				_, _ = io.WriteString(c, "part")
+				abort(c.(*net.TCPConn))
+			}
+		}()
+		r, err := Start(Config{Target: ln.Addr().String()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		for range 20 {
+			c, err := net.Dial("tcp4", r.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write(make([]byte, 1+upload))
+				written <- err
+			}()
+			_, err = io.Copy(io.Discard, c)
+			if failed := <-written; err == nil && failed == nil {
+				t.Errorf("after an upload of %d bytes the connection has ended in order", upload)
+			}
+			_ = c.Close()
+		}
+	}
+}
--- a/standin/link/pair.go
+++ b/standin/link/pair.go
@@ -1,9 +1,13 @@
 package link
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Size of the buffer of one direction: the number of chunks and the bytes in each.
@@ -13,10 +17,11 @@
 )
 
 // chunk holds bytes that may be written from time due. A nil data marks the end of
-// the direction.
+// the direction, in order or, if reset is true, by a reset.
 type chunk struct {
-	data []byte
-	due  time.Time
+	data  []byte
+	reset bool
+	due   time.Time
 }
 
 // pair is a caller's connection and the connection to the target that it is relayed
@@ -65,14 +70,14 @@
 func (p *pair) copyBytes(d direction, from, to *net.TCPConn) {
 	chunks := make(chan chunk, chunksInFlight)
 	var reader sync.WaitGroup
-	reader.Go(func() { p.read(from, chunks) })
+	reader.Go(func() { p.read(d, from, chunks) })
 	p.write(d, to, chunks)
 	reader.Wait()
 }
 
 // read reads from a connection and sends the bytes to chunks, with the time at which
 // each chunk is due. It closes chunks when it returns.
-func (p *pair) read(from *net.TCPConn, chunks chan<- chunk) {
+func (p *pair) read(d direction, from *net.TCPConn, chunks chan<- chunk) {
 	defer close(chunks)
 	var freeAt time.Time
 	for {
@@ -87,6 +92,7 @@
 		c := chunk{data: data[:n], due: freeAt.Add(delay)}
 		if err != nil {
 			c.data = nil
+			c.reset = !errors.Is(err, io.EOF) || d == fromTarget && isClosed(from)
 		}
 		select {
 		case chunks <- c:
@@ -99,6 +105,20 @@
 	}
 }
 
+// isClosed reports whether a connection is closed on both sides. If a read has returned io.EOF, it may
+// have been reset: the kernel reports that only once, here to the write of the other direction.
+func isClosed(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return controlErr != nil || err != nil || info.State == unix.BPF_TCP_CLOSE
+}
+
 // write writes each chunk when it is due and forwards the end of the source. A failed
 // write resets the pair.
 func (p *pair) write(d direction, to *net.TCPConn, chunks <-chan chunk) {
@@ -106,6 +126,10 @@
 		if !p.waitUntilDue(d, c.due) {
 			return
 		}
+		if c.reset {
+			p.reset()
+			return
+		}
 		if c.data == nil {
 			_ = to.CloseWrite()
 			return
