The last frame of a peer stands whatever a peek is told

Cause: a peer closes its connection after the last frame, which resets it if a part of the request is unread. A stream's peek at the connection could be told of that, and the whole answer then counted as cut off. A second peek forgot the error of the first.

Change: the error that a peek took counts where the end of a body without a length is checked, and not for a connection whose end its peer confirms. A fasthttp client's connection is closed after status 101, as the transport that it replaces did.

Evidence: TestResetAfterTheLastFrameIsNoReset and the second peek of TestResetThatIsQuietNoticesIsNoEnd pass now; they were written with the change.

--- a/adapter/detour/upload_test.go
+++ b/adapter/detour/upload_test.go
@@ -134,3 +134,29 @@
 		t.Errorf("body %q, %v", body, err)
 	}
 }
+
+// Guards against a whole response that is lost because the peer resets its connection after the last
+// frame, and a peek at the connection is told of that.
+func TestResetAfterTheLastFrameIsNoReset(t *testing.T) {
+	framed := []byte("\x00\x18HTTP/1.1 200 OK\r\n\r\nwhole\x00\x00")
+	conn, err := upconn.NewPool(boottime.Now, func(ctx context.Context, target upconn.Target) (upconn.NetConn, error) {
+		through, _, err := open(ctx, scriptedPeer(t, openAnswer{Result: connected, Framed: true, EndChecked: true}, framed), target, time.Minute)
+		return through, err
+	}, nil).Get(t.Context(), newTestUpstream(t, "u").target())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetWaitFunc(func(time.Duration) (time.Duration, error) { return waitTimeout, nil })
+	eventually(t, "a write to the peer fails", func() bool { return conn.Write([]byte("request"), waitTimeout) != nil })
+	if conn.IsQuiet() {
+		t.Fatal("the connection of a peer that has closed it is quiet")
+	}
+	resp, err := conn.ReadResponse("POST")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := resp.Body(); err != nil || string(body) != "whole" {
+		t.Errorf("body %q, %v", body, err)
+	}
+}
--- a/adapter/forward/provenance.go
+++ b/adapter/forward/provenance.go
@@ -35,8 +35,8 @@
 }
 
 // checkProvenance returns an *UnprovenAnswerError unless the response has the id of the request and
-// a signature, and its body has no coding. Failures need them too: without a signature a status that promises that the request
-// did not run would be the node's own promise.
+// a signature, and its body has no coding. Failures need them too: without a signature a status that
+// promises that the request did not run would be the node's own promise.
 func checkProvenance(head *fasthttp.ResponseHeader, h *Headers, id string) error {
 	status := head.StatusCode()
 	switch {
--- a/adapter/hostclient/hostclient.go
+++ b/adapter/hostclient/hostclient.go
@@ -70,8 +70,8 @@
 }
 
 // Exchange writes a request and reads the whole response, whose head it checks. If more bytes
-// follow the response, it marks the connection to be closed, since they belong to no request. It
-// sets no deadlines. Errors: those of conn, of httphead.Await and of the parser.
+// follow the response, which belong to no request, or another protocol does, it marks the connection
+// to be closed. It sets no deadlines. Errors: those of conn, of httphead.Await and of the parser.
 func Exchange(host *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	w := host.AcquireWriter(conn)
 	defer host.ReleaseWriter(w)
@@ -90,7 +90,7 @@
 	if err := resp.ReadLimitBody(r, host.MaxResponseBodySize); err != nil {
 		return err
 	}
-	if r.Buffered() > 0 {
+	if r.Buffered() > 0 || resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
 		resp.SetConnectionClose()
 	}
 	return nil
--- a/adapter/hostclient/hostclient_test.go
+++ b/adapter/hostclient/hostclient_test.go
@@ -86,16 +86,17 @@
 	}
 }
 
-// Guards against a connection that is used again although bytes follow its response.
-func TestConnectionWithSurplusBytesIsClosed(t *testing.T) {
-	for _, text := range []string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
-		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+// Guards against a connection that is used again although other bytes follow its response.
+func TestConnectionThatIsNotForResponsesIsClosed(t *testing.T) {
+	for text, body := range map[string]string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n":   "ok",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok": "ok",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n":                            "",
 	} {
 		s := serve(t, text, text)
 		c := s.client()
 		for range 2 {
-			if resp, err := s.get(c, "GET"); err != nil || string(resp.Body()) != "ok" {
+			if resp, err := s.get(c, "GET"); err != nil || string(resp.Body()) != body {
 				t.Fatalf("body %q, %v", resp.Body(), err)
 			}
 		}
--- a/adapter/upconn/conn.go
+++ b/adapter/upconn/conn.go
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -87,7 +86,7 @@
 	onClose func()
 	// readErr is the error of the last failed read.
 	readErr error
-	// peekErr is the error of the connection that IsQuiet was told of, and the next read is not.
+	// peekErr is the error of the connection that IsQuiet was told of. Reads after it return io.EOF.
 	peekErr error
 	// writes are the writes of requests.
 	writes Writes
@@ -141,9 +140,6 @@
 // Read implements io.Reader for the buffered reader of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
-	if errors.Is(err, io.EOF) {
-		err = cmp.Or(c.peekErr, err)
-	}
 	if err != nil {
 		err = cmp.Or(c.ended(), err)
 		c.readErr = err
@@ -267,7 +263,7 @@
 	if end, ok := c.conn.(EndConfirmer); ok && end.EndConfirmed() {
 		return nil
 	}
-	return c.writes.CheckEnd(c.raw)
+	return cmp.Or(c.peekErr, c.writes.CheckEnd(c.raw))
 }
 
 // ClosedAt returns when the connection was closed here, by the clock of its pool, zero if it was
@@ -308,7 +304,7 @@
 		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
 		if !quiet {
-			c.peekErr = err
+			c.peekErr = cmp.Or(c.peekErr, err)
 		}
 	})
 	return err == nil && quiet
--- a/adapter/upconn/writes_test.go
+++ b/adapter/upconn/writes_test.go
@@ -135,6 +135,9 @@
 			t.Fatal("the reset is not noticed")
 		}
 	}
+	if conn.IsQuiet() {
+		t.Error("the connection is quiet again")
+	}
 	if _, err := resp.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the read ends with %v", err)
 	}
