--- a/adapter/upconn/writes_test.go
+++ b/adapter/upconn/writes_test.go
@@ -98,6 +98,9 @@
 		}()
 	})
 	conn := connect(t, NewPool(time.Now, DialDirect, nil), target, waitLong)
+	if err := conn.Write([]byte("?"), time.Second); err != nil {
+		t.Fatal(err)
+	}
 	conn.StartWrite([][]byte{make([]byte, 16<<20)}, 5*time.Millisecond)
 	resp, err := conn.ReadResponse("POST")
 	if err != nil {
