A test's refused address stays bound

Cause, by reading: the test closed a listener and used its address, whose port any other process may then take; the packages that run beside it open many listeners. The process that took it was not seen.

Change: the port stays bound by a socket that does not listen, so that it refuses connections and nobody else gets it. What the test asks is unchanged.

--- a/adapter/upstream/model_test.go
+++ b/adapter/upstream/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"mimosaarch.example/core/engineapi"
 	"mimosaarch.example/core/ids"
@@ -126,11 +128,21 @@
 	}
 }
 
-func TestFailedDialProvesNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address that refuses connections. Its port stays bound until the end of
+// the test, so that no other process listens on it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	must(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	must(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
 	must(t, err)
-	closed := l.Addr().String()
-	must(t, l.Close())
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
+func TestFailedDialProvesNotSent(t *testing.T) {
+	closed := refusingAddress(t)
 	f := newFake(t, respond())
 	named := strings.Replace(f.address, "127.0.0.1", "localhost", 1)
 	for _, address := range []string{closed, named, ""} {
